--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration file of a dunlinward fleet.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command line for a dunlinward fleet.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions of a dunlinward router, free of input and output.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients for the log and the instance list of the platform.
--- /dev/null
+++ b/crates/policies/src/lib.rs
@@ -0,0 +1,1 @@
+//! The policies a dunlinward kernel may run with.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The dunlinward router.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems around a dunlinward fleet.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames and keyed links between dunlinward routers.
