Add the stand-ins for the platform and the targets

Cause: tests, the demo and the measurements need a model engine, a plain service, a log, an instance list and a weight store that fail on demand.

Change: each is a library module with start(Settings) -> Server and a subcommand of the binary standin. The engine is a pure model in virtual time with a thin server that drives it. They are served by hyper, because a fault has to break a connection midway, which rouille and tiny_http do not let a handler do. What needs the kernel or the router sits behind the default feature fleet, so that other crates can test against the stand-ins alone.

Conclusion: other crates can take dunlinward-standin as a dev-dependency.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,22 @@
 //! Small stand-ins for the systems around a dunlinward fleet.
+//!
+//! Each module stands in for one outside system: the model [`engine`], the
+//! [`plain`] service, the append-only [`log`], the list of [`instances`] and
+//! the store of [`weights`]. Each has a `Settings` type and a `start` function
+//! that returns a running [`Server`]; servers share nothing, so a test may run
+//! any number of them inside one process. The binary `standin` runs the same
+//! servers as separate processes.
+//!
+//! The stand-ins exist to be unpleasant: each has a `POST /admin/faults` that
+//! brings about the failures which the real systems are known for. They hold
+//! everything in memory and bind only to the address that they are given.
+
+pub mod engine;
+mod http;
+pub mod instances;
+pub mod log;
+pub mod plain;
+mod rate;
+pub mod weights;
+
+pub use http::Server;
--- /dev/null
+++ b/crates/standin/tests/http/main.rs
@@ -0,0 +1,5 @@
+//! The stand-ins over HTTP.
+
+mod engine;
+mod services;
+mod support;
