--- /dev/null
+++ b/crates/wire/tests/link/main.rs
@@ -0,0 +1,5 @@
+//! Links over loopback.
+
+mod common;
+mod hostile;
+mod pools;
