Fold the log into the accepted configuration

Cause: operators race, records double and expire, and routers start with no memory; all must hold the same file.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod file;
 pub mod key;
 mod read;
-// pub mod revision;
+pub mod revision;
 
 pub use file::Config;
