Add the kernel: queues, slot owners, fleet accounts by rounds, retries

Cause: decisions must be the same in the router, in scenarios and in measurements. Change: a pure kernel stepped by events, with rendezvous slot owners, holders that reuse slots within a window of the fleet's frontier, accounts summed over a tree per failure domain with exactly-once rounds, typestate for requests and a verifier.

--- /dev/null
+++ b/crates/kernel/src/kernel/link.rs
@@ -0,0 +1,201 @@
+//! Messages in and out, membership and rounds.
+
+use std::sync::Arc;
+
+use super::{Kernel, Mail};
+use crate::action::Action;
+use crate::key::Key;
+use crate::member::{Heard, Listed};
+use crate::message::{Grant, Hold, Message};
+use crate::round::Scope;
+use crate::settings::Admission;
+use crate::table::Table;
+use crate::time::Instant;
+
+impl Kernel {
+    pub(super) fn list(&mut self, now: Instant, listed: &[Listed]) {
+        self.view.list(listed);
+        self.view.prune(now);
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        now: Instant,
+        from: Key,
+        domain: Key,
+        incarnation: u64,
+        messages: Vec<Message>,
+    ) {
+        match self.view.hear(now, from, domain, incarnation) {
+            Heard::Stale => {
+                self.dropped.stale_messages += messages.len() as u64;
+                return;
+            }
+            Heard::Restarted => self.forget_router(now, from),
+            Heard::Same | Heard::Back => {}
+        }
+        for message in messages {
+            self.take(now, from, message);
+        }
+    }
+
+    /// What a router held ended with its run; what it owned it knows nothing of.
+    fn forget_router(&mut self, now: Instant, router: Key) {
+        self.owner.forget(router);
+        if let Some(table) = self.table.clone() {
+            self.holder
+                .owner_restarted(now, &table, router, &mut self.outbox);
+        }
+    }
+
+    fn take(&mut self, now: Instant, from: Key, message: Message) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        match message {
+            Message::Down(down) => {
+                self.with_rounds(now, &table, |rounds, scope| {
+                    rounds.down(now, from, down, scope);
+                });
+                self.orders.clear();
+            }
+            Message::Up(up) => {
+                self.with_rounds(now, &table, |rounds, scope| {
+                    rounds.up(now, from, &up, scope);
+                });
+            }
+            Message::Total(total) => {
+                self.with_rounds(now, &table, |rounds, scope| {
+                    rounds.total_received(now, from, &total, scope);
+                });
+            }
+            Message::Probe => {
+                self.with_rounds(now, &table, |rounds, scope| rounds.probed(from, scope));
+            }
+            Message::Want(want) => self.owner.want(&table, from, &want),
+            Message::Grant(grant) => self.take_grant(now, &table, from, &grant),
+            Message::Hold(hold) => match table.target_by_key(hold.target) {
+                Some(target) => self.owner.hold(now, from, target, &hold),
+                None => self.dropped.unknown_names += 1,
+            },
+            Message::Recall(recall) => match table.target_by_key(recall.target) {
+                Some(target) => self.holder.recall(target, from),
+                None => self.dropped.unknown_names += 1,
+            },
+            Message::Leaving => self.view.leave(from),
+        }
+    }
+
+    fn take_grant(&mut self, now: Instant, table: &Arc<Table>, from: Key, grant: &Grant) {
+        let Some(target) = table.target_by_key(grant.target) else {
+            self.dropped.unknown_names += 1;
+            return;
+        };
+        let owner = self.owners.get(&target).copied().unwrap_or(from);
+        if owner == from && self.holder.grant(now, table, target, from, grant) {
+            return;
+        }
+        self.dropped.void_grants += 1;
+        if owner != from {
+            // Not the owner in our view: give it all back, so that nothing leaks there.
+            let hold = Hold {
+                target: grant.target,
+                stamp: self.holder.next_stamp(),
+                sequence: grant.sequence,
+                count: 0,
+            };
+            self.outbox.push((from, Message::Hold(hold)));
+        }
+    }
+
+    /// Runs a part of the rounds with what it may touch.
+    fn with_rounds(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        work: impl FnOnce(&mut crate::round::Rounds, &mut Scope<'_>),
+    ) {
+        let mut scope = Scope {
+            settings: &self.settings,
+            table,
+            view: &mut self.view,
+            book: &mut self.book,
+            spare: self.owner.spare(now, table),
+            outbox: &mut self.outbox,
+        };
+        work(&mut self.rounds, &mut scope);
+    }
+
+    pub(super) fn run_rounds(&mut self, now: Instant, table: &Table) {
+        if self.settings.admission == Admission::Owner && now >= self.rounds.wake_at(&self.settings)
+        {
+            self.with_rounds(now, table, |rounds, scope| rounds.tick(now, scope));
+            self.orders.clear();
+        }
+    }
+
+    /// Puts what the parts want to say into the mail; true when some was for us.
+    pub(super) fn post(&mut self, now: Instant) -> bool {
+        let mut own = false;
+        while !self.outbox.is_empty() {
+            for (to, message) in std::mem::take(&mut self.outbox) {
+                if to == self.me {
+                    own = true;
+                    self.take(now, to, message);
+                    continue;
+                }
+                let mail = self.mail.entry(to).or_insert_with(|| Mail {
+                    since: now,
+                    messages: Vec::new(),
+                });
+                mail.messages.push(message);
+            }
+        }
+        own
+    }
+
+    pub(super) fn send_mail(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let linger = self.settings.linger;
+        let due: Vec<Key> = self
+            .mail
+            .iter()
+            .filter(|(_, mail)| now >= mail.since + linger)
+            .map(|(to, _)| *to)
+            .collect();
+        for to in due {
+            if let Some(mail) = self.mail.remove(&to) {
+                actions.push(Action::Send {
+                    to,
+                    messages: mail.messages,
+                });
+            }
+        }
+    }
+
+    pub(super) fn drain(&mut self, now: Instant) {
+        if self.draining.is_some() {
+            return;
+        }
+        self.draining = Some(now);
+        self.view.leave(self.me);
+        let others: Vec<Key> = self.view.live().collect();
+        for other in others {
+            self.outbox.push((other, Message::Leaving));
+        }
+    }
+
+    /// Says once that nothing is left here, neither requests nor uncounted charges.
+    pub(super) fn finish_drain(&mut self, actions: &mut Vec<Action>) {
+        if self.draining.is_none() || self.drained || !self.requests.is_empty() {
+            return;
+        }
+        let told = self
+            .book
+            .all()
+            .all(|(_, _, account)| account.unsent == 0 && account.sent == 0);
+        if told || self.settings.admission != Admission::Owner {
+            self.drained = true;
+            actions.push(Action::Drained);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/owner.rs
@@ -0,0 +1,343 @@
+//! Handing out a target's slots.
+//!
+//! Each target has one owner, the live router of its failure domain with the
+//! greatest rendezvous weight. The owner knows what every entry wants and holds,
+//! and gives a free slot to the customer that comes first in the fair order. It
+//! needs no lease: when views differ and two routers believe that they own a
+//! target, each gives out at most the target's slots less what it was told is
+//! held, so the target sees at most twice its slots, and only until the views
+//! agree.
+//!
+//! What an entry holds is stated whole by the entry ([`Hold`]) and completed by
+//! the grants that it had not yet seen when it said so. A lost grant is thus found
+//! at the next statement, at the latest after [`crate::settings::Settings::restate`]
+//! and [`GRANT_LOST`]. A new owner listens for
+//! [`crate::settings::Settings::takeover`] before it grants; meanwhile entries go
+//! on using what they hold.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::account::{Book, RESERVE, Rank};
+use crate::id::{Customer, Target};
+use crate::key::Key;
+use crate::message::{Ask, Grant, Hold, Message, Part, Recall, Want};
+use crate::queue::Lane;
+use crate::table::Table;
+use crate::time::Instant;
+
+/// After this a grant that the entry does not know of counts as lost.
+pub const GRANT_LOST: Duration = Duration::from_secs(1);
+
+/// A grant that the entry may not have seen yet.
+#[derive(Clone, Copy, Debug)]
+struct Unseen {
+    sequence: u64,
+    count: u32,
+    at: Instant,
+}
+
+/// What one entry holds of one target.
+#[derive(Clone, Debug, Default)]
+struct Grantee {
+    stated: u32,
+    stamp: u64,
+    sequence: u64,
+    unseen: VecDeque<Unseen>,
+}
+
+impl Grantee {
+    fn held(&self) -> u32 {
+        self.stated + self.unseen.iter().map(|grant| grant.count).sum::<u32>()
+    }
+}
+
+/// A target that this router owns.
+#[derive(Clone, Debug)]
+struct Owned {
+    open_at: Instant,
+    grantees: BTreeMap<Key, Grantee>,
+    recalled: Option<Instant>,
+}
+
+impl Owned {
+    fn held(&self) -> u32 {
+        self.grantees.values().map(Grantee::held).sum()
+    }
+}
+
+/// Waiting requests of an entry that may be given slots.
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    lane: Lane,
+    customer: Customer,
+    count: u32,
+    cost: u64,
+}
+
+/// What one entry wants.
+#[derive(Clone, Debug, Default)]
+struct Wishes {
+    stamp: u64,
+    rows: Vec<Wish>,
+}
+
+/// The duties of this router as an owner.
+#[derive(Debug)]
+pub struct Owner {
+    me: Key,
+    owned: BTreeMap<Target, Owned>,
+    wishes: BTreeMap<Key, Wishes>,
+}
+
+impl Owner {
+    /// An owner of nothing.
+    #[must_use]
+    pub const fn new(me: Key) -> Self {
+        Self {
+            me,
+            owned: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+        }
+    }
+
+    /// Takes up and gives up targets, so that exactly `targets` are owned.
+    pub fn assign(&mut self, open_at: Instant, targets: &[Target]) {
+        self.owned.retain(|target, _| targets.contains(target));
+        for target in targets {
+            self.owned.entry(*target).or_insert_with(|| Owned {
+                open_at,
+                grantees: BTreeMap::new(),
+                recalled: None,
+            });
+        }
+    }
+
+    /// Targets owned.
+    pub fn targets(&self) -> impl Iterator<Item = Target> {
+        self.owned.keys().copied()
+    }
+
+    /// Slots of an owned target that entries hold, as far as known.
+    #[must_use]
+    pub fn held(&self, target: Target) -> Option<u32> {
+        self.owned.get(&target).map(Owned::held)
+    }
+
+    /// The next time at which an owned target begins to be granted.
+    #[must_use]
+    pub fn opens_after(&self, now: Instant) -> Option<Instant> {
+        self.owned
+            .values()
+            .map(|owned| owned.open_at)
+            .filter(|at| *at > now)
+            .min()
+    }
+
+    /// Owned targets with free slots that nobody here waits for.
+    #[must_use]
+    pub fn spare(&self, now: Instant, table: &Table) -> Vec<Key> {
+        self.owned
+            .iter()
+            .filter(|(target, owned)| {
+                let row = &table.targets[target.row()];
+                row.open() && now >= owned.open_at && owned.held() < row.slots
+            })
+            .map(|(target, _)| table.targets[target.row()].key)
+            .collect()
+    }
+
+    /// An entry says what it wants.
+    pub fn want(&mut self, table: &Table, from: Key, want: &Want) {
+        let wishes = self.wishes.entry(from).or_default();
+        if want.stamp <= wishes.stamp {
+            return;
+        }
+        wishes.stamp = want.stamp;
+        wishes.rows = want
+            .asks
+            .iter()
+            .filter_map(|ask| wish(table, ask))
+            .collect();
+    }
+
+    /// An entry says what it holds.
+    pub fn hold(&mut self, now: Instant, from: Key, target: Target, hold: &Hold) {
+        let Some(owned) = self.owned.get_mut(&target) else {
+            return;
+        };
+        let grantee = owned.grantees.entry(from).or_default();
+        if hold.stamp <= grantee.stamp {
+            return;
+        }
+        grantee.stamp = hold.stamp;
+        grantee.stated = hold.count;
+        grantee.sequence = grantee.sequence.max(hold.sequence);
+        grantee
+            .unseen
+            .retain(|grant| grant.sequence > hold.sequence && now.since(grant.at) < GRANT_LOST);
+    }
+
+    /// Frees all that a dead or restarted entry held.
+    pub fn forget(&mut self, entry: Key) {
+        self.wishes.remove(&entry);
+        for owned in self.owned.values_mut() {
+            owned.grantees.remove(&entry);
+        }
+    }
+
+    /// Gives free slots to who comes first in the fair order.
+    pub fn fill(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        book: &mut Book,
+        outbox: &mut Vec<(Key, Message)>,
+    ) {
+        let targets: Vec<Target> = self.owned.keys().copied().collect();
+        for target in targets {
+            self.fill_target(now, table, book, target, outbox);
+        }
+    }
+
+    fn fill_target(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        book: &mut Book,
+        target: Target,
+        outbox: &mut Vec<(Key, Message)>,
+    ) {
+        let row = &table.targets[target.row()];
+        let Some(owned) = self.owned.get(&target) else {
+            return;
+        };
+        if now < owned.open_at || !row.open() {
+            return;
+        }
+        let mut free = row.slots.saturating_sub(owned.held());
+        let mut given: BTreeMap<Key, Vec<Part>> = BTreeMap::new();
+        while free > 0 {
+            let Some((entry, customer)) = self.next(table, book, target) else {
+                break;
+            };
+            add(
+                given.entry(entry).or_default(),
+                table.customers[customer.row()].key,
+            );
+            free -= 1;
+        }
+        for (entry, parts) in given {
+            let message = self.grant(now, table, target, entry, parts);
+            outbox.push((entry, message));
+        }
+        if free == 0 {
+            self.recall(now, table, target, outbox);
+        }
+    }
+
+    /// Takes the wish that comes first and charges it provisionally.
+    fn next(&mut self, table: &Table, book: &mut Book, target: Target) -> Option<(Key, Customer)> {
+        let mut best: Option<(Rank, u32, Key, usize)> = None;
+        for (entry, wishes) in &self.wishes {
+            for (at, wish) in wishes.rows.iter().enumerate() {
+                if wish.count == 0 || !table.serves(target, wish.lane.service, wish.lane.model) {
+                    continue;
+                }
+                let rank = book.rank(table.pool(wish.lane.service), wish.customer);
+                let place = (rank, u32::MAX - wish.count, *entry, at);
+                if best.is_none_or(|best| place < best) {
+                    best = Some(place);
+                }
+            }
+        }
+        let (_, _, entry, at) = best?;
+        let wish = &mut self.wishes.get_mut(&entry)?.rows[at];
+        wish.count -= 1;
+        if entry != self.me {
+            let pool = table.pool(wish.lane.service);
+            let cost = i64::try_from(wish.cost.min(RESERVE)).unwrap_or(i64::MAX);
+            book.get_mut(pool, wish.customer).provisional[0] += cost;
+        }
+        Some((entry, wish.customer))
+    }
+
+    fn grant(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        target: Target,
+        entry: Key,
+        parts: Vec<Part>,
+    ) -> Message {
+        let count = parts.iter().map(|part| part.count).sum();
+        let mut sequence = 0;
+        if let Some(owned) = self.owned.get_mut(&target) {
+            let grantee = owned.grantees.entry(entry).or_default();
+            grantee.sequence += 1;
+            sequence = grantee.sequence;
+            grantee.unseen.push_back(Unseen {
+                sequence,
+                count,
+                at: now,
+            });
+        }
+        Message::Grant(Grant {
+            target: table.targets[target.row()].key,
+            sequence,
+            parts,
+        })
+    }
+
+    /// Asks for unused slots back while somebody waits, once a second at most.
+    fn recall(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        target: Target,
+        outbox: &mut Vec<(Key, Message)>,
+    ) {
+        let waits = self.wishes.values().any(|wishes| {
+            wishes.rows.iter().any(|wish| {
+                wish.count > 0 && table.serves(target, wish.lane.service, wish.lane.model)
+            })
+        });
+        let Some(owned) = self.owned.get_mut(&target) else {
+            return;
+        };
+        let lately = owned
+            .recalled
+            .is_some_and(|at| now.since(at) < Duration::from_secs(1));
+        if !waits || lately {
+            return;
+        }
+        owned.recalled = Some(now);
+        let key = table.targets[target.row()].key;
+        for (entry, grantee) in &owned.grantees {
+            if grantee.held() > 0 {
+                outbox.push((*entry, Message::Recall(Recall { target: key })));
+            }
+        }
+    }
+}
+
+fn wish(table: &Table, ask: &Ask) -> Option<Wish> {
+    let service = table.service_by_key(ask.service)?;
+    let model = match ask.model {
+        Some(key) => Some(table.model_by_key(key)?),
+        None => None,
+    };
+    Some(Wish {
+        lane: Lane { service, model },
+        customer: table.customer_by_key(ask.customer)?,
+        count: ask.count,
+        cost: ask.cost,
+    })
+}
+
+fn add(parts: &mut Vec<Part>, customer: Key) {
+    match parts.iter_mut().find(|part| part.customer == customer) {
+        Some(part) => part.count += 1,
+        None => parts.push(Part { customer, count: 1 }),
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Who owns what, without anyone deciding it.
+//!
+//! Highest random weight hashing (Thaler and Ravishankar, 1998): of the live
+//! instances, the one whose hash with the object's key is the greatest owns the
+//! object. When an instance dies only its objects move, spread over the others.
+
+use xxhash_rust::xxh64::xxh64;
+
+use crate::key::Key;
+
+/// The weight of an instance for an object.
+#[must_use]
+pub fn weight(instance: Key, object: Key) -> u64 {
+    let mut bytes = [0; 8];
+    bytes[..4].copy_from_slice(&instance.number().to_le_bytes());
+    bytes[4..].copy_from_slice(&object.number().to_le_bytes());
+    xxh64(&bytes, 0)
+}
+
+/// The instance with the greatest weight for an object.
+#[must_use]
+pub fn owner(instances: impl Iterator<Item = Key>, object: Key) -> Option<Key> {
+    instances.max_by_key(|instance| (weight(*instance, object), *instance))
+}
--- /dev/null
+++ b/crates/kernel/src/round/mod.rs
@@ -0,0 +1,382 @@
+//! Rounds: how the fleet agrees on what each customer has received.
+//!
+//! In every failure domain the root of a [`tree::Tree`] starts a round at set
+//! times by sending [`Down`] to its children, who pass it on at once. Leaves answer
+//! [`Up`] at once; an inner node answers when its children have, or when its
+//! patience ends. A round is thus a few message times long, and the age of the
+//! accounts is one period, however deep the tree is.
+//!
+//! Amounts are counted exactly once. An instance keeps what it has charged until
+//! it learns that it was counted, and a node keeps nothing for its children. The
+//! next `Down` names every instance whose answer did not come in time; an amount
+//! was counted if and only if neither the instance nor any on its path from the
+//! root is among them. Otherwise the instance sends it again in the next round.
+//! When a root dies before it has told the result, nobody has seen a total that
+//! includes the round, so sending again is right as well. The one gap is a root
+//! that dies while its `Down` is under way, a matter of milliseconds.
+//!
+//! Roots tell each other their totals after each round ([`crate::message::Total`]), and tell their
+//! deputy everything, so that the next root starts with all runs known. The same
+//! messages carry who waits, who is suspected, which targets have free slots, and
+//! the accepted revision.
+//!
+//! The leading root (least key among the roots heard) lifts accounts by charges of
+//! its own: a customer that begins to wait is lifted to the least virtual time of
+//! those that were waiting already, and no waiting customer stays further behind
+//! the furthest than [`Settings::owed`]. So idleness earns nothing, and after a
+//! partition what is owed is bounded.
+
+pub mod tally;
+pub mod tree;
+
+mod book;
+mod peers;
+mod root;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::account::Book;
+use crate::key::Key;
+use crate::member::View;
+use crate::message::{Down, Message, Round, Run, Up};
+use crate::settings::Settings;
+use crate::table::Table;
+use crate::time::Instant;
+use tally::{Slot, Tally};
+use tree::Tree;
+
+/// Patience with children, for each level below them.
+const PATIENCE: Duration = Duration::from_millis(30);
+
+/// Rounds over which accounts that do not wait are repeated once.
+const ROTATION: u64 = 16;
+
+/// Targets with free slots that an answer names at most.
+const SPARE_LIMIT: usize = 16;
+
+/// What rounds may read and change of the kernel.
+pub struct Scope<'a> {
+    /// Settings.
+    pub settings: &'a Settings,
+    /// Configuration.
+    pub table: &'a Table,
+    /// Instances.
+    pub view: &'a mut View,
+    /// Accounts.
+    pub book: &'a mut Book,
+    /// Targets of this owner with free slots.
+    pub spare: Vec<Key>,
+    /// Where messages go.
+    pub outbox: &'a mut Vec<(Key, Message)>,
+}
+
+/// A round being answered.
+#[derive(Clone, Debug)]
+struct Open {
+    round: Round,
+    parent: Option<Key>,
+    awaited: BTreeSet<Key>,
+    close_at: Instant,
+    missed: Vec<Key>,
+    amounts: BTreeMap<Slot, i64>,
+    waiting: BTreeSet<Slot>,
+    spare: Vec<Key>,
+}
+
+/// An answer of which it is not yet known whether it counted.
+#[derive(Clone, Debug)]
+struct Answer {
+    round: Round,
+    path: Vec<Key>,
+}
+
+/// The rounds of one instance.
+#[derive(Debug)]
+pub struct Rounds {
+    me: Key,
+    domain: Key,
+    run: Run,
+    number: u64,
+    open: Option<Open>,
+    answer: Option<Answer>,
+    root_seen: Option<Round>,
+    heard: Instant,
+    next: Instant,
+    misses: BTreeMap<Key, u32>,
+    last_missed: Vec<Key>,
+    tally: Tally,
+    deputy: Option<Key>,
+    was_root: bool,
+    waiting_before: BTreeSet<Slot>,
+    spare: Vec<Key>,
+    probe: usize,
+    started: Instant,
+    /// The greatest accepted revision heard of.
+    pub revision: u64,
+}
+
+impl Rounds {
+    /// The rounds of an instance that has just started.
+    #[must_use]
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        let me = Key::new(&settings.name);
+        Self {
+            me,
+            domain: Key::new(&settings.domain),
+            run: Run {
+                root: me,
+                incarnation: settings.incarnation,
+            },
+            number: 0,
+            open: None,
+            answer: None,
+            root_seen: None,
+            heard: now,
+            next: now,
+            misses: BTreeMap::new(),
+            last_missed: Vec::new(),
+            tally: Tally::new(),
+            deputy: None,
+            was_root: false,
+            waiting_before: BTreeSet::new(),
+            spare: Vec::new(),
+            probe: 0,
+            started: now,
+            revision: 0,
+        }
+    }
+
+    /// Targets that were reported to have free slots in the last round.
+    #[must_use]
+    pub fn spare(&self) -> &[Key] {
+        &self.spare
+    }
+
+    /// Whether this instance is the root of its domain.
+    #[must_use]
+    pub const fn is_root(&self) -> bool {
+        self.was_root
+    }
+
+    /// Whether anybody in this domain starts rounds, so that accounts are fresh.
+    #[must_use]
+    pub fn fresh(&self, now: Instant, settings: &Settings) -> bool {
+        now.since(self.heard) <= silence(settings)
+    }
+
+    /// When [`Rounds::tick`] has something to do.
+    #[must_use]
+    pub fn wake_at(&self, settings: &Settings) -> Instant {
+        let silent = self.heard + silence(settings);
+        let due = if self.was_root { self.next } else { silent };
+        self.open
+            .as_ref()
+            .map_or(due, |open| due.min(open.close_at))
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant, scope: &mut Scope<'_>) {
+        if self.open.as_ref().is_some_and(|open| now >= open.close_at) {
+            self.close(now, scope);
+        }
+        let tree = Tree::new(scope.view, self.domain);
+        if tree.root() == Some(self.me) {
+            if !self.was_root {
+                self.begin_root(now, scope);
+            }
+            if now >= self.next {
+                self.start(now, scope, &tree);
+            }
+            return;
+        }
+        self.was_root = false;
+        if now.since(self.heard) > silence(scope.settings) {
+            self.doubt_root(now, scope, &tree);
+        }
+    }
+
+    /// Nobody starts rounds: suspect the root and tell the next one that we are here.
+    fn doubt_root(&mut self, now: Instant, scope: &mut Scope<'_>, tree: &Tree) {
+        if let Some(root) = tree.root() {
+            scope.view.suspect(now, root);
+            scope.outbox.push((root, Message::Up(self.knock())));
+        }
+        let next = Tree::new(scope.view, self.domain).root();
+        if let Some(next) = next.filter(|next| *next != self.me) {
+            scope.outbox.push((next, Message::Up(self.knock())));
+        }
+        self.heard = now;
+        self.next = now;
+    }
+
+    /// An answer to no round, which only shows that the sender is alive.
+    fn knock(&self) -> Up {
+        Up {
+            round: Round {
+                run: self.run,
+                number: 0,
+            },
+            missed: Vec::new(),
+            charges: Vec::new(),
+            spare: Vec::new(),
+        }
+    }
+
+    /// A root that had given this instance up is there: answer that we are too.
+    pub fn probed(&mut self, from: Key, scope: &mut Scope<'_>) {
+        scope.view.clear(from);
+        scope.outbox.push((from, Message::Up(self.knock())));
+    }
+
+    /// Passes a round on to the children and opens it here.
+    fn spread(
+        &mut self,
+        now: Instant,
+        scope: &mut Scope<'_>,
+        tree: &Tree,
+        parent: Option<Key>,
+        mut down: Down,
+    ) {
+        let path = down.path.clone();
+        down.path.push(self.me);
+        let children: Vec<Key> = tree
+            .children(self.me)
+            .into_iter()
+            .filter(|child| !down.path.contains(child))
+            .collect();
+        for child in &children {
+            scope.outbox.push((*child, Message::Down(down.clone())));
+        }
+        let levels = tree.height(self.me);
+        let mut open = Open {
+            round: down.round,
+            parent,
+            awaited: children.into_iter().collect(),
+            close_at: now + PATIENCE * levels,
+            missed: Vec::new(),
+            amounts: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            spare: std::mem::take(&mut scope.spare),
+        };
+        book::take(scope.book, scope.table, &mut open, down.round.number);
+        self.answer = Some(Answer {
+            round: down.round,
+            path,
+        });
+        self.open = Some(open);
+        if self
+            .open
+            .as_ref()
+            .is_some_and(|open| open.awaited.is_empty())
+        {
+            self.close(now, scope);
+        }
+    }
+
+    /// A parent starts a round.
+    pub fn down(&mut self, now: Instant, from: Key, down: Down, scope: &mut Scope<'_>) {
+        for key in &down.path {
+            scope.view.clear(*key);
+        }
+        scope.view.clear(from);
+        let tree = Tree::new(scope.view, self.domain);
+        let mine = tree.root() == Some(self.me);
+        let seen = self
+            .root_seen
+            .is_some_and(|round| round.run == down.round.run && round.number >= down.round.number);
+        if seen || mine {
+            return;
+        }
+        self.was_root = false;
+        self.heard = now;
+        self.root_seen = Some(down.round);
+        self.revision = self.revision.max(down.revision);
+        self.spare.clone_from(&down.spare);
+        self.adopt_suspects(now, scope, &down.suspects);
+        self.confirm(&down, scope);
+        book::apply(scope, &down.totals);
+        // A round still open here will be named as missed.
+        self.open = None;
+        let tree = Tree::new(scope.view, self.domain);
+        self.spread(now, scope, &tree, Some(from), down);
+    }
+
+    /// Settles the last answer: it counted, or it goes again.
+    fn confirm(&mut self, down: &Down, scope: &mut Scope<'_>) {
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
+        let next =
+            answer.round.run == down.round.run && answer.round.number + 1 == down.round.number;
+        let missed = down
+            .missed
+            .iter()
+            .any(|key| *key == self.me || answer.path.contains(key));
+        book::settle(scope.book, next && !missed);
+    }
+
+    fn adopt_suspects(&mut self, now: Instant, scope: &mut Scope<'_>, suspects: &[Key]) {
+        let known: Vec<Key> = scope.view.all().map(|(key, _)| key).collect();
+        for key in known {
+            if key == self.me {
+                continue;
+            }
+            if suspects.contains(&key) {
+                scope.view.suspect(now, key);
+            } else {
+                scope.view.clear(key);
+            }
+        }
+    }
+
+    /// A child answers.
+    pub fn up(&mut self, now: Instant, from: Key, up: &Up, scope: &mut Scope<'_>) {
+        let Some(open) = self.open.as_mut().filter(|open| open.round == up.round) else {
+            // Late, or a knock: alive all the same.
+            if self.was_root {
+                self.misses.remove(&from);
+                scope.view.clear(from);
+            }
+            return;
+        };
+        if !open.awaited.remove(&from) {
+            return;
+        }
+        open.missed.extend(&up.missed);
+        open.spare.extend(&up.spare);
+        book::add(scope.table, open, &up.charges);
+        if open.awaited.is_empty() {
+            self.close(now, scope);
+        }
+    }
+
+    /// Ends the round here: answers the parent, or counts it as root.
+    fn close(&mut self, now: Instant, scope: &mut Scope<'_>) {
+        let Some(mut open) = self.open.take() else {
+            return;
+        };
+        open.missed.extend(&open.awaited);
+        if let Some(parent) = open.parent {
+            let up = Up {
+                round: open.round,
+                missed: open.missed,
+                charges: book::ledgers(scope.table, &open.amounts, &open.waiting),
+                spare: limit(open.spare),
+            };
+            scope.outbox.push((parent, Message::Up(up)));
+            return;
+        }
+        self.count(now, scope, open);
+    }
+}
+
+/// How long no round may start before the root is doubted.
+fn silence(settings: &Settings) -> Duration {
+    settings.round * (settings.missed_rounds + 1)
+}
+
+fn limit(mut spare: Vec<Key>) -> Vec<Key> {
+    spare.truncate(SPARE_LIMIT);
+    spare
+}
