Generate load and check the answers

Cause: the demo and the measurements need customers that call a fleet, flood it, and can tell a whole answer to their own call from anything else.

Change: module load, with open and closed arrivals, a seeded mix of work by customer, uneven spread over routers, and counts by customer of what went wrong.

Conclusion: a router can be put under load as soon as there is one.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,8 @@
 //! any number of them inside one process. The binary `standin` runs the same
 //! servers as separate processes.
 //!
+//! [`load`] stands in for the customers: it calls a fleet and checks the answers.
+//!
 //! The stand-ins exist to be unpleasant: each has a `POST /admin/faults` that
 //! brings about the failures which the real systems are known for. They hold
 //! everything in memory and bind only to the address that they are given.
@@ -14,6 +16,7 @@
 pub mod engine;
 mod http;
 pub mod instances;
+pub mod load;
 pub mod log;
 pub mod plain;
 mod rate;
--- a/crates/standin/tests/http/main.rs
+++ b/crates/standin/tests/http/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins over HTTP.
 
 mod engine;
+mod load;
 mod services;
 mod support;
