Add the router: ports, attempts, driver, configuration

Cause: the kernel decides, but nothing brought it callers, targets, peers or the platform. Change: the crate dunlinward-router and its binary.

--- /dev/null
+++ b/crates/router/src/driver/mod.rs
@@ -0,0 +1,355 @@
+//! The thread that owns the kernel.
+//!
+//! Everything that happens reaches it through one inbox, in the order of
+//! arrival; each item becomes one kernel step at the router's clock, and the
+//! actions of a step are carried out before the next item is taken. The thread
+//! never blocks on a socket: links queue, attempts run on their own threads.
+
+mod entry;
+mod inbox;
+mod inspect;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::time::{Duration, Instant};
+
+use dunlinward_kernel::action::Action;
+use dunlinward_kernel::event::{Event, Outcome};
+use dunlinward_kernel::id;
+use dunlinward_kernel::kernel::Kernel;
+use dunlinward_kernel::table::Table;
+use dunlinward_kernel::verdict::{Failure, Refusal, Verdict};
+
+use crate::clock::Clock;
+use crate::envelope::Envelope;
+use crate::idempotency::Fate;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::refusal::Notice;
+use crate::state::State;
+use crate::targets::{Attempt, Place, Report};
+use crate::worker::Pool;
+pub(crate) use entry::Entry;
+pub(crate) use inbox::{End, Input};
+
+/// Longest sleep of the driver.
+const SLEEP: Duration = Duration::from_secs(1);
+
+/// What the driver needs of the router.
+pub(crate) struct Tools {
+    /// The router's clock.
+    pub clock: Clock,
+    /// Links to other routers.
+    pub links: Arc<Links>,
+    /// Threads for attempts.
+    pub workers: Pool,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// What other threads may see.
+    pub state: Arc<State>,
+    /// The driver's own inbox, for attempts to report to.
+    pub inbox: Sender<Input>,
+}
+
+/// The driver.
+pub(crate) struct Driver {
+    kernel: Kernel,
+    tools: Tools,
+    entries: HashMap<id::Request, Entry>,
+    table: Option<Arc<Table>>,
+    actions: Vec<Action>,
+    published: Option<u64>,
+}
+
+impl Driver {
+    /// A driver of `kernel`.
+    pub fn new(kernel: Kernel, tools: Tools) -> Self {
+        Self {
+            kernel,
+            tools,
+            entries: HashMap::new(),
+            table: None,
+            actions: Vec::new(),
+            published: None,
+        }
+    }
+
+    /// Runs until [`Input::Stop`].
+    pub fn run(mut self, inbox: &Receiver<Input>) {
+        loop {
+            match inbox.recv_timeout(self.sleep()) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => self.step(Event::Tick),
+            }
+        }
+        self.abandon();
+    }
+
+    fn sleep(&self) -> Duration {
+        self.kernel
+            .wake_at()
+            .map_or(SLEEP, |at| self.tools.clock.until(at).min(SLEEP))
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Call(entry) => self.arrive(*entry),
+            Input::Progressed {
+                request,
+                attempt,
+                units,
+            } => self.progress(request, attempt, units),
+            Input::Ended(end) => self.end(*end),
+            Input::Event(event) => {
+                self.note(&event);
+                self.step(event);
+            }
+            Input::Inspect(answer) => {
+                // A reader that is gone needs no answer.
+                let _ = answer.send(self.inspect());
+            }
+            Input::Stop => {}
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.tools.clock.now();
+        let begun = Instant::now();
+        self.kernel.step(now, event, &mut self.actions);
+        self.tools.metrics.stepped(begun.elapsed());
+        let actions = std::mem::take(&mut self.actions);
+        for action in actions {
+            self.act(action);
+        }
+        self.publish();
+    }
+
+    /// Takes what an event means to the driver itself.
+    fn note(&mut self, event: &Event) {
+        match event {
+            Event::Configured(table) => self.table = Some(Arc::clone(table)),
+            Event::Left(request) => self.count_left(*request),
+            _ => {}
+        }
+    }
+
+    fn count_left(&self, request: id::Request) {
+        if let Some(entry) = self.entries.get(&request) {
+            let verdict = entry.verdict();
+            self.tools.metrics.refused(Refusal::CallerLeft, verdict);
+        }
+    }
+
+    fn arrive(&mut self, entry: Entry) {
+        let metrics = &self.tools.metrics;
+        metrics.admitted(&entry.call.customer, &entry.call.service);
+        let arrival = entry.arrival.clone();
+        self.entries.insert(entry.call.request, entry);
+        self.step(Event::Arrived(arrival));
+    }
+
+    fn progress(&mut self, request: id::Request, attempt: u32, units: u64) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        let new = entry.progress(attempt, units);
+        let call = &entry.call;
+        self.tools.metrics.used(&call.customer, &call.service, new);
+        self.step(Event::Progressed {
+            request,
+            attempt,
+            units,
+        });
+    }
+
+    fn end(&mut self, mut end: End) {
+        let call = &end.call;
+        let (request, attempt) = (call.request, end.attempt);
+        let (failure, units) = match end.report.outcome {
+            Outcome::Whole { units } => (None, units),
+            Outcome::Failed { failure, units, .. } => (Some(failure), units),
+        };
+        self.tools.metrics.ended(&end.target, failure);
+        log::info!(
+            request = &*call.name, customer = &*call.customer, target = &*end.target,
+            reason = failure.map_or("whole", Failure::name);
+            "attempt {attempt} ended"
+        );
+        match self.entries.get_mut(&request) {
+            Some(entry) => {
+                let new = entry.progress(attempt, units);
+                self.tools.metrics.used(&call.customer, &call.service, new);
+                entry.end(attempt, &mut end.report);
+            }
+            None => settle_late(&mut end),
+        }
+        if end.report.left {
+            self.count_left(request);
+            self.step(Event::Left(request));
+        }
+        self.step(Event::Ended {
+            request,
+            attempt,
+            outcome: end.report.outcome,
+        });
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, messages } => {
+                self.tools.links.send(to, &Envelope::Kernel(messages));
+            }
+            Action::Dispatch {
+                request,
+                attempt,
+                target,
+            } => self.dispatch(request, attempt, target),
+            Action::Cancel { request, attempt } => {
+                if let Some(entry) = self.entries.get_mut(&request) {
+                    entry.cancel(attempt);
+                }
+            }
+            Action::Refuse {
+                request,
+                refusal,
+                failure,
+                verdict,
+                retry_after,
+            } => {
+                let notice =
+                    Notice::kernel(refusal, failure, verdict).with_retry_after(retry_after);
+                self.tools.metrics.refused(refusal, verdict);
+                self.refuse(request, &notice, verdict, refusal.name());
+            }
+            Action::Forget { request } => {
+                if let Some(mut entry) = self.entries.remove(&request) {
+                    entry.forget();
+                }
+            }
+            Action::Retry { failure, .. } => self.tools.metrics.retried(failure),
+            Action::Drained => self.tools.state.set_drained(),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        request: id::Request,
+        notice: &Notice,
+        verdict: Verdict,
+        reason: &'static str,
+    ) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        log::info!(
+            request = &*entry.call.name, customer = &*entry.call.customer, reason = reason;
+            "refused, {}", verdict.name()
+        );
+        entry.call.sink.finish(notice.parts(&entry.call.name));
+        entry.settle(match verdict {
+            Verdict::NotRun => Fate::NotRun,
+            Verdict::MayHaveRun | Verdict::Ran => Fate::Unsure,
+        });
+    }
+
+    fn dispatch(&mut self, request: id::Request, number: u32, target: id::Target) {
+        let place = self.place(request, target);
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        let (Some(place), Some(permit)) = (place, entry.send()) else {
+            log::error!(request = &*entry.call.name; "attempt {number} cannot be sent");
+            return self.unsent(request, number);
+        };
+        if number == 1 {
+            self.tools.metrics.waited(entry.arrived.elapsed());
+        }
+        let name = Arc::clone(&place.name);
+        let call = Arc::clone(&entry.call);
+        let metrics = Arc::clone(&self.tools.metrics);
+        let attempt = Attempt::new(permit, number, place, metrics);
+        entry.run(number, attempt.exchange());
+        let inbox = self.tools.inbox.clone();
+        let job = move || run(attempt, call, number, name, &inbox);
+        if let Err(err) = self.tools.workers.run(job) {
+            log::error!("no thread for an attempt: {err}");
+            self.unsent(request, number);
+        }
+    }
+
+    fn place(&self, request: id::Request, target: id::Target) -> Option<Place> {
+        let table = self.table.as_ref()?;
+        let row = table.targets.get(target.row())?;
+        let service = self.entries.get(&request)?.arrival.service;
+        Some(Place {
+            name: Arc::clone(&row.name),
+            address: row.address,
+            timeout: table.services.get(service.row())?.timeout,
+        })
+    }
+
+    /// Reports an attempt that this router could not begin.
+    fn unsent(&self, request: id::Request, attempt: u32) {
+        let outcome = Outcome::Failed {
+            verdict: Verdict::MayHaveRun,
+            failure: Failure::Cancelled,
+            units: 0,
+            delivered: false,
+        };
+        let event = Event::Ended {
+            request,
+            attempt,
+            outcome,
+        };
+        // The inbox is the driver's own and lives as long as it does.
+        let _ = self.tools.inbox.send(Input::Event(event));
+    }
+
+    /// Ends what is left when the router stops.
+    fn abandon(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.call.sink.finish(Vec::new());
+        }
+    }
+}
+
+/// Runs an attempt on a worker's thread.
+fn run(
+    attempt: Attempt,
+    call: Arc<crate::call::Call>,
+    number: u32,
+    target: Arc<str>,
+    inbox: &Sender<Input>,
+) {
+    let request = call.request;
+    let report: Report = attempt.run(|units| {
+        let progressed = Input::Progressed {
+            request,
+            attempt: number,
+            units,
+        };
+        let _ = inbox.send(progressed);
+    });
+    let end = End {
+        call,
+        attempt: number,
+        target,
+        report,
+    };
+    // A driver that is gone has ended the request already.
+    let _ = inbox.send(Input::Ended(Box::new(end)));
+}
+
+/// The end of an attempt whose request was forgotten can still settle its claim.
+fn settle_late(end: &mut End) {
+    let Some(ticket) = &end.call.ticket else {
+        return;
+    };
+    if let Some(answer) = end.report.answer.take() {
+        ticket.settle(Fate::Ran(answer));
+    } else if end.report.proof.is_some() {
+        ticket.settle(Fate::NotRun);
+    }
+}
