Flush links before a shutdown; measure what a message costs

Cause: a router that leaves must not drop its last messages, keepalive probes of quiet links used up budget, and counters lagged behind events.

--- a/crates/wire/src/counter.rs
+++ b/crates/wire/src/counter.rs
@@ -4,8 +4,8 @@
 //! read. Bytes are counted at the socket and so include HTTP/2 frames. Headers
 //! of TCP and IP are estimated: a write of `n` bytes takes `n /`
 //! [`SEGMENT_PAYLOAD`] segments rounded up, each with [`SEGMENT_HEADER`] bytes.
-//! Acknowledgements that travel alone are not counted, nor are the handshake
-//! and the keepalive probes of TCP.
+//! Acknowledgements that travel alone are not counted, nor is the handshake of
+//! TCP. The former add at most one bare header for each segment received.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -243,6 +243,12 @@
     pub fn network_out(&self) -> u64 {
         self.bytes_out + SEGMENT_HEADER * self.segments_out
     }
+
+    /// Most bytes that acknowledgements add in both directions.
+    #[must_use]
+    pub fn acknowledgements(&self) -> u64 {
+        SEGMENT_HEADER * (self.segments_in + self.segments_out)
+    }
 }
 
 fn segments(bytes: usize) -> u64 {
--- a/crates/wire/src/link/meter.rs
+++ b/crates/wire/src/link/meter.rs
@@ -1,4 +1,8 @@
 //! A TCP stream that counts its bytes.
+//!
+//! A dead peer is noticed without probes. An end that sends learns of it by the
+//! user timeout, since its data is not acknowledged; an end that only receives
+//! falls idle. Probes would cost a bare segment each way on every quiet link.
 
 use std::io;
 use std::net::SocketAddr;
@@ -7,15 +11,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::counter::Counter;
 
-/// Probes that go unanswered before the connection is dead.
-const PROBES: u32 = 3;
-
 /// A connection whose traffic is counted.
 #[derive(Debug)]
 pub(super) struct Meter {
@@ -24,24 +25,14 @@
 }
 
 impl Meter {
-    /// Wraps a stream and sets when it counts as dead.
-    ///
-    /// Unacknowledged data is watched by the user timeout and a silent
-    /// connection by keepalive probes, which cost two bare segments each.
+    /// Wraps a stream that counts as dead when sent data stays unacknowledged for `dead`.
     pub(super) fn new(
         stream: TcpStream,
         counter: Arc<Counter>,
         dead: Duration,
     ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        let interval = (dead / (PROBES + 1)).max(Duration::from_secs(1));
-        let keepalive = TcpKeepalive::new()
-            .with_time(interval)
-            .with_interval(interval)
-            .with_retries(PROBES);
-        let socket = SockRef::from(&stream);
-        socket.set_tcp_keepalive(&keepalive)?;
-        socket.set_tcp_user_timeout(Some(dead))?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(dead))?;
         Ok(Self { stream, counter })
     }
 
--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -36,6 +36,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use snafu::{ResultExt, Snafu};
 use tokio::runtime::{Builder, Runtime};
@@ -47,6 +48,9 @@
 pub use settings::Settings;
 use shared::Shared;
 
+/// Time between two looks at the queues while they are flushed.
+const FLUSH_POLL: Duration = Duration::from_millis(1);
+
 /// What a pool reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -160,6 +164,22 @@
         self.shared.send(peer, message)
     }
 
+    /// Waits until all queued messages were written; false after `limit`.
+    ///
+    /// For the end of a graceful shutdown. Written is not delivered.
+    #[must_use]
+    pub fn flush(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while !self.shared.is_flushed() {
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(FLUSH_POLL);
+        }
+        let rest = end.saturating_duration_since(Instant::now());
+        self.shared.turn(rest)
+    }
+
     /// Counters since the start.
     #[must_use]
     pub fn counters(&self) -> Snapshot {
--- a/crates/wire/src/link/peer.rs
+++ b/crates/wire/src/link/peer.rs
@@ -31,6 +31,7 @@
     incarnation: u64,
     met: bool,
     dialing: bool,
+    writing: bool,
     failures: u32,
 }
 
@@ -47,8 +48,6 @@
     pub(super) id: u64,
     /// Told when the session has to close.
     pub(super) close: Arc<Notify>,
-    /// Whether the peer had a session before.
-    pub(super) again: bool,
 }
 
 impl Peer {
@@ -64,6 +63,7 @@
                 incarnation: 0,
                 met: false,
                 dialing: false,
+                writing: false,
                 failures: 0,
             }),
         }
@@ -79,6 +79,12 @@
         state.listed.is_none() && state.sessions.is_empty() && !state.dialing
     }
 
+    /// Whether every message was handed to a connection.
+    pub(super) fn is_flushed(&self) -> bool {
+        let state = self.lock();
+        state.queue.is_empty() && !state.writing
+    }
+
     /// Empties the queue; yields how many messages were in it.
     pub(super) fn discard(&self) -> usize {
         self.lock().queue.batch(usize::MAX).len()
@@ -116,10 +122,14 @@
     }
 
     /// Adds a session as the one to send on.
+    ///
+    /// Counted before it is reported, so that a reader of the inbox finds the
+    /// counters up to date; `count` learns whether the peer had a session before.
     pub(super) fn attach(
         &self,
         id: u64,
         identity: &Identity,
+        count: impl Fn(bool),
         report: impl Fn(Event),
     ) -> Result<Place, Refusal> {
         let mut state = self.lock();
@@ -127,6 +137,7 @@
         if again && identity.incarnation < state.incarnation {
             return Err(Refusal::Incarnation);
         }
+        count(again);
         if again && identity.incarnation > state.incarnation && !state.sessions.is_empty() {
             state.close_sessions();
             report(self.down(state.incarnation));
@@ -135,7 +146,7 @@
             let peer = identity.clone();
             report(Event::Up { peer });
         }
-        let place = state.insert(id, again);
+        let place = state.insert(id);
         state.incarnation = identity.incarnation;
         state.told = Some(identity.listen);
         drop(state);
@@ -149,6 +160,9 @@
         let before = state.sessions.len();
         state.sessions.retain(|entry| entry.id != id);
         let removed = state.sessions.len() < before;
+        if state.sessions.is_empty() {
+            state.writing = false;
+        }
         if removed && state.sessions.is_empty() {
             report(self.down(state.incarnation));
         }
@@ -190,7 +204,9 @@
             return Vec::new();
         }
         counter.dropped(Loss::Stale, state.queue.expire(Instant::now()));
-        state.queue.batch(bytes)
+        let batch = state.queue.batch(bytes);
+        state.writing = !batch.is_empty();
+        batch
     }
 
     fn down(&self, incarnation: u64) -> Event {
@@ -214,7 +230,7 @@
         !self.queue.is_empty() && self.sessions.is_empty() && self.address().is_some()
     }
 
-    fn insert(&mut self, id: u64, again: bool) -> Place {
+    fn insert(&mut self, id: u64) -> Place {
         let close = Arc::new(Notify::new());
         if self.sessions.len() == SESSIONS {
             self.sessions.remove(0).close.notify_one();
@@ -226,7 +242,7 @@
         self.sessions.push(entry);
         self.met = true;
         self.failures = 0;
-        Place { id, close, again }
+        Place { id, close }
     }
 
     fn close_sessions(&mut self) {
--- a/crates/wire/src/link/session.rs
+++ b/crates/wire/src/link/session.rs
@@ -60,11 +60,7 @@
         opened = timeout_at(deadline, hello) => opened.unwrap_or(Err(Refusal::Timeout))?,
         () = &mut connection => return Err(Refusal::Closed),
     };
-    let (peer, place) = shared.attach(&opened.session.peer)?;
-    match origin {
-        Origin::Dialed => shared.counter.connected(place.again),
-        Origin::Accepted => shared.counter.accepted(),
-    }
+    let (peer, place) = shared.attach(origin, &opened.session.peer)?;
     let close = {
         let mut run = pin!(run(shared, origin, &peer, &place, opened));
         tokio::select! {
@@ -118,11 +114,13 @@
                 return Close::Seal;
             };
             self.activity.touch();
-            let report = |event| self.shared.report(event);
+            let report = |event| {
+                self.shared.counter.received();
+                self.shared.report(event);
+            };
             if !self.peer.deliver(self.id, &message, report) {
                 return Close::Superseded;
             }
-            self.shared.counter.received();
         }
     }
 
--- a/crates/wire/src/link/settings.rs
+++ b/crates/wire/src/link/settings.rs
@@ -120,7 +120,7 @@
         self
     }
 
-    /// Sets the time after which a silent connection counts as dead.
+    /// Sets the time after which a connection that takes no data counts as dead.
     #[must_use]
     pub fn with_dead(mut self, time: Duration) -> Self {
         self.dead = time;
--- a/crates/wire/src/link/shared.rs
+++ b/crates/wire/src/link/shared.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::Sender;
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,7 @@
 use crate::hello::{self, Hello, Identity, Key, Nonce, Refusal};
 use crate::link::peer::{Peer, Place};
 use crate::link::replay::Replay;
+use crate::link::session::Origin;
 use crate::link::settings::Settings;
 use crate::link::{self, Event, dial};
 use crate::queue::Bound;
@@ -122,6 +123,22 @@
         Ok(())
     }
 
+    /// Whether every message was handed to a connection.
+    pub(super) fn is_flushed(&self) -> bool {
+        lock(&self.peers).values().all(|peer| peer.is_flushed())
+    }
+
+    /// Waits until the tasks that are ready now have run.
+    pub(super) fn turn(&self, limit: Duration) -> bool {
+        let (done, turned) = channel();
+        self.handle.spawn(async move {
+            tokio::task::yield_now().await;
+            // The waiter may have given up.
+            let _ = done.send(());
+        });
+        turned.recv_timeout(limit).is_ok()
+    }
+
     /// Starts to dial a peer when a message waits and nothing carries it.
     fn dial(self: &Arc<Self>, peer: &Arc<Peer>) {
         if peer.claim_dial() {
@@ -131,11 +148,19 @@
     }
 
     /// Gives a new session its place at its peer.
-    pub(super) fn attach(&self, identity: &Identity) -> Result<(Arc<Peer>, Place), Refusal> {
+    pub(super) fn attach(
+        &self,
+        origin: Origin,
+        identity: &Identity,
+    ) -> Result<(Arc<Peer>, Place), Refusal> {
         let mut peers = lock(&self.peers);
         let peer = self.entry(&mut peers, &identity.instance);
         let id = self.sessions.fetch_add(1, Ordering::Relaxed);
-        let place = peer.attach(id, identity, |event| self.report(event))?;
+        let count = |again| match origin {
+            Origin::Dialed => self.counter.connected(again),
+            Origin::Accepted => self.counter.accepted(),
+        };
+        let place = peer.attach(id, identity, count, |event| self.report(event))?;
         Ok((Arc::clone(peer), place))
     }
 
--- a/crates/wire/tests/link/pools.rs
+++ b/crates/wire/tests/link/pools.rs
@@ -3,7 +3,7 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
-use crate::common::{line, loopback, peer, settings, settle, start};
+use crate::common::{PATIENCE, line, loopback, peer, settings, settle, start};
 use dunlinward_wire::Key;
 use dunlinward_wire::counter::{Close, Loss};
 use dunlinward_wire::hello::Refusal;
@@ -183,3 +183,49 @@
     settle(&two, |counters| counters.closes(Close::Ended) == 2);
     assert_eq!(one.counters().reconnects, 1);
 }
+
+#[test]
+fn a_flushed_pool_may_be_dropped() {
+    let (one, _at_one) = start(settings("r1", 1));
+    let (two, at_two) = start(settings("r2", 1));
+    one.set_peers(&[peer("r2", two.address())]);
+    for i in 0..100 {
+        one.send("r2", format!("m{i}").into_bytes()).unwrap();
+    }
+    assert!(one.flush(PATIENCE));
+    drop(one);
+    assert_eq!(line(&at_two), "up r1 1 hall-a");
+    for i in 0..100 {
+        assert_eq!(line(&at_two), format!("r1 1: m{i}"));
+    }
+    assert_eq!(line(&at_two), "down r1 1");
+}
+
+#[test]
+fn a_flush_ends_without_the_peer() {
+    let silent = TcpListener::bind(loopback()).unwrap();
+    let (one, _at_one) = start(settings("r1", 1));
+    one.set_peers(&[peer("r2", silent.local_addr().unwrap())]);
+    one.send("r2", b"nobody reads".to_vec()).unwrap();
+    assert!(!one.flush(Duration::from_millis(10)));
+}
+
+#[test]
+fn pools_that_dial_at_once_agree() {
+    for round in 1..=20 {
+        let (one, at_one) = start(settings("r1", round));
+        let (two, at_two) = start(settings("r2", round));
+        one.set_peers(&[peer("r2", two.address())]);
+        two.set_peers(&[peer("r1", one.address())]);
+        for _ in 0..10 {
+            one.send("r2", b"from r1".to_vec()).unwrap();
+            two.send("r1", b"from r2".to_vec()).unwrap();
+        }
+        for events in [&at_one, &at_two] {
+            assert!(line(events).starts_with("up"));
+            for _ in 0..10 {
+                assert!(line(events).contains(": from"));
+            }
+        }
+    }
+}
