--- a/crates/config/tests/file.rs
+++ b/crates/config/tests/file.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use dunlinward_config::{Config, check, diff, file::Class};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 const FILES: [&str; 2] = [
     include_str!("../../../examples/config/dansk-eksamensforum.toml"),
@@ -87,3 +89,55 @@
     insta::assert_snapshot!(lines.join("\n"));
     assert_eq!(diff::changes(&later, &later), []);
 }
+
+/// Whatever stands in the file, it is judged, and what passes can be written and read again.
+#[test]
+fn damaged_files_are_judged() {
+    const PIECES: [&str; 12] = [
+        "[",
+        "]",
+        "\"",
+        "=",
+        "\n",
+        "0",
+        "-1",
+        "[[target]]",
+        "\\",
+        "nan",
+        "1e400",
+        "ø",
+    ];
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let (mut good, mut bad) = (0, 0);
+    for round in 0..2000 {
+        let mut text = FILES[round % 2].to_owned();
+        for _ in 0..rng.random_range(1..4) {
+            let mut at = rng.random_range(0..text.len());
+            while !text.is_char_boundary(at) {
+                at -= 1;
+            }
+            match rng.random_range(0..3) {
+                0 => text.insert_str(at, PIECES[rng.random_range(0..PIECES.len())]),
+                1 => text.truncate(at.max(1)),
+                _ => drop(text.remove(at)),
+            }
+        }
+        match Config::parse(&text) {
+            Ok(config) => {
+                assert_eq!(parse(&config.to_text().unwrap()), config);
+                good += 1;
+            }
+            Err(report) => {
+                let lines = text.lines().count() + 1;
+                assert!(report.has_errors());
+                let inside = |line| (1..=lines).contains(&line);
+                assert!(
+                    report.problems().iter().all(|problem| inside(problem.line)),
+                    "{report}"
+                );
+                bad += 1;
+            }
+        }
+    }
+    assert!(good > 100 && bad > 100, "{good} good and {bad} bad");
+}
--- a/crates/config/tests/revision.rs
+++ b/crates/config/tests/revision.rs
@@ -1,13 +1,15 @@
 //! The fold over the log: single cases first, then generated logs against a naive reading of the whole log.
 
+mod sample;
 mod world;
 
 use dunlinward_config::revision::{
     Apply, Judgement, Ledger, Outcome, Reason, Record, Reset, Restate, Schedule, Stated, Statement,
     due_by_count,
 };
+use sample::file;
 use std::time::Duration;
-use world::{Figures, World, file};
+use world::{Figures, World};
 
 fn apply(id: &str, base: Option<u64>, text: &str) -> String {
     let apply = Apply {
--- a/crates/config/tests/world/mod.rs
+++ b/crates/config/tests/world/mod.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::sample::file;
 use dunlinward_config::revision::{
     Apply, Judgement, Ledger, Outcome, Record, Reset, Restate, Statement,
 };
@@ -10,17 +11,6 @@
 
 const READERS: usize = 5;
 
-/// A good file that differs by `number`.
-pub fn file(number: u32) -> String {
-    format!(
-        "[fleet]\nname = \"f\"\nregion = \"r\"\nfailure_domains = [\"a\"]\n\
-         [limits]\nqueue_per_customer = {number}\n\
-         [[customer]]\nname = \"c\"\nshare = 1\nkey_sha256 = [\"{:064x}\"]\n\
-         [[service]]\nname = \"s\"\nkind = \"plain\"\nclass = \"quick\"\n",
-        7
-    )
-}
-
 /// What the naive reading holds after a prefix.
 #[derive(Clone, Debug, PartialEq)]
 struct State {
