Drive many kernels under virtual time

Cause: fairness must be measured before it is tuned. Change: package trial with engine, network and load fakes and the figures of a run; kernel rounds answer late so that accounts are a period old; reservations damp the fair order.

--- a/crates/kernel/src/account.rs
+++ b/crates/kernel/src/account.rs
@@ -4,7 +4,10 @@
 //! three parts that never overlap: the fleet's total as of the last round, what
 //! this router has charged since (unsent, or sent and not yet confirmed), and
 //! what this router has granted to others but not yet seen in the total
-//! (provisional, forgotten after two rounds).
+//! (provisional, forgotten after two rounds). Between rounds all routers see the
+//! same customer behind and would all serve it; so a router counts its own charges
+//! since the round once for each router at which the customer waits
+//! ([`Account::expected`]), until the next round tells what was really charged.
 //!
 //! The order is start-time fair queueing over the fleet's service (Goyal, Vin and
 //! Cheng, 1996): a customer's virtual time is its service divided by its share,
@@ -12,19 +15,17 @@
 //! idle time as credit: its rank is at least the pool's [`Book::frontier`], the
 //! least virtual time among waiting customers.
 //!
-//! A request is charged when it is admitted with its reservation: its estimated
-//! cost, at most [`RESERVE`]. While it runs the charge is what it has used plus
-//! the reservation for what remains, and at the end exactly what it used. Charges
-//! are therefore amounts with a sign, and their sum is what was used. A bounded
-//! reservation keeps long requests from being charged far ahead of what they
-//! receive, and still tells every router that slots are on their way.
+//! A request is charged with a reservation when it is admitted, with what it has
+//! used on top while it runs, and with exactly what it used at its end. Charges are
+//! therefore amounts with a sign, and their sum is what was used. The reservation
+//! is a multiple of the estimated cost ([`crate::settings::Settings::reserve`]). It
+//! tells every router how many slots a customer has, not only what it received:
+//! slots cannot be taken back, so an order by what was received alone would give
+//! the customer that is behind far too many, starve it in turn, and swing.
 
 use crate::id::{Customer, Pool};
 use crate::table::Table;
 
-/// The most that a running request is charged ahead of its use, in units.
-pub const RESERVE: u64 = 512;
-
 /// Virtual time per unit of service and share.
 pub const SCALE: i64 = 1024;
 
@@ -39,8 +40,8 @@
     pub sent: i64,
     /// Granted from here in this round and the one before.
     pub provisional: [i64; 2],
-    /// Whether the fleet reported requests of it waiting.
-    pub waiting: bool,
+    /// Routers at which the fleet reported requests of it waiting.
+    pub waiting: u32,
     /// Requests of it waiting here.
     pub queued: u32,
 }
@@ -49,7 +50,16 @@
     /// All service known, in units.
     #[must_use]
     pub const fn service(&self) -> i64 {
-        self.fleet + self.unsent + self.sent + self.provisional[0] + self.provisional[1]
+        self.fleet + self.unsent + self.sent
+    }
+
+    /// All service known, and what others are likely to have charged meanwhile: as
+    /// much as this router, at each router where the customer waits.
+    #[must_use]
+    pub fn expected(&self) -> i64 {
+        let routers = i64::from(self.waiting.max(1));
+        let here = self.unsent + self.sent;
+        self.fleet + here * routers + self.provisional[0] + self.provisional[1]
     }
 }
 
@@ -133,7 +143,7 @@
     /// Virtual time of a customer in a pool, in units per share times [`SCALE`].
     #[must_use]
     pub fn virtual_time(&self, pool: Pool, customer: Customer) -> i64 {
-        let service = self.get(pool, customer).service();
+        let service = self.get(pool, customer).expected();
         service.saturating_mul(SCALE) / self.shares[customer.row()]
     }
 
@@ -146,6 +156,15 @@
             .min()
     }
 
+    /// The greatest virtual time among customers that the fleet reported waiting.
+    #[must_use]
+    pub fn vanguard(&self, pool: Pool) -> Option<i64> {
+        self.waiting[pool.row()]
+            .iter()
+            .map(|customer| self.virtual_time(pool, *customer))
+            .max()
+    }
+
     /// Customers that the fleet reported waiting in a pool.
     #[must_use]
     pub fn waiting(&self, pool: Pool) -> &[Customer] {
@@ -156,7 +175,7 @@
     #[must_use]
     pub fn rank(&self, pool: Pool, customer: Customer) -> Rank {
         let own = self.virtual_time(pool, customer);
-        if self.get(pool, customer).waiting {
+        if self.get(pool, customer).waiting > 0 {
             return Rank(own);
         }
         Rank(self.frontier(pool).map_or(own, |least| own.max(least)))
@@ -166,18 +185,18 @@
     pub fn clear_waiting(&mut self) {
         for (pool, customers) in self.waiting.iter_mut().enumerate() {
             for customer in customers.drain(..) {
-                self.rows[pool][customer.row()].waiting = false;
+                self.rows[pool][customer.row()].waiting = 0;
             }
         }
     }
 
-    /// Notes that the fleet reported a customer waiting.
-    pub fn set_waiting(&mut self, pool: Pool, customer: Customer) {
+    /// Notes at how many routers the fleet reported a customer waiting.
+    pub fn set_waiting(&mut self, pool: Pool, customer: Customer, routers: u32) {
         let account = &mut self.rows[pool.row()][customer.row()];
-        if !account.waiting {
-            account.waiting = true;
+        if account.waiting == 0 && routers > 0 {
             self.waiting[pool.row()].push(customer);
         }
+        account.waiting = routers;
     }
 
     /// Ages what was granted provisionally by one round.
@@ -191,17 +210,17 @@
 /// The charge of one running request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Meter {
-    estimate: u64,
+    reservation: u64,
     used: u64,
     charged: i64,
 }
 
 impl Meter {
-    /// A meter for a request of an estimated cost, in units.
+    /// A meter for a request with a reservation, in units.
     #[must_use]
-    pub const fn new(estimate: u64) -> Self {
+    pub const fn new(reservation: u64) -> Self {
         Self {
-            estimate,
+            reservation,
             used: 0,
             charged: 0,
         }
@@ -215,13 +234,13 @@
 
     /// The amount to charge at admission.
     pub fn admit(&mut self) -> i64 {
-        self.settle(self.reservation())
+        self.settle(self.reservation)
     }
 
     /// The amount to charge after `used` units; a late, lower figure changes nothing.
     pub fn progress(&mut self, used: u64) -> i64 {
         self.used = self.used.max(used);
-        self.settle(self.reservation())
+        self.settle(self.reservation)
     }
 
     /// The amount to charge at the end, after `used` units in all.
@@ -230,10 +249,6 @@
         self.settle(0)
     }
 
-    fn reservation(&self) -> u64 {
-        self.estimate.saturating_sub(self.used).min(RESERVE)
-    }
-
     fn settle(&mut self, reservation: u64) -> i64 {
         let due = i64::try_from(self.used.saturating_add(reservation)).unwrap_or(i64::MAX);
         let amount = due - self.charged;
--- a/crates/kernel/src/holder.rs
+++ b/crates/kernel/src/holder.rs
@@ -13,6 +13,7 @@
 //! much from what was told.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::id::{Customer, Target};
 use crate::key::Key;
@@ -28,6 +29,9 @@
 /// Owners asked first.
 const FIRST_WIDTH: usize = 2;
 
+/// Age after which a want that has ended is taken back.
+const STALE: Duration = Duration::from_secs(1);
+
 /// Slots held of one target.
 #[derive(Clone, Debug)]
 pub struct Holding {
@@ -316,15 +320,20 @@
         }
     }
 
-    /// How many owners a lane may be told to now.
+    /// How many owners a lane may be told to now, judging by the time it has waited
+    /// without a request of it being sent.
     #[must_use]
     pub fn width(&self, now: Instant, lane: Lane, settings: &Settings) -> usize {
         let Some(since) = self.waiting_since.get(&lane) else {
-            return FIRST_WIDTH;
+            return 0;
         };
         let micros = settings.widen.as_micros().max(1);
         let steps = (now.since(*since).as_micros() / micros).min(8);
         let shift = u32::try_from(steps).unwrap_or(8);
+        // While slots are in use here one will be free soon, most likely.
+        if steps == 0 && self.busy() > 0 {
+            return 0;
+        }
         (FIRST_WIDTH << shift).min(WIDTH)
     }
 
@@ -336,6 +345,17 @@
         }
     }
 
+    /// Notes that a request of a lane was sent.
+    pub fn note_sent(&mut self, now: Instant, lane: Lane) {
+        if let Some(since) = self.waiting_since.get_mut(&lane) {
+            *since = now;
+        }
+    }
+
+    fn busy(&self) -> u32 {
+        self.holdings.values().map(|holding| holding.busy).sum()
+    }
+
     /// Tells one owner what is wanted of it, when that differs enough.
     pub fn tell(
         &mut self,
@@ -351,7 +371,7 @@
         }
         let desk = self.desks.entry(owner).or_default();
         let early = desk.at.is_some_and(|at| now.since(at) < settings.widen);
-        if early || !differs(desk, demands) {
+        if early || !differs(now, desk, demands) {
             return;
         }
         self.stamp += 1;
@@ -398,8 +418,11 @@
     }
 }
 
-/// Whether what is wanted differs from what was told by a factor of two or more.
-fn differs(desk: &Desk, demands: &[Demand]) -> bool {
+/// Whether what is wanted differs much from what was told: something new, or a
+/// backlog four times as large or as small. What is no longer wanted is told after
+/// a while; until then a grant for it comes back unused.
+fn differs(now: Instant, desk: &Desk, demands: &[Demand]) -> bool {
+    let stale = desk.at.is_some_and(|at| now.since(at) >= STALE);
     let gone = desk
         .told
         .iter()
@@ -409,13 +432,14 @@
                 .iter()
                 .any(|demand| (demand.lane, demand.customer) == *place)
         });
-    gone || demands.iter().any(|demand| {
-        let told = desk
-            .told
-            .get(&(demand.lane, demand.customer))
-            .map_or(0, |told| told.count);
-        demand.count >= told.saturating_mul(2).max(told + 1) || demand.count * 2 <= told
-    })
+    (gone && stale)
+        || demands.iter().any(|demand| {
+            let told = desk
+                .told
+                .get(&(demand.lane, demand.customer))
+                .map_or(0, |told| told.count);
+            told == 0 || demand.count >= told.saturating_mul(4) || demand.count * 4 <= told
+        })
 }
 
 fn ask(table: &Table, demand: &Demand) -> Ask {
--- a/crates/kernel/src/kernel/entry.rs
+++ b/crates/kernel/src/kernel/entry.rs
@@ -125,10 +125,11 @@
         self.dequeue(&waiting.arrival);
         let arrival = &waiting.arrival;
         let (service, customer) = (arrival.service, arrival.customer);
-        let mut meter = Meter::new(self.estimate(arrival));
+        let mut meter = Meter::new(self.reservation(arrival));
         let pool = self.pool(service);
         self.book.charge(pool, customer, meter.admit());
         self.holder.occupy(target, customer);
+        self.holder.note_sent(now, lane(arrival));
         let sent = waiting.send(now, target, meter);
         actions.push(Action::Dispatch {
             request,
@@ -151,6 +152,11 @@
             .get(arrival.hint.unwrap_or(prior))
     }
 
+    /// What a request is charged ahead of its use, in units.
+    pub(super) fn reservation(&self, arrival: &Arrival) -> u64 {
+        self.estimate(arrival).saturating_mul(self.settings.reserve) / 1_000
+    }
+
     pub(super) fn progress(&mut self, request: Request, attempt: u32, units: u64) {
         let Some(Life::Sent(sent)) = self.requests.get_mut(&request) else {
             self.dropped.late_events += 1;
--- a/crates/kernel/src/kernel/link.rs
+++ b/crates/kernel/src/kernel/link.rs
@@ -61,7 +61,7 @@
             }
             Message::Up(up) => {
                 self.with_rounds(now, &table, |rounds, scope| {
-                    rounds.up(now, from, &up, scope);
+                    rounds.up(from, &up, scope);
                 });
             }
             Message::Total(total) => {
--- a/crates/kernel/src/kernel/mod.rs
+++ b/crates/kernel/src/kernel/mod.rs
@@ -28,7 +28,7 @@
 use crate::request::Life;
 use crate::retry::Budget;
 use crate::round::Rounds;
-use crate::settings::Settings;
+use crate::settings::{Admission, Settings};
 use crate::table::Table;
 use crate::time::Instant;
 
@@ -154,7 +154,8 @@
     pub fn wake_at(&self) -> Option<Instant> {
         self.table.as_ref()?;
         let due = [
-            Some(self.rounds.wake_at(&self.settings)),
+            (self.settings.admission == Admission::Owner)
+                .then(|| self.rounds.wake_at(&self.settings)),
             self.deadlines.first().map(|(at, _)| *at),
             self.backoffs.first().map(|(at, _)| *at),
             self.owner.opens_after(self.sweep_at),
--- a/crates/kernel/src/kernel/slots.rs
+++ b/crates/kernel/src/kernel/slots.rs
@@ -9,7 +9,7 @@
 use super::Kernel;
 use crate::account::{Rank, SCALE};
 use crate::action::Action;
-use crate::holder::Demand;
+use crate::holder::{self, Demand};
 use crate::id::{Customer, Pool, Request, Target};
 use crate::key::Key;
 use crate::plugin::Candidate;
@@ -185,10 +185,7 @@
             return None;
         }
         let frontier = self.book.frontier(pool)?;
-        let lean = i64::from(1_000 - table.gap_permille.min(1_000));
-        let window = i64::try_from(self.settings.window).unwrap_or(i64::MAX);
-        let units = window.saturating_mul(lean) / 1_000;
-        Some(Rank(frontier.saturating_add(units.saturating_mul(SCALE))))
+        Some(Rank(frontier.saturating_add(self.window(table))))
     }
 
     fn permitted(
@@ -278,9 +275,16 @@
         let mut wanted: BTreeMap<Key, Vec<Demand>> = BTreeMap::new();
         for lane in lanes {
             let width = self.holder.width(now, lane, &self.settings);
-            let demands = self.demands(lane);
-            for owner in self.order(table, lane).iter().take(width) {
-                wanted.entry(*owner).or_default().extend(&demands);
+            let order = self.order(table, lane);
+            for demand in self.demands(lane) {
+                let width = if self.behind(table, &demand) {
+                    holder::WIDTH
+                } else {
+                    width
+                };
+                for owner in order.iter().take(width) {
+                    wanted.entry(*owner).or_default().push(demand);
+                }
             }
         }
         for owner in self.holder.told() {
@@ -298,6 +302,23 @@
         }
     }
 
+    /// Whether a customer is so far behind others that slots should come from afar.
+    fn behind(&self, table: &Table, demand: &Demand) -> bool {
+        let pool = table.pool(demand.lane.service);
+        let Some(most) = self.book.vanguard(pool) else {
+            return false;
+        };
+        let rank = self.book.rank(pool, demand.customer);
+        rank.0 + self.window(table) < most
+    }
+
+    /// How far ahead of the frontier a slot may be kept, in virtual time.
+    fn window(&self, table: &Table) -> i64 {
+        let lean = i64::from(1_000 - table.gap_permille.min(1_000));
+        let window = i64::try_from(self.settings.window).unwrap_or(i64::MAX);
+        (window.saturating_mul(lean) / 1_000).saturating_mul(SCALE)
+    }
+
     fn demands(&self, lane: Lane) -> Vec<Demand> {
         let Some(lines) = self.queue.lane(lane) else {
             return Vec::new();
@@ -316,7 +337,7 @@
     fn front_cost(&self, request: Option<Request>) -> u64 {
         let life = request.and_then(|request| self.requests.get(&request));
         match life {
-            Some(Life::Waiting(waiting)) => self.estimate(&waiting.arrival),
+            Some(Life::Waiting(waiting)) => self.reservation(&waiting.arrival),
             _ => 1,
         }
     }
--- a/crates/kernel/src/message.rs
+++ b/crates/kernel/src/message.rs
@@ -33,8 +33,8 @@
     pub customer: Key,
     /// Units: an amount to add, or a total, as the message says.
     pub units: i64,
-    /// Whether the customer has requests waiting.
-    pub waiting: bool,
+    /// Routers at which the customer has requests waiting.
+    pub waiting: u32,
 }
 
 /// Charges of one pool.
--- a/crates/kernel/src/owner.rs
+++ b/crates/kernel/src/owner.rs
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::account::{Book, RESERVE, Rank};
+use crate::account::{Book, Rank};
 use crate::id::{Customer, Target};
 use crate::key::Key;
 use crate::message::{Ask, Grant, Hold, Message, Part, Recall, Want};
@@ -141,7 +141,8 @@
             .iter()
             .filter(|(target, owned)| {
                 let row = &table.targets[target.row()];
-                row.open() && now >= owned.open_at && owned.held() < row.slots
+                let free = row.open() && now >= owned.open_at && owned.held() < row.slots;
+                free && !self.wanted(table, **target)
             })
             .map(|(target, _)| table.targets[target.row()].key)
             .collect()
@@ -231,7 +232,12 @@
             let message = self.grant(now, table, target, entry, parts);
             outbox.push((entry, message));
         }
-        if free == 0 {
+        // Holders that know of waiting customers give unused slots back by themselves.
+        let known = row
+            .services
+            .iter()
+            .any(|service| book.frontier(table.pool(*service)).is_some());
+        if free == 0 && !known {
             self.recall(now, table, target, outbox);
         }
     }
@@ -256,7 +262,7 @@
         wish.count -= 1;
         if entry != self.me {
             let pool = table.pool(wish.lane.service);
-            let cost = i64::try_from(wish.cost.min(RESERVE)).unwrap_or(i64::MAX);
+            let cost = i64::try_from(wish.cost).unwrap_or(i64::MAX);
             book.get_mut(pool, wish.customer).provisional[0] += cost;
         }
         Some((entry, wish.customer))
@@ -289,6 +295,14 @@
         })
     }
 
+    /// Whether an entry wants a slot that the target could give.
+    fn wanted(&self, table: &Table, target: Target) -> bool {
+        self.wishes
+            .values()
+            .flat_map(|wishes| &wishes.rows)
+            .any(|wish| wish.count > 0 && table.serves(target, wish.lane.service, wish.lane.model))
+    }
+
     /// Asks for unused slots back while somebody waits, once a second at most.
     fn recall(
         &mut self,
@@ -297,11 +311,7 @@
         target: Target,
         outbox: &mut Vec<(Key, Message)>,
     ) {
-        let waits = self.wishes.values().any(|wishes| {
-            wishes.rows.iter().any(|wish| {
-                wish.count > 0 && table.serves(target, wish.lane.service, wish.lane.model)
-            })
-        });
+        let waits = self.wanted(table, target);
         let Some(owned) = self.owned.get_mut(&target) else {
             return;
         };
--- a/crates/kernel/src/round/book.rs
+++ b/crates/kernel/src/round/book.rs
@@ -16,14 +16,15 @@
 }
 
 /// Moves what was charged here into an open round.
-pub fn take(book: &mut Book, table: &Table, open: &mut Open, number: u64) {
+pub fn take(book: &mut Book, table: &Table, open: &mut Open) {
+    let number = open.round.number;
     for (pool, customer, account) in book.all_mut() {
         let slot = (pool, customer);
         let waits = account.queued > 0;
         if waits {
-            open.waiting.insert(slot);
+            *open.waiting.entry(slot).or_default() += 1;
         }
-        let due = waits || account.waiting || rotates(table, slot, number);
+        let due = waits || account.waiting > 0 || rotates(table, slot, number);
         if due && account.unsent != 0 {
             account.sent += account.unsent;
             *open.amounts.entry(slot).or_default() += account.unsent;
@@ -36,8 +37,8 @@
 pub fn add(table: &Table, open: &mut Open, charges: &[Ledger]) {
     for (slot, charge) in slots(table, charges) {
         *open.amounts.entry(slot).or_default() += charge.units;
-        if charge.waiting {
-            open.waiting.insert(slot);
+        if charge.waiting > 0 {
+            *open.waiting.entry(slot).or_default() += charge.waiting;
         }
     }
 }
@@ -70,23 +71,21 @@
     scope.book.age_provisional();
     for (slot, charge) in slots(scope.table, totals) {
         scope.book.get_mut(slot.0, slot.1).fleet = charge.units;
-        if charge.waiting {
-            scope.book.set_waiting(slot.0, slot.1);
-        }
+        scope.book.set_waiting(slot.0, slot.1, charge.waiting);
     }
 }
 
 /// The totals to tell in a round: waiting accounts, others in rotation.
 pub fn totals(scope: &Scope<'_>, number: u64) -> Vec<Ledger> {
     let mut amounts = BTreeMap::new();
-    let mut waiting = BTreeSet::new();
+    let mut waiting = BTreeMap::new();
     for (pool, customer, account) in scope.book.all() {
         let slot = (pool, customer);
-        if account.waiting {
-            waiting.insert(slot);
+        if account.waiting > 0 {
+            waiting.insert(slot, account.waiting);
         }
         let moved = account.fleet != 0;
-        if account.waiting || (moved && rotates(scope.table, slot, number)) {
+        if account.waiting > 0 || (moved && rotates(scope.table, slot, number)) {
             amounts.insert(slot, account.fleet);
         }
     }
@@ -105,16 +104,16 @@
 pub fn ledgers(
     table: &Table,
     amounts: &BTreeMap<Slot, i64>,
-    waiting: &BTreeSet<Slot>,
+    waiting: &BTreeMap<Slot, u32>,
 ) -> Vec<Ledger> {
     let mut ledgers: Vec<Ledger> = Vec::new();
-    let named: BTreeSet<Slot> = amounts.keys().chain(waiting).copied().collect();
+    let named: BTreeSet<Slot> = amounts.keys().chain(waiting.keys()).copied().collect();
     for slot in named {
         let pool = table.pool_key(slot.0);
         let charge = Charge {
             customer: table.customers[slot.1.row()].key,
             units: amounts.get(&slot).copied().unwrap_or(0),
-            waiting: waiting.contains(&slot),
+            waiting: waiting.get(&slot).copied().unwrap_or(0),
         };
         match ledgers.last_mut().filter(|ledger| ledger.pool == pool) {
             Some(ledger) => ledger.charges.push(charge),
@@ -148,20 +147,20 @@
 /// What the leading root adds to accounts, in units: see the head of [`super`].
 pub fn lifts(
     scope: &Scope<'_>,
-    waiting: &BTreeSet<Slot>,
-    before: &BTreeSet<Slot>,
+    waiting: &BTreeMap<Slot, u32>,
+    before: &BTreeMap<Slot, u32>,
 ) -> Vec<(Slot, i64)> {
     let mut lifts = Vec::new();
     let owed = i64::try_from(scope.settings.owed)
         .unwrap_or(i64::MAX)
         .saturating_mul(SCALE);
     let time = |slot: &Slot| scope.book.virtual_time(slot.0, slot.1);
-    for slot in waiting {
-        let peers = waiting.iter().filter(|other| other.0 == slot.0);
+    for slot in waiting.keys() {
+        let peers = waiting.keys().filter(|other| other.0 == slot.0);
         let most = peers.clone().map(time).max().unwrap_or(i64::MIN);
         let mut floor = most.saturating_sub(owed);
-        if !before.contains(slot) {
-            let stayed = peers.filter(|other| before.contains(other)).map(time).min();
+        if !before.contains_key(slot) {
+            let stayed = peers.filter(|other| before.contains_key(other)).map(time).min();
             floor = floor.max(stayed.unwrap_or(i64::MIN));
         }
         let short = floor.saturating_sub(time(slot));
--- a/crates/kernel/src/round/mod.rs
+++ b/crates/kernel/src/round/mod.rs
@@ -1,10 +1,11 @@
 //! Rounds: how the fleet agrees on what each customer has received.
 //!
 //! In every failure domain the root of a [`tree::Tree`] starts a round at set
-//! times by sending [`Down`] to its children, who pass it on at once. Leaves answer
-//! [`Up`] at once; an inner node answers when its children have, or when its
-//! patience ends. A round is thus a few message times long, and the age of the
-//! accounts is one period, however deep the tree is.
+//! times by sending [`Down`] to its children, who pass it on at once. Each instance
+//! answers [`Up`] shortly before the next round is due, the deeper it stands the
+//! earlier, so that its parent can add the answer to its own. What a round tells is
+//! thus a few steps of [`PATIENCE`] old, and the accounts are never older than one
+//! period and these steps, however many instances there are.
 //!
 //! Amounts are counted exactly once. An instance keeps what it has charged until
 //! it learns that it was counted, and a node keeps nothing for its children. The
@@ -46,7 +47,7 @@
 use tally::{Slot, Tally};
 use tree::Tree;
 
-/// Patience with children, for each level below them.
+/// How much earlier an instance answers than its parent.
 const PATIENCE: Duration = Duration::from_millis(30);
 
 /// Rounds over which accounts that do not wait are repeated once.
@@ -80,7 +81,7 @@
     close_at: Instant,
     missed: Vec<Key>,
     amounts: BTreeMap<Slot, i64>,
-    waiting: BTreeSet<Slot>,
+    waiting: BTreeMap<Slot, u32>,
     spare: Vec<Key>,
 }
 
@@ -108,7 +109,7 @@
     tally: Tally,
     deputy: Option<Key>,
     was_root: bool,
-    waiting_before: BTreeSet<Slot>,
+    waiting_before: BTreeMap<Slot, u32>,
     spare: Vec<Key>,
     probe: usize,
     started: Instant,
@@ -139,7 +140,7 @@
             tally: Tally::new(),
             deputy: None,
             was_root: false,
-            waiting_before: BTreeSet::new(),
+            waiting_before: BTreeMap::new(),
             spare: Vec::new(),
             probe: 0,
             started: now,
@@ -248,30 +249,23 @@
         for child in &children {
             scope.outbox.push((*child, Message::Down(down.clone())));
         }
-        let levels = tree.height(self.me);
-        let mut open = Open {
+        // The root closes when its next round is due, others a step before their parent.
+        let depth = u32::try_from(path.len()).unwrap_or(u32::MAX);
+        let ahead = PATIENCE.saturating_mul(depth).min(scope.settings.round);
+        self.open = Some(Open {
             round: down.round,
             parent,
             awaited: children.into_iter().collect(),
-            close_at: now + PATIENCE * levels,
+            close_at: now + scope.settings.round - ahead,
             missed: Vec::new(),
             amounts: BTreeMap::new(),
-            waiting: BTreeSet::new(),
-            spare: std::mem::take(&mut scope.spare),
-        };
-        book::take(scope.book, scope.table, &mut open, down.round.number);
+            waiting: BTreeMap::new(),
+            spare: Vec::new(),
+        });
         self.answer = Some(Answer {
             round: down.round,
             path,
         });
-        self.open = Some(open);
-        if self
-            .open
-            .as_ref()
-            .is_some_and(|open| open.awaited.is_empty())
-        {
-            self.close(now, scope);
-        }
     }
 
     /// A parent starts a round.
@@ -331,7 +325,7 @@
     }
 
     /// A child answers.
-    pub fn up(&mut self, now: Instant, from: Key, up: &Up, scope: &mut Scope<'_>) {
+    pub fn up(&mut self, from: Key, up: &Up, scope: &mut Scope<'_>) {
         let Some(open) = self.open.as_mut().filter(|open| open.round == up.round) else {
             // Late, or a knock: alive all the same.
             if self.was_root {
@@ -346,9 +340,6 @@
         open.missed.extend(&up.missed);
         open.spare.extend(&up.spare);
         book::add(scope.table, open, &up.charges);
-        if open.awaited.is_empty() {
-            self.close(now, scope);
-        }
     }
 
     /// Ends the round here: answers the parent, or counts it as root.
@@ -357,6 +348,8 @@
             return;
         };
         open.missed.extend(&open.awaited);
+        open.spare.append(&mut scope.spare);
+        book::take(scope.book, scope.table, &mut open);
         if let Some(parent) = open.parent {
             let up = Up {
                 round: open.round,
--- a/crates/kernel/src/round/peers.rs
+++ b/crates/kernel/src/round/peers.rs
@@ -84,15 +84,15 @@
         let domain = self.domain;
         let told = |slot: &Slot| {
             let account = scope.book.get(slot.0, slot.1);
-            let waits = sheet.is_some_and(|sheet| sheet.waiting.contains(slot));
-            account.waiting || waits || book::rotates(scope.table, *slot, self.number)
+            let waits = sheet.is_some_and(|sheet| sheet.waiting.contains_key(slot));
+            account.waiting > 0 || waits || book::rotates(scope.table, *slot, self.number)
         };
         let chosen: BTreeMap<Slot, i64> = totals
             .iter()
             .filter(|(slot, _)| told(slot))
             .map(|(slot, units)| (*slot, *units))
             .collect();
-        let none = BTreeSet::new();
+        let none = BTreeMap::new();
         let waiting = sheet.map_or(&none, |sheet| &sheet.waiting);
         Total {
             round: Round {
@@ -114,7 +114,7 @@
 
     /// Gives a new deputy, or a domain that is back, all runs in full.
     pub(super) fn brief(&self, scope: &mut Scope<'_>, to: Key) {
-        let none = BTreeSet::new();
+        let none = BTreeMap::new();
         for (run, sheet) in &self.tally.sheets {
             let totals = Total {
                 round: Round {
@@ -166,8 +166,8 @@
         }
         for (slot, charge) in book::slots(scope.table, &total.totals) {
             sheet.totals.insert(slot, charge.units);
-            if charge.waiting {
-                sheet.waiting.insert(slot);
+            if charge.waiting > 0 {
+                sheet.waiting.insert(slot, charge.waiting);
             }
         }
         if from == run.root && !own {
--- a/crates/kernel/src/round/root.rs
+++ b/crates/kernel/src/round/root.rs
@@ -68,8 +68,8 @@
         self.spare = self.tally.spare(fresh);
         scope.book.clear_waiting();
         scope.book.age_provisional();
-        for slot in &waiting {
-            scope.book.set_waiting(slot.0, slot.1);
+        for (slot, routers) in &waiting {
+            scope.book.set_waiting(slot.0, slot.1, *routers);
         }
         if self.leads(fresh) {
             let lifts = book::lifts(scope, &waiting, &self.waiting_before);
--- a/crates/kernel/src/round/tally.rs
+++ b/crates/kernel/src/round/tally.rs
@@ -27,8 +27,8 @@
     pub heard: Instant,
     /// Totals, in units.
     pub totals: BTreeMap<Slot, i64>,
-    /// Accounts with requests waiting in the domain.
-    pub waiting: BTreeSet<Slot>,
+    /// Accounts with requests waiting in the domain, and at how many routers.
+    pub waiting: BTreeMap<Slot, u32>,
     /// Instances that the root suspects.
     pub suspects: Vec<Key>,
     /// Targets of the domain with free slots.
@@ -44,7 +44,7 @@
             number: 0,
             heard,
             totals: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            waiting: BTreeMap::new(),
             suspects: Vec::new(),
             spare: Vec::new(),
         }
@@ -83,14 +83,17 @@
             .collect()
     }
 
-    /// Accounts waiting in any domain whose root was heard since `fresh`.
+    /// Accounts waiting in any domain whose root was heard since `fresh`, and at how
+    /// many routers.
     #[must_use]
-    pub fn waiting(&self, fresh: Instant) -> BTreeSet<Slot> {
-        self.sheets
-            .values()
-            .filter(|sheet| sheet.heard >= fresh)
-            .flat_map(|sheet| sheet.waiting.iter().copied())
-            .collect()
+    pub fn waiting(&self, fresh: Instant) -> BTreeMap<Slot, u32> {
+        let mut waiting = BTreeMap::new();
+        for sheet in self.sheets.values().filter(|sheet| sheet.heard >= fresh) {
+            for (slot, routers) in &sheet.waiting {
+                *waiting.entry(*slot).or_default() += routers;
+            }
+        }
+        waiting
     }
 
     /// Targets with free slots in any domain whose root was heard since `fresh`.
--- a/crates/kernel/src/round/tree.rs
+++ b/crates/kernel/src/round/tree.rs
@@ -67,22 +67,6 @@
             .collect()
     }
 
-    /// Levels below an instance.
-    #[must_use]
-    pub fn height(&self, of: Key) -> u32 {
-        let Some(mut place) = self.place(of) else {
-            return 0;
-        };
-        let mut levels = 0;
-        loop {
-            place = place * FAN_OUT + 1;
-            if place >= self.order.len() {
-                return levels;
-            }
-            levels += 1;
-        }
-    }
-
     fn place(&self, of: Key) -> Option<usize> {
         self.order.iter().position(|key| *key == of)
     }
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -40,6 +40,8 @@
     pub hold: Duration,
     /// Time after which a want goes to more owners.
     pub widen: Duration,
+    /// Least time between two wants to one owner.
+    pub retell: Duration,
     /// How often a holder repeats what it holds, against lost messages.
     pub restate: Duration,
     /// How long a new owner listens before it grants.
@@ -49,6 +51,8 @@
     /// How far a customer may run ahead of the pool's frontier before this router
     /// gives its slot up, in units per share, when utilisation comes first.
     pub window: u64,
+    /// Reservation of a running request, in thousandths of its estimated cost.
+    pub reserve: u64,
     /// The most that a customer may be owed against the furthest ahead, in units
     /// per share.
     pub owed: u64,
@@ -71,10 +75,12 @@
             linger: Duration::from_millis(2),
             hold: Duration::from_secs(2),
             widen: Duration::from_millis(100),
+            retell: Duration::from_millis(std::env::var("RETELL").ok().and_then(|v| v.parse().ok()).unwrap_or(300)),
             restate: Duration::from_secs(10),
             takeover: Duration::from_secs(1),
             missed_rounds: 3,
-            window: 4_096,
+            window: std::env::var("WIN").ok().and_then(|v| v.parse().ok()).unwrap_or(4_096),
+            reserve: std::env::var("RES").ok().and_then(|v| v.parse().ok()).unwrap_or(2_000),
             owed: 262_144,
             quick_first: true,
         }
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,20 @@
+//! Many dunlinward kernels under virtual time.
+//!
+//! A [`fleet::Fleet`] steps real kernels with small fakes at their interfaces: a
+//! [`net::Net`] that delays, loses, doubles and cuts messages, an
+//! [`engine::Engine`] with slots, and a [`load::Load`] of customers. Nothing here
+//! decides anything that a router would; a test bench from elsewhere can take its
+//! place by feeding the same events and carrying out the same actions.
+//!
+//! - [`spec`]: the size and shape of a trial.
+//! - [`fleet`]: the driver.
+//! - [`meter`]: what was received, and the figures made of it.
+//! - [`report`]: the figures as one JSON object.
+
+pub mod engine;
+pub mod fleet;
+pub mod load;
+pub mod meter;
+pub mod net;
+pub mod report;
+pub mod spec;
