Let waiting messages share a frame, and survive bursts of small ones

Cause: sixteen 20-byte messages that left together cost 32.6 bytes each at the socket, 12 of them header and seal. And h2 closed a link with too_many_data_frames after 544 unread one-byte messages (a trial): a paused instance would have lost its links on waking.

Change: messages that wait together share one frame and one seal; the window is 64 KiB and the budget for small frames 2 MiB.

--- a/crates/wire/examples/link-cost/main.rs
+++ b/crates/wire/examples/link-cost/main.rs
@@ -38,8 +38,9 @@
 /// Messages sealed to time the seal.
 const SEALS: usize = 100_000;
 
-/// Bytes of an empty message on a link: HTTP/2 and frame headers and the seal.
-const EMPTY_MESSAGE: u64 = 9 + HEADER as u64 + SEAL as u64;
+/// Bytes of an empty message on a link: HTTP/2 and frame headers, the batch's
+/// two lengths and the seal.
+const EMPTY_MESSAGE: u64 = 9 + HEADER as u64 + 2 + SEAL as u64;
 
 fn main() {
     report_parts();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`frame`] delimits messages in a byte stream.
 //! - [`hello`] authenticates both ends of a link with the fleet's key.
 //! - [`seal`] binds each later frame to the authenticated session.
+//! - [`batch`] lets messages share a frame.
 //! - [`queue`] bounds what waits for a peer.
 //! - [`backoff`] spaces connection attempts.
 //! - [`counter`] counts bytes, messages and each reason to drop or refuse.
@@ -17,6 +18,7 @@
 //! The protocols above are therefore built from idempotent, restated messages.
 
 pub mod backoff;
+pub mod batch;
 pub mod codec;
 pub mod counter;
 pub mod frame;
--- a/crates/wire/src/link/accept.rs
+++ b/crates/wire/src/link/accept.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::hello::{Acceptor, Confirm, Hello, Refusal};
-use crate::link::channel::{Reader, WINDOW, Writer};
+use crate::link::channel::{BUDGET, Reader, WINDOW, Writer};
 use crate::link::meter::Meter;
 use crate::link::session::{self, Opened, Origin};
 use crate::link::shared::Shared;
@@ -79,6 +79,7 @@
         .max_header_list_size(MAX_HEADERS)
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
+        .data_frame_budget(BUDGET)
         .handshake(meter)
         .await
         .map_err(|_| Refusal::Malformed)?;
--- a/crates/wire/src/link/channel.rs
+++ b/crates/wire/src/link/channel.rs
@@ -11,7 +11,14 @@
 use crate::hello::{MAX_HELLO, Refusal};
 
 /// Window of a stream and of its connection, in bytes.
-pub(super) const WINDOW: u32 = 256 << 10;
+pub(super) const WINDOW: u32 = 64 << 10;
+
+/// What HTTP/2 may spend on frames that wait unread, in bytes.
+///
+/// The library closes a connection whose small DATA frames exhaust it, and its
+/// default allows a few hundred. An instance that was paused finds more than
+/// that in its socket, so the budget covers a whole window of the smallest.
+pub(super) const BUDGET: usize = 2 << 20;
 
 /// The sending body.
 pub(super) struct Writer {
--- a/crates/wire/src/link/dial.rs
+++ b/crates/wire/src/link/dial.rs
@@ -10,8 +10,9 @@
 use snafu::ensure;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::hello::{Answer, Dialer, InstanceSnafu, KeySnafu, Refusal};
-use crate::link::channel::{Reader, WINDOW, Writer};
+use crate::batch::Batch;
+use crate::hello::{Answer, Dialer, InstanceSnafu, MalformedSnafu, Refusal};
+use crate::link::channel::{BUDGET, Reader, WINDOW, Writer};
 use crate::link::meter::Meter;
 use crate::link::peer::Peer;
 use crate::link::session::{self, Opened, Origin};
@@ -54,6 +55,7 @@
         .enable_push(false)
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
+        .data_frame_budget(BUDGET)
         .handshake(meter)
         .await
         .map_err(|_| Refusal::Closed)
@@ -79,8 +81,9 @@
     ensure!(expected, InstanceSnafu);
     writer.hello(&confirm).await?;
     let welcome = reader.first().await?;
-    let opened = session.opener.open(welcome).is_ok_and(|m| m.is_empty());
-    ensure!(opened, KeySnafu);
+    let payload = session.opener.open(welcome).map_err(|_| Refusal::Key)?;
+    let welcome = Batch::decode(&payload)?;
+    ensure!(welcome == Batch::default(), MalformedSnafu);
     Ok(Opened {
         session,
         reader,
--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -159,7 +159,7 @@
     /// # Errors
     ///
     /// [`Loss::Unknown`] for a peer neither listed nor connected,
-    /// [`Loss::Oversize`] beyond [`crate::seal::MAX_MESSAGE`]; both are counted.
+    /// [`Loss::Oversize`] beyond [`crate::batch::MAX_MESSAGE`]; both are counted.
     pub fn send(&self, peer: &str, message: Vec<u8>) -> Result<(), Loss> {
         self.shared.send(peer, message)
     }
--- a/crates/wire/src/link/peer.rs
+++ b/crates/wire/src/link/peer.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::Notify;
 
+use crate::batch::Batch;
 use crate::counter::{Counter, Loss};
 use crate::hello::{Identity, Refusal};
 use crate::link::Event;
@@ -170,29 +171,32 @@
         self.changed.notify_waiters();
     }
 
-    /// Reports a message of a session that still stands.
-    pub(super) fn deliver(&self, id: u64, bytes: &[u8], report: impl Fn(Event)) -> bool {
+    /// Reports the messages of a session; false when it no longer stands.
+    pub(super) fn deliver(&self, id: u64, batch: Batch, report: impl Fn(Event)) -> bool {
         let state = self.lock();
         let stands = state.sessions.iter().any(|entry| entry.id == id);
-        if stands {
+        if !stands {
+            return false;
+        }
+        for bytes in batch.messages {
             report(Event::Message {
                 from: Arc::clone(&self.instance),
                 incarnation: state.incarnation,
-                bytes: bytes.to_vec(),
+                bytes,
             });
         }
-        stands
+        true
     }
 
     /// The next messages for session `id` to write, once there are some.
-    pub(super) async fn batch(&self, id: u64, bytes: usize, counter: &Counter) -> Vec<Vec<u8>> {
+    pub(super) async fn batch(&self, id: u64, bytes: usize, counter: &Counter) -> Batch {
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let batch = self.try_batch(id, bytes, counter);
-            if !batch.is_empty() {
-                return batch;
+            let messages = self.try_batch(id, bytes, counter);
+            if !messages.is_empty() {
+                return Batch::new(messages);
             }
             changed.await;
         }
--- a/crates/wire/src/link/session.rs
+++ b/crates/wire/src/link/session.rs
@@ -1,6 +1,6 @@
 //! The life of one session, from its hello to its close.
 //!
-//! The acceptor's first frame is an empty one, the welcome. It tells the dialer
+//! The acceptor's first frame is an empty batch, the welcome. It tells the dialer
 //! that the session stands, so that a dialer which is refused at the last step
 //! reports nothing and backs off.
 //!
@@ -17,6 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
+use crate::batch::Batch;
 use crate::counter::{Close, Counter, Loss};
 use crate::frame::{self, Frame, MAX_PAYLOAD};
 use crate::hello::{Refusal, Session};
@@ -26,7 +27,7 @@
 use crate::seal::{Opener, Sealer};
 
 /// Most bytes of messages written together, to fit one DATA frame.
-const BATCH: usize = 15 << 10;
+const TOGETHER: usize = 15 << 10;
 
 /// Time to read what a closed connection had received.
 const DRAIN: Duration = Duration::from_secs(1);
@@ -110,32 +111,40 @@
                 Err(Stop::Frame(frame::Error::Truncated { .. })) => return Close::Truncated,
                 Err(Stop::Frame(_)) => return Close::Frame,
             };
-            let Ok(message) = opener.open(sealed) else {
+            let Ok(payload) = opener.open(sealed) else {
                 return Close::Seal;
             };
-            self.activity.touch();
-            let report = |event| {
-                self.shared.counter.received();
-                self.shared.report(event);
+            let Ok(batch) = Batch::decode(&payload) else {
+                return Close::Frame;
             };
-            if !self.peer.deliver(self.id, &message, report) {
+            self.activity.touch();
+            if !self.deliver(batch) {
                 return Close::Superseded;
             }
         }
     }
 
+    /// Reports a batch; false when the session no longer stands.
+    fn deliver(&self, batch: Batch) -> bool {
+        let report = |event| {
+            self.shared.counter.received();
+            self.shared.report(event);
+        };
+        self.peer.deliver(self.id, batch, report)
+    }
+
     async fn write(&self, mut writer: Writer, mut sealer: Sealer) -> Close {
         let counter = &self.shared.counter;
         if self.origin == Origin::Accepted {
-            let welcome = join(&mut sealer, &[Vec::new()]);
+            let welcome = pack(&mut sealer, &Batch::default());
             if let Err(close) = self.flush(&mut writer, welcome).await {
                 return close;
             }
         }
         loop {
-            let batch = self.peer.batch(self.id, BATCH, counter).await;
-            let pending = Pending::new(counter, batch.len());
-            let bytes = join(&mut sealer, &batch);
+            let batch = self.peer.batch(self.id, TOGETHER, counter).await;
+            let pending = Pending::new(counter, batch.messages.len());
+            let bytes = pack(&mut sealer, &batch);
             if let Err(close) = self.flush(&mut writer, bytes).await {
                 return close;
             }
@@ -153,15 +162,14 @@
     }
 }
 
-/// The sealed frames of a batch, end to end.
-fn join(sealer: &mut Sealer, batch: &[Vec<u8>]) -> Bytes {
+/// The sealed frame of a batch.
+fn pack(sealer: &mut Sealer, batch: &Batch) -> Bytes {
     let mut out = BytesMut::new();
-    for message in batch {
-        let payload = sealer.seal(message);
-        Frame::new(payload)
-            .expect("the pool refuses longer messages")
-            .write(&mut out);
-    }
+    let encoded = batch.encode().expect("the pool refuses longer messages");
+    let payload = sealer.seal(&encoded);
+    Frame::new(payload)
+        .expect("a batch leaves room for its seal")
+        .write(&mut out);
     out.freeze()
 }
 
--- a/crates/wire/src/link/shared.rs
+++ b/crates/wire/src/link/shared.rs
@@ -13,6 +13,7 @@
 use tokio::runtime::Handle;
 
 use crate::backoff::Backoff;
+use crate::batch::MAX_MESSAGE;
 use crate::counter::{Counter, Loss};
 use crate::hello::{self, Hello, Identity, Key, Nonce, Refusal};
 use crate::link::peer::{Peer, Place};
@@ -21,7 +22,6 @@
 use crate::link::settings::Settings;
 use crate::link::{self, Event, dial};
 use crate::queue::Bound;
-use crate::seal::MAX_MESSAGE;
 
 /// Times and numbers that bound a pool.
 #[derive(Clone, Copy, Debug)]
--- a/crates/wire/src/queue.rs
+++ b/crates/wire/src/queue.rs
@@ -9,6 +9,9 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+/// Bytes that each message of a batch counts beyond its own.
+pub const OVERHEAD: usize = 16;
+
 /// Bounds of a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bound {
@@ -78,11 +81,13 @@
     }
 
     /// Takes the oldest messages, up to `bytes` together but at least one.
+    ///
+    /// Each counts [`OVERHEAD`] bytes more than it has, which bounds their number.
     pub fn batch(&mut self, bytes: usize) -> Vec<Vec<u8>> {
         let mut batch = Vec::new();
         let mut size = 0;
         while let Some(entry) = self.entries.front() {
-            size += entry.message.len();
+            size = entry.message.len().saturating_add(size + OVERHEAD);
             if size > bytes && !batch.is_empty() {
                 break;
             }
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -1,8 +1,8 @@
 //! Seals: frames bound to their session and position.
 //!
-//! Each message of a session is followed by the first eight bytes of an
-//! HMAC-SHA256 by the session's key for that direction, over the message's
-//! sequence number and the message. The sequence number is not sent: the
+//! The payload of each frame of a session is followed by the first eight bytes of an
+//! HMAC-SHA256 by the session's key for that direction, over the frame's
+//! sequence number and its payload. The sequence number is not sent: the
 //! stream is ordered, so both ends count. A frame injected, repeated, dropped
 //! or moved from another session or direction fails, and the link is closed.
 //! One guess succeeds with probability 2^-64 and a wrong one ends the session,
@@ -14,15 +14,11 @@
 use snafu::{Snafu, ensure};
 use subtle::ConstantTimeEq;
 
-use crate::frame::MAX_PAYLOAD;
 use crate::hello::Tag;
 
 /// Bytes that a seal adds to a message.
 pub const SEAL: usize = 8;
 
-/// Most bytes of a message that fits a sealed frame.
-pub const MAX_MESSAGE: usize = MAX_PAYLOAD - SEAL;
-
 /// A message whose seal does not verify.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("frame is not of this session"))]
--- a/crates/wire/tests/link/common.rs
+++ b/crates/wire/tests/link/common.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use dunlinward_wire::batch::Batch;
 use dunlinward_wire::counter::Snapshot;
 use dunlinward_wire::hello::{Answer, Dialer, Hello, Nonce, Session, VERSION};
 use dunlinward_wire::{Decoder, Event, Frame, Identity, Key, Pool, Settings, encode, link};
@@ -27,7 +28,7 @@
         seed.wrapping_mul(31).wrapping_add(u64::from(byte))
     });
     let random = StdRng::seed_from_u64(seed);
-    Settings::new(loopback(), instance, incarnation, "hall-a", key(), random)
+    Settings::new(loopback(), instance, incarnation, "hall-a", key(), random).with_hello(PATIENCE)
 }
 
 pub fn start(settings: Settings) -> (Pool, Receiver<Event>) {
@@ -97,6 +98,12 @@
     out.freeze()
 }
 
+/// The sealed frame of a single message.
+pub fn sealed(session: &mut Session, message: &[u8]) -> Bytes {
+    let batch = Batch::new(vec![message.to_vec()]);
+    frame(session.sealer.seal(&batch.encode().unwrap()))
+}
+
 pub fn run<T>(future: impl Future<Output = T>) -> T {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().build().unwrap();
@@ -113,6 +120,7 @@
 impl Raw {
     pub async fn connect(address: SocketAddr) -> Self {
         let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
         let (requests, connection) = h2::client::handshake(stream).await.unwrap();
         tokio::spawn(connection);
         let request = http::Request::post("http://link/").body(()).unwrap();
@@ -130,7 +138,8 @@
         let mut raw = Self::connect(address).await;
         let mut session = raw.shake(hello).await;
         let welcome = raw.receive().await.expect("a welcome");
-        assert!(session.opener.open(welcome).unwrap().is_empty());
+        let welcome = Batch::decode(&session.opener.open(welcome).unwrap()).unwrap();
+        assert_eq!(welcome, Batch::default());
         (raw, session)
     }
 
--- a/crates/wire/tests/link/hostile.rs
+++ b/crates/wire/tests/link/hostile.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 
-use crate::common::{self, Raw, frame, hello, line, peer, run, settings, settle, start};
+use crate::common::{self, Raw, frame, hello, line, peer, run, sealed, settings, settle, start};
 
 /// Opens a session with a pool, sends `bytes` and expects it closed for `close`.
 fn closes_only_that_link(close: Close, bytes: Vec<u8>) {
@@ -21,7 +21,7 @@
     let mut story = vec![line(&at_one), line(&at_one)];
     run(async {
         let (mut raw, mut session) = Raw::open(one.address(), hello("evil", 1, 1)).await;
-        raw.send(frame(session.sealer.seal(b"a good frame")));
+        raw.send(sealed(&mut session, b"a good frame"));
         raw.send(bytes);
         raw.finish();
         assert!(raw.receive().await.is_none());
@@ -75,12 +75,27 @@
     closes_only_that_link(Close::Seal, frame(&b"short"[..]).to_vec());
 }
 
+#[test]
+fn a_sealed_frame_of_another_layout_closes_its_link() {
+    let (one, at_one) = start(settings("r1", 1));
+    run(async {
+        let (mut raw, mut session) = Raw::open(one.address(), hello("evil", 1, 1)).await;
+        raw.send(frame(session.sealer.seal(&[9, 200, 1])));
+        assert!(raw.receive().await.is_none());
+    });
+    assert_eq!(
+        [line(&at_one), line(&at_one)],
+        ["up evil 1 hall-a", "down evil 1"]
+    );
+    assert_eq!(one.counters().closes(Close::Frame), 1);
+}
+
 #[test]
 fn a_repeated_frame_closes_its_link() {
     let (one, at_one) = start(settings("r1", 1));
     run(async {
         let (mut raw, mut session) = Raw::open(one.address(), hello("evil", 1, 1)).await;
-        let repeated = frame(session.sealer.seal(b"once"));
+        let repeated = sealed(&mut session, b"once");
         raw.send(repeated.clone());
         raw.send(repeated);
         assert!(raw.receive().await.is_none());
@@ -138,18 +153,20 @@
 
 #[test]
 fn strangers_are_closed() {
-    let hello = Duration::from_millis(200);
-    let (one, at_one) = start(settings("r1", 1).with_hello(hello));
+    let (one, at_one) = start(settings("r1", 1));
     let mut rude = TcpStream::connect(one.address()).unwrap();
     rude.write_all(b"GET / HTTP/1.1\r\n\r\n and more than a preface takes")
         .unwrap();
     settle(&one, |counters| counters.refusals(Refusal::Malformed) == 1);
-    let mut silent = TcpStream::connect(one.address()).unwrap();
-    settle(&one, |counters| counters.refusals(Refusal::Timeout) == 1);
+    let hello = Duration::from_millis(50);
+    let (two, at_two) = start(settings("r2", 1).with_hello(hello));
+    let mut silent = TcpStream::connect(two.address()).unwrap();
+    settle(&two, |counters| counters.refusals(Refusal::Timeout) == 1);
     silent.set_read_timeout(Some(common::PATIENCE)).unwrap();
     let mut rest = Vec::new();
     silent.read_to_end(&mut rest).unwrap();
     assert!(at_one.try_recv().is_err());
+    assert!(at_two.try_recv().is_err());
 }
 
 #[test]
@@ -178,6 +195,21 @@
     assert_eq!(counters.refusals(Refusal::Incarnation), 1);
 }
 
+#[test]
+fn a_burst_of_small_frames_is_no_offence() {
+    let (one, _at_one) = start(settings("r1", 1));
+    run(async {
+        let (mut raw, mut session) = Raw::open(one.address(), hello("r2", 1, 1)).await;
+        for _ in 0..20_000 {
+            raw.send(sealed(&mut session, b"!"));
+        }
+        while one.counters().messages_in < 20_000 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    assert_eq!(one.counters().accepts, 1);
+}
+
 #[test]
 fn a_peer_that_takes_no_bytes_is_closed() {
     let (one, at_one) = start(settings("r1", 1).with_dead(Duration::from_millis(300)));
--- a/crates/wire/tests/link/pools.rs
+++ b/crates/wire/tests/link/pools.rs
@@ -5,10 +5,10 @@
 
 use crate::common::{PATIENCE, line, loopback, peer, settings, settle, start};
 use dunlinward_wire::Key;
+use dunlinward_wire::batch::MAX_MESSAGE;
 use dunlinward_wire::counter::{Close, Loss};
 use dunlinward_wire::hello::Refusal;
 use dunlinward_wire::queue::Bound;
-use dunlinward_wire::seal::MAX_MESSAGE;
 
 #[test]
 fn two_pools_share_one_connection() {
@@ -40,6 +40,23 @@
     assert_eq!(found, sizes);
 }
 
+#[test]
+fn many_empty_messages_pass() {
+    let bound = Bound {
+        messages: 200_000,
+        bytes: 1 << 20,
+        age: Duration::from_mins(10),
+    };
+    let (one, _at_one) = start(settings("r1", 1).with_bound(bound));
+    let (two, _at_two) = start(settings("r2", 1));
+    one.set_peers(&[peer("r2", two.address())]);
+    for _ in 0..100_000 {
+        one.send("r2", Vec::new()).unwrap();
+    }
+    settle(&two, |counters| counters.messages_in == 100_000);
+    assert_eq!(two.counters().accepts, 1);
+}
+
 #[test]
 fn three_pools_reach_each_other() {
     let names = ["r1", "r2", "r3"];
--- a/crates/wire/tests/queue.rs
+++ b/crates/wire/tests/queue.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use dunlinward_wire::backoff::Backoff;
-use dunlinward_wire::queue::{Bound, Queue};
+use dunlinward_wire::queue::{Bound, OVERHEAD, Queue};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -43,8 +43,14 @@
     for size in [5, 2, 2] {
         queue.push(now, vec![0; size]);
     }
-    let sizes: Vec<_> = [4, 4, 4]
-        .map(|bytes| queue.batch(bytes).iter().map(Vec::len).collect::<Vec<_>>())
+    let sizes: Vec<_> = [5, 5, 5]
+        .map(|bytes| {
+            queue
+                .batch(bytes + 2 * OVERHEAD)
+                .iter()
+                .map(Vec::len)
+                .collect::<Vec<_>>()
+        })
         .into();
     assert_eq!(sizes, [vec![5], vec![2, 2], vec![]]);
 }
