--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -10,7 +10,7 @@
 use serde_json::{Map, Value};
 
 use crate::check::Section;
-use crate::file::{Config, Customer, Service, Target};
+use crate::file::{Config, Named};
 
 /// One difference.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -108,29 +108,12 @@
     changes
 }
 
-trait Named: Serialize {
-    fn name(&self) -> &Arc<str>;
-}
-
-impl Named for Customer {
-    fn name(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-impl Named for Service {
-    fn name(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-impl Named for Target {
-    fn name(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-fn items<T: Named>(section: Section, earlier: &[T], later: &[T], changes: &mut Vec<Change>) {
+fn items<T: Named + Serialize>(
+    section: Section,
+    earlier: &[T],
+    later: &[T],
+    changes: &mut Vec<Change>,
+) {
     let start = changes.len();
     for item in earlier {
         match find(later, item.name()) {
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -173,6 +173,30 @@
     Patch,
 }
 
+/// An item that has a name.
+pub(crate) trait Named {
+    /// Its name.
+    fn name(&self) -> &Arc<str>;
+}
+
+impl Named for Customer {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+impl Named for Service {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+impl Named for Target {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
 impl Method {
     /// Every method, in the order of the messages.
     pub const ALL: [Self; 7] = [
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -9,7 +9,7 @@
 use toml::de::{DeTable, DeValue, Error};
 
 use crate::check::{Problem, Rule, Section, Severity};
-use crate::file::{Config, Customer, Fleet, Limits, Service, Target};
+use crate::file::{Config, Customer, Fleet, Limits, Named, Service, Target};
 use table::{Lines, Reader};
 
 /// An item with the lines of its fields.
@@ -33,37 +33,13 @@
     }
 }
 
-/// An item that has a name.
-pub trait Name {
-    /// The name; empty when it is bad.
-    fn name(&self) -> &Arc<str>;
-}
-
-impl<T: Name> Item<T> {
+impl<T: Named> Item<T> {
     /// The name with its line.
     pub fn named(&self) -> (&Arc<str>, usize) {
         (self.value.name(), self.line("name", 0))
     }
 }
 
-impl Name for Customer {
-    fn name(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-impl Name for Service {
-    fn name(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-impl Name for Target {
-    fn name(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
 /// A configuration that may have bad fields.
 #[derive(Debug)]
 pub struct Draft {
