Forget the address that an unlisted peer told

Cause: it was read only while a dialed session of a peer outlived its listing, so a router that left could be dialed once more.

--- a/crates/wire/src/link/peer.rs
+++ b/crates/wire/src/link/peer.rs
@@ -27,7 +27,6 @@
 struct State {
     queue: Queue,
     listed: Option<SocketAddr>,
-    told: Option<SocketAddr>,
     sessions: Vec<Entry>,
     incarnation: u64,
     met: bool,
@@ -59,7 +58,6 @@
             state: Mutex::new(State {
                 queue: Queue::new(bound),
                 listed: None,
-                told: None,
                 sessions: Vec::new(),
                 incarnation: 0,
                 met: false,
@@ -109,7 +107,7 @@
     pub(super) fn next_dial(&self, now: Instant, counter: &Counter) -> Option<SocketAddr> {
         let mut state = self.lock();
         counter.dropped(Loss::Stale, state.queue.expire(now));
-        let address = state.address().filter(|_| state.wants_dial());
+        let address = state.listed.filter(|_| state.wants_dial());
         state.dialing = address.is_some();
         address
     }
@@ -149,7 +147,6 @@
         }
         let place = state.insert(id);
         state.incarnation = identity.incarnation;
-        state.told = Some(identity.listen);
         drop(state);
         self.changed.notify_waiters();
         Ok(place)
@@ -226,12 +223,8 @@
 }
 
 impl State {
-    fn address(&self) -> Option<SocketAddr> {
-        self.listed.or(self.told)
-    }
-
     fn wants_dial(&self) -> bool {
-        !self.queue.is_empty() && self.sessions.is_empty() && self.address().is_some()
+        !self.queue.is_empty() && self.sessions.is_empty() && self.listed.is_some()
     }
 
     fn insert(&mut self, id: u64) -> Place {
--- a/crates/wire/tests/link/hostile.rs
+++ b/crates/wire/tests/link/hostile.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use dunlinward_wire::counter::Close;
+use dunlinward_wire::counter::{Close, Loss};
 use dunlinward_wire::hello::{Confirm, Refusal};
 use dunlinward_wire::{Event, encode, frame::MAX_PAYLOAD};
 use rand::rngs::StdRng;
@@ -224,4 +224,5 @@
     });
     assert_eq!(line(&at_one), "up r2 1 hall-a");
     assert!(matches!(common::next(&at_one), Event::Down { .. }));
+    assert_eq!(one.counters().drops(Loss::Lost), 1);
 }
