Test the path through a router; settle claims before answers

Change: an attempt settles the claim before it passes the answer on, a refusal before the caller reads it, and a claim that ran stays so. Path tests with the stand-ins: whole answers, bad requests, callers that leave, lost answers, refused connections, drains.

--- a/crates/router/src/callers/admit.rs
+++ b/crates/router/src/callers/admit.rs
@@ -120,7 +120,7 @@
         let customer = current.config.customer_of(key).ok_or(Reason::KeyWrong)?;
         let extra = parse::extra(&parts.headers)?;
         let body = self.read(&current, body).await?;
-        let wish = parse::wish(&current, &parts, &body)?;
+        let wish = parse::wish(&current, &parts, &extra, &body)?;
         let class = extra.class.unwrap_or_else(|| parse::class(wish.service));
         let request = id::Request(number);
         let arrival = self
--- a/crates/router/src/callers/parse.rs
+++ b/crates/router/src/callers/parse.rs
@@ -123,10 +123,11 @@
 pub(super) fn wish<'a>(
     current: &'a Current,
     parts: &Parts,
+    extra: &Extra,
     body: &Bytes,
 ) -> Result<Wish<'a>, Reason> {
     match parts.uri.path() {
-        CHAT | TEXT => completion(current, parts, body),
+        CHAT | TEXT => completion(current, parts, extra.class, body),
         _ => plain(current, parts),
     }
 }
@@ -139,7 +140,12 @@
     }
 }
 
-fn completion<'a>(current: &'a Current, parts: &Parts, body: &Bytes) -> Result<Wish<'a>, Reason> {
+fn completion<'a>(
+    current: &'a Current,
+    parts: &Parts,
+    wanted: Option<event::Class>,
+    body: &Bytes,
+) -> Result<Wish<'a>, Reason> {
     if parts.method != Method::POST {
         return Err(Reason::PathUnknown);
     }
@@ -150,7 +156,7 @@
         _ => return Err(Reason::BodyMalformed),
     };
     let prompt = prompt.to_string();
-    let service = model_service(current, &parts.headers, &asked.model)?;
+    let service = model_service(current, &parts.headers, &asked.model, wanted)?;
     let hint = prompt.len() as u64 / TOKEN + asked.max_tokens.unwrap_or(TOKENS);
     Ok(Wish {
         service,
@@ -166,21 +172,26 @@
     })
 }
 
+/// The service of a model: the named one, else the first of the class asked for,
+/// else the first.
 fn model_service<'a>(
     current: &'a Current,
     headers: &HeaderMap,
     model: &str,
+    wanted: Option<event::Class>,
 ) -> Result<&'a Service, Reason> {
     let named = text(headers, &SERVICE)?;
     let has = |service: &&Service| {
         service.kind == Kind::Model && service.models.iter().any(|known| &**known == model)
     };
-    let mut services = current.config.services.iter().filter(has);
-    match named {
-        Some(name) => services.find(|service| &*service.name == name),
-        None => services.next(),
-    }
-    .ok_or(Reason::ServiceUnknown)
+    let services = || current.config.services.iter().filter(has);
+    let found = match named {
+        Some(name) => services().find(|service| &*service.name == name),
+        None => services()
+            .find(|service| Some(class(service)) == wanted)
+            .or_else(|| services().next()),
+    };
+    found.ok_or(Reason::ServiceUnknown)
 }
 
 fn plain<'a>(current: &'a Current, parts: &Parts) -> Result<Wish<'a>, Reason> {
--- a/crates/router/src/driver/entry.rs
+++ b/crates/router/src/driver/entry.rs
@@ -42,7 +42,6 @@
     life: Option<Life>,
     running: Option<Running>,
     units: u64,
-    settled: bool,
 }
 
 impl Entry {
@@ -60,7 +59,6 @@
             life: Some(life),
             running: None,
             units: 0,
-            settled: false,
         }
     }
 
@@ -130,9 +128,6 @@
                     ..
                 }
         );
-        if let Some(answer) = report.answer.take() {
-            self.settle(Fate::Ran(answer));
-        }
         self.life = self
             .life
             .take()
@@ -144,13 +139,10 @@
             });
     }
 
-    /// Settles the claim by what the kernel told the caller, once.
-    pub fn settle(&mut self, fate: Fate) {
-        if let Some(ticket) = &self.call.ticket
-            && !self.settled
-        {
+    /// Settles the claim by what the kernel told the caller.
+    pub fn settle(&self, fate: Fate) {
+        if let Some(ticket) = &self.call.ticket {
             ticket.settle(fate);
-            self.settled = true;
         }
     }
 
@@ -163,7 +155,7 @@
     }
 
     /// Settles the claim by the life's state, when nothing else did.
-    pub fn forget(&mut self) {
+    pub fn forget(&self) {
         self.settle(match self.verdict() {
             Verdict::NotRun => Fate::NotRun,
             Verdict::MayHaveRun | Verdict::Ran => Fate::Unsure,
--- a/crates/router/src/driver/mod.rs
+++ b/crates/router/src/driver/mod.rs
@@ -183,7 +183,7 @@
                 self.tools.metrics.used(&call.customer, &call.service, new);
                 entry.end(attempt, &mut end.report);
             }
-            None => settle_late(&mut end),
+            None => settle_late(&end),
         }
         if end.report.left {
             self.count_left(request);
@@ -224,7 +224,7 @@
                 self.refuse(request, &notice, verdict, refusal.name());
             }
             Action::Forget { request } => {
-                if let Some(mut entry) = self.entries.remove(&request) {
+                if let Some(entry) = self.entries.remove(&request) {
                     entry.forget();
                 }
             }
@@ -240,18 +240,19 @@
         verdict: Verdict,
         reason: &'static str,
     ) {
-        let Some(entry) = self.entries.get_mut(&request) else {
+        let Some(entry) = self.entries.get(&request) else {
             return;
         };
         log::info!(
             request = &*entry.call.name, customer = &*entry.call.customer, reason = reason;
             "refused, {}", verdict.name()
         );
-        entry.call.sink.finish(notice.parts(&entry.call.name));
+        // Before the caller knows, so that its next try finds the claim settled.
         entry.settle(match verdict {
             Verdict::NotRun => Fate::NotRun,
             Verdict::MayHaveRun | Verdict::Ran => Fate::Unsure,
         });
+        entry.call.sink.finish(notice.parts(&entry.call.name));
     }
 
     fn dispatch(&mut self, request: id::Request, number: u32, target: id::Target) {
@@ -342,14 +343,11 @@
     let _ = inbox.send(Input::Ended(Box::new(end)));
 }
 
-/// The end of an attempt whose request was forgotten can still settle its claim.
-fn settle_late(end: &mut End) {
-    let Some(ticket) = &end.call.ticket else {
-        return;
-    };
-    if let Some(answer) = end.report.answer.take() {
-        ticket.settle(Fate::Ran(answer));
-    } else if end.report.proof.is_some() {
+/// An attempt whose request was forgotten can still prove that it did not run.
+fn settle_late(end: &End) {
+    if let Some(ticket) = &end.call.ticket
+        && end.report.proof.is_some()
+    {
         ticket.settle(Fate::NotRun);
     }
 }
--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -78,7 +78,7 @@
     /// Claims a key for a call with this content for the time `keep`.
     fn claim(self: Arc<Self>, scope: Scope, content: u64, keep: Duration) -> Found;
 
-    /// Notes what became of the call that claimed a key.
+    /// Notes what became of the call that claimed a key; once it ran, that stays.
     fn settle(&self, scope: &Scope, fate: Fate);
 }
 
@@ -198,6 +198,9 @@
         let Some(claim) = kept.claims.get_mut(scope) else {
             return;
         };
+        if matches!(claim.state, State::Ran(_)) {
+            return;
+        }
         match fate {
             Fate::NotRun => {
                 kept.claims.remove(scope);
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -12,8 +12,8 @@
 
 use dunlinward_kernel::event::Event;
 use dunlinward_kernel::key::Key;
+use dunlinward_wire::frame::MAX_PAYLOAD;
 use dunlinward_wire::link::{self, Peer};
-use dunlinward_wire::seal::MAX_MESSAGE;
 use dunlinward_wire::{Pool, codec};
 
 use crate::configuration::Keeper;
@@ -89,7 +89,7 @@
         let Some(name) = self.name(to) else {
             return;
         };
-        match codec::encode(envelope, MAX_MESSAGE) {
+        match codec::encode(envelope, MAX_PAYLOAD) {
             Ok(bytes) => {
                 if let Err(loss) = self.pool.send(&name, bytes) {
                     log::debug!(reason = loss.name(); "a message to {name} was not sent");
@@ -118,7 +118,7 @@
         keeper: &Keeper,
     ) {
         let key = Key::new(from);
-        match codec::decode(bytes, MAX_MESSAGE) {
+        match codec::decode(bytes, MAX_PAYLOAD) {
             Ok(Envelope::Kernel(messages)) => {
                 let domain = self.lock().get(&key).and_then(|known| known.domain);
                 let Some(domain) = domain else {
--- a/crates/router/src/targets/answer.rs
+++ b/crates/router/src/targets/answer.rs
@@ -11,7 +11,7 @@
 
 use super::stream::{self, Check, Step, Usage};
 use super::{ANSWER_LIMIT, Attempt, CALL_UNITS, Progress, Stop, head};
-use crate::idempotency::Answer;
+use crate::idempotency::{Answer, Fate};
 use crate::reply::Part;
 
 /// Units after which progress is told at the latest.
@@ -32,7 +32,7 @@
         &self,
         response: Response<Body>,
         progress: &mut Progress,
-    ) -> Result<Answer, Stop> {
+    ) -> Result<(), Stop> {
         progress.units = CALL_UNITS;
         let answer = self.read(response)?;
         self.deliver(answer, progress)
@@ -43,7 +43,7 @@
         &self,
         response: Response<Body>,
         progress: &mut Progress,
-    ) -> Result<Answer, Stop> {
+    ) -> Result<(), Stop> {
         let success = response.status().is_success();
         let answer = self.read(response)?;
         let whole = serde_json::from_slice::<Whole>(&answer.body);
@@ -112,12 +112,16 @@
         Ok(Answer { head, body })
     }
 
-    fn deliver(&self, answer: Answer, progress: &mut Progress) -> Result<Answer, Stop> {
-        self.send(Part::Head(answer.head.clone()))?;
+    /// Passes a whole answer on. Its claim is settled first, so that a caller
+    /// who has the answer and asks again finds it there.
+    fn deliver(&self, answer: Answer, progress: &mut Progress) -> Result<(), Stop> {
+        if let Some(ticket) = &self.call.ticket {
+            ticket.settle(Fate::Ran(answer.clone()));
+        }
+        self.send(Part::Head(answer.head))?;
         progress.delivered = true;
-        self.send(Part::Data(answer.body.clone()))?;
-        self.send(Part::End)?;
-        Ok(answer)
+        self.send(Part::Data(answer.body))?;
+        self.send(Part::End)
     }
 
     fn send(&self, part: Part) -> Result<(), Stop> {
--- a/crates/router/src/targets/mod.rs
+++ b/crates/router/src/targets/mod.rs
@@ -29,7 +29,6 @@
 use ureq::{Body, Timeout};
 
 use crate::call::{Call, Permit, Shape};
-use crate::idempotency::Answer;
 use crate::metrics::Metrics;
 use crate::reply::Closed;
 use transport::Exchange;
@@ -81,8 +80,6 @@
     pub outcome: Outcome,
     /// Proof that the attempt did not run, if it did not.
     pub proof: Option<NotRun>,
-    /// The whole answer, where it was read whole.
-    pub answer: Option<Answer>,
     /// Whether the caller is gone.
     pub left: bool,
 }
@@ -136,11 +133,7 @@
         self.report(ended, &progress)
     }
 
-    fn perform(
-        &self,
-        progress: &mut Progress,
-        tell: &mut dyn FnMut(u64),
-    ) -> Result<Option<Answer>, Stop> {
+    fn perform(&self, progress: &mut Progress, tell: &mut dyn FnMut(u64)) -> Result<(), Stop> {
         if self.exchange.aborted() {
             return Err(Stop::Failed(Failure::Cancelled));
         }
@@ -154,9 +147,9 @@
         }
         progress.stream = stream_id(&response);
         match self.call.shape {
-            Shape::Plain => self.plain(response, progress).map(Some),
-            Shape::Completion => self.completion(response, progress).map(Some),
-            Shape::Stream => self.stream(response, progress, tell).map(|()| None),
+            Shape::Plain => self.plain(response, progress),
+            Shape::Completion => self.completion(response, progress),
+            Shape::Stream => self.stream(response, progress, tell),
         }
     }
 
@@ -185,15 +178,14 @@
         }
     }
 
-    fn report(&self, ended: Result<Option<Answer>, Stop>, progress: &Progress) -> Report {
+    fn report(&self, ended: Result<(), Stop>, progress: &Progress) -> Report {
         let stop = match ended {
-            Ok(answer) => {
+            Ok(()) => {
                 return Report {
                     outcome: Outcome::Whole {
                         units: progress.units,
                     },
                     proof: None,
-                    answer,
                     left: false,
                 };
             }
@@ -219,7 +211,6 @@
                 delivered: progress.delivered,
             },
             proof: not_run.then_some(NotRun(())),
-            answer: None,
             left,
         }
     }
--- /dev/null
+++ b/crates/router/tests/path/main.rs
@@ -0,0 +1,5 @@
+//! The whole path: callers, a router, stand-ins, the platform.
+
+mod answers;
+mod failures;
+mod world;
