Put faults into a trial fleet and watch its invariants

Cause: the driver could cut and crash, but not refuse, lose, pause, drain, list or reconfigure, and nothing looked at the fleet from outside the kernels. Change: faults of targets, routers, links, lists and callers in a module of their own; a watch over held slots and the stages of requests. Runs without faults take the same steps as before.

--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -20,6 +20,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::engine::{Engine, Run};
+use crate::inject::{self, Injected};
 use crate::load::{self, Job, Load};
 use crate::meter::{Meter, SAMPLE};
 use crate::net::{self, Net};
@@ -36,7 +37,7 @@
 
 /// Something that will happen.
 #[derive(Clone, Debug)]
-enum Happening {
+pub(crate) enum Happening {
     Wake(usize),
     Deliver {
         to: usize,
@@ -47,38 +48,39 @@
     Send(usize),
     Progress(Run),
     Finish(Run),
-    Unreachable(Run),
+    Fail(Run, Verdict, Failure),
+    Injected(Injected),
     Sample,
 }
 
 /// One router.
-struct Node {
-    kernel: Kernel,
-    key: Key,
-    domain: usize,
+pub(crate) struct Node {
+    pub(crate) kernel: Kernel,
+    pub(crate) key: Key,
+    pub(crate) domain: usize,
     incarnation: u64,
-    up: bool,
+    pub(crate) up: bool,
     wake: Option<Instant>,
 }
 
 /// A request as its caller knows it.
 #[derive(Clone, Copy, Debug)]
-struct Call {
-    node: usize,
-    customer: usize,
+pub(crate) struct Call {
+    pub(crate) node: usize,
+    pub(crate) customer: usize,
     service: usize,
     job: Job,
     since: Instant,
-    runs: u32,
+    pub(crate) runs: u32,
     repeatable: bool,
     waits: bool,
 }
 
 /// One attempt at a target.
 #[derive(Clone, Copy, Debug)]
-struct Try {
-    request: Request,
-    attempt: u32,
+pub(crate) struct Try {
+    pub(crate) request: Request,
+    pub(crate) attempt: u32,
     target: usize,
 }
 
@@ -92,27 +94,29 @@
     pub net: Net,
     /// Whether to check every kernel after every step.
     pub verify: bool,
-    trial: Trial,
-    table: Arc<Table>,
-    nodes: Vec<Node>,
-    by_key: BTreeMap<Key, usize>,
-    engines: Vec<Engine>,
-    engine_domains: Vec<usize>,
-    cut_domains: Vec<bool>,
-    load: Load,
-    random: Pcg64Mcg,
-    heap: BinaryHeap<Reverse<(Instant, u64)>>,
-    happenings: BTreeMap<u64, Happening>,
-    order: u64,
-    calls: BTreeMap<Request, Call>,
-    tries: BTreeMap<Run, Try>,
-    runs: BTreeMap<(Request, u32), Run>,
-    next_request: u64,
-    next_run: u64,
-    done: Vec<u64>,
-    waiting: Vec<Vec<u32>>,
-    queued: Vec<u32>,
-    idle_since: Vec<Option<Instant>>,
+    pub(crate) trial: Trial,
+    pub(crate) table: Arc<Table>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) by_key: BTreeMap<Key, usize>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) engine_domains: Vec<usize>,
+    pub(crate) cut_domains: Vec<bool>,
+    pub(crate) load: Load,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) heap: BinaryHeap<Reverse<(Instant, u64)>>,
+    pub(crate) happenings: BTreeMap<u64, Happening>,
+    pub(crate) order: u64,
+    pub(crate) calls: BTreeMap<Request, Call>,
+    pub(crate) tries: BTreeMap<Run, Try>,
+    pub(crate) runs: BTreeMap<(Request, u32), Run>,
+    pub(crate) next_request: u64,
+    pub(crate) next_run: u64,
+    pub(crate) done: Vec<u64>,
+    pub(crate) waiting: Vec<Vec<u32>>,
+    pub(crate) queued: Vec<u32>,
+    pub(crate) idle_since: Vec<Option<Instant>>,
+    /// Faults that are put in, and what they led to.
+    pub inject: inject::State,
 }
 
 impl Fleet {
@@ -151,6 +155,7 @@
             waiting: vec![vec![0; trial.services]; 2],
             queued: vec![0; trial.customers],
             idle_since: vec![None; trial.targets],
+            inject: inject::State::new(&trial),
             trial,
         };
         fleet.start();
@@ -193,8 +198,9 @@
     }
 
     /// Gives a router its configuration and the instance list.
-    fn introduce(&mut self, at: usize) {
+    pub(crate) fn introduce(&mut self, at: usize) {
         let listed = (0..self.trial.routers)
+            .filter(|at| !self.inject.unlisted.contains(at))
             .map(|at| Listed {
                 name: Trial::router(at),
                 domain: self.trial.domain(at),
@@ -243,6 +249,7 @@
     /// Stops a router at once; what it ran ends at the targets.
     pub fn crash(&mut self, at: usize) {
         self.nodes[at].up = false;
+        self.inject.crashed(self.now, at);
         let calls: Vec<Request> = self
             .calls
             .iter()
@@ -250,6 +257,7 @@
             .map(|(request, _)| *request)
             .collect();
         for request in calls {
+            self.inject.cut_by_crash += 1;
             let runs: Vec<Run> = self
                 .tries
                 .iter()
@@ -270,6 +278,7 @@
         self.nodes[at].incarnation = incarnation;
         self.nodes[at].up = true;
         self.nodes[at].wake = None;
+        self.inject.watch.disturb(self.now);
         self.introduce(at);
     }
 
@@ -287,7 +296,7 @@
 
     /// Passes an event to a router.
     pub fn step(&mut self, at: usize, event: Event) {
-        if !self.nodes[at].up {
+        if !self.nodes[at].up || self.put_off(at, &event) {
             return;
         }
         let mut actions = Vec::new();
@@ -303,6 +312,7 @@
             self.act(at, action);
         }
         self.arm(at);
+        self.watch_step(at);
     }
 
     /// Sends one request of a customer to a router.
@@ -310,6 +320,7 @@
         self.next_request += 1;
         let request = Request(self.next_request);
         let service = self.load.habits[customer].service;
+        let terms = self.inject.terms(request);
         let call = Call {
             node: at,
             customer,
@@ -317,7 +328,7 @@
             job,
             since: self.now,
             runs: 0,
-            repeatable: false,
+            repeatable: terms.repeatable,
             waits: false,
         };
         self.calls.insert(request, call);
@@ -331,14 +342,14 @@
             class: job.class,
             hint: None,
             repeatable: call.repeatable,
-            deadline: None,
+            deadline: terms.deadline.map(|span| self.now + span),
             prefix: Vec::new(),
         };
         self.step(at, Event::Arrived(arrival));
         request
     }
 
-    fn schedule(&mut self, at: Instant, happening: Happening) {
+    pub(crate) fn schedule(&mut self, at: Instant, happening: Happening) {
         self.order += 1;
         self.heap.push(Reverse((at, self.order)));
         self.happenings.insert(self.order, happening);
@@ -380,17 +391,22 @@
             Happening::Send(customer) => self.send(customer),
             Happening::Progress(run) => self.progress(run),
             Happening::Finish(run) => self.finish(run),
-            Happening::Unreachable(run) => self.unreachable(run),
+            Happening::Fail(run, verdict, failure) => self.fail(run, verdict, failure),
+            Happening::Injected(injected) => self.injected(injected),
             Happening::Sample => self.sample(),
         }
     }
 
     fn send(&mut self, customer: usize) {
+        if self.muted(customer) {
+            return;
+        }
         if self.load.habits[customer].outstanding == 0 {
             let pause = self.load.pause(&mut self.random, customer);
             self.schedule(self.now + pause, Happening::Send(customer));
         }
         let node = self.load.router(&mut self.random, customer);
+        let node = self.balance(node);
         let job = load::job(&mut self.random);
         if self.nodes[node].up {
             self.call(node, customer, job);
@@ -413,9 +429,13 @@
                 }
             }
             Action::Refuse {
-                request, verdict, ..
+                request,
+                refusal,
+                verdict,
+                ..
             } => {
                 self.meter.refused += 1;
+                self.note_refused(request, refusal, verdict);
                 let ran = self.calls.get(&request).is_some_and(|call| call.runs > 0);
                 if verdict == Verdict::NotRun && ran {
                     self.meter.false_not_run += 1;
@@ -424,12 +444,15 @@
             }
             Action::Forget { request } => {
                 if self.calls.contains_key(&request) {
-                    self.meter.lost += 1;
+                    self.meter.lost += u64::from(!self.inject.left.remove(&request));
                     self.end_call(request);
                 }
             }
-            Action::Retry { request, .. } => self.wait(request, true),
-            Action::Drained => {}
+            Action::Retry { request, .. } => {
+                self.inject.retries += 1;
+                self.wait(request, true);
+            }
+            Action::Drained => self.inject.drained[at] = true,
         }
     }
 
@@ -464,7 +487,7 @@
     }
 
     fn dispatch(&mut self, at: usize, request: Request, attempt: u32, target: Target) {
-        let Some(call) = self.calls.get_mut(&request) else {
+        let Some(call) = self.calls.get(&request) else {
             return;
         };
         let (node, cost) = (call.node, call.job.cost);
@@ -480,9 +503,15 @@
         self.runs.insert((request, attempt), run);
         let (a, b) = (self.nodes[at].domain, self.engine_domains[target]);
         if a != b && (self.cut_domains[a] || self.cut_domains[b]) {
-            self.schedule(self.now + CONNECT, Happening::Unreachable(run));
+            let failed = Happening::Fail(run, Verdict::NotRun, Failure::ConnectTimeout);
+            self.schedule(self.now + CONNECT, failed);
+            return;
+        }
+        if self.turned_away(run, target) {
             return;
         }
+        let call = self.calls.get_mut(&request).expect("the call is there");
+        self.inject.runs[target] += 1;
         call.runs += 1;
         if call.runs > 1 && !call.repeatable {
             self.meter.doubled += 1;
@@ -527,10 +556,18 @@
         let Some(row) = self.stop_run(run) else {
             return;
         };
+        if !self.put_off_answer(row) {
+            self.answer(row);
+        }
+    }
+
+    /// Gives a whole answer to the caller and tells the router.
+    pub(crate) fn answer(&mut self, row: Try) {
         let Some(call) = self.calls.get(&row.request).copied() else {
             return;
         };
         self.meter.whole += 1;
+        self.inject.note_whole(row.request);
         self.end_call(row.request);
         let outcome = Outcome::Whole {
             units: call.job.cost,
@@ -540,22 +577,25 @@
             attempt: row.attempt,
             outcome,
         };
+        self.echo(call.node, &event);
         self.step(call.node, event);
     }
 
-    fn unreachable(&mut self, run: Run) {
-        let Some(row) = self.tries.remove(&run) else {
+    /// Ends a run with a failure, at the target and here.
+    fn fail(&mut self, run: Run, verdict: Verdict, failure: Failure) {
+        let Some(row) = self.tries.get(&run).copied() else {
             return;
         };
-        self.runs.remove(&(row.request, row.attempt));
+        let units = self.engines[row.target].used(self.now, run);
+        self.stop_run(run);
         self.wait(row.request, false);
         let Some(call) = self.calls.get(&row.request).copied() else {
             return;
         };
         let outcome = Outcome::Failed {
-            verdict: Verdict::NotRun,
-            failure: Failure::ConnectTimeout,
-            units: 0,
+            verdict,
+            failure,
+            units,
             delivered: false,
         };
         let event = Event::Ended {
@@ -563,11 +603,12 @@
             attempt: row.attempt,
             outcome,
         };
+        self.echo(call.node, &event);
         self.step(call.node, event);
     }
 
     /// Ends a run at its target, finished or cut, and counts what it used.
-    fn stop_run(&mut self, run: Run) -> Option<Try> {
+    pub(crate) fn stop_run(&mut self, run: Run) -> Option<Try> {
         let row = self.tries.remove(&run)?;
         self.runs.remove(&(row.request, row.attempt));
         let used = self.engines[row.target].used(self.now, run);
@@ -581,7 +622,7 @@
         Some(row)
     }
 
-    fn end_call(&mut self, request: Request) {
+    pub(crate) fn end_call(&mut self, request: Request) {
         self.wait(request, false);
         let Some(call) = self.calls.remove(&request) else {
             return;
@@ -624,7 +665,7 @@
     }
 
     /// Counts anew who waits on which side, after a cut or a rejoining.
-    fn recount(&mut self) {
+    pub(crate) fn recount(&mut self) {
         for counts in &mut self.waiting {
             counts.fill(0);
         }
@@ -641,7 +682,7 @@
         target / self.trial.domains % self.trial.services
     }
 
-    fn look_all_idle(&mut self, service: usize) {
+    pub(crate) fn look_all_idle(&mut self, service: usize) {
         for target in 0..self.trial.targets {
             if self.service_of(target) == service {
                 self.look_idle(target);
@@ -649,10 +690,11 @@
         }
     }
 
-    fn look_idle(&mut self, target: usize) {
+    pub(crate) fn look_idle(&mut self, target: usize) {
         let side = self.side(self.engine_domains[target]);
         let waits = self.waiting[side][self.service_of(target)] > 0;
-        let idle = waits && self.engines[target].busy() < self.engines[target].slots;
+        let idle =
+            waits && !self.shut(target) && self.engines[target].busy() < self.engines[target].slots;
         match (idle, self.idle_since[target]) {
             (true, None) => self.idle_since[target] = Some(self.now),
             (false, Some(since)) => {
@@ -666,6 +708,7 @@
 
     fn sample(&mut self) {
         self.schedule(self.now + SAMPLE, Happening::Sample);
+        self.watch_states();
         for target in 0..self.trial.targets {
             let side = self.side(self.engine_domains[target]);
             if self.waiting[side][self.service_of(target)] > 0 {
@@ -683,7 +726,10 @@
         let mut received = self.done.clone();
         for engine in &self.engines {
             for (run, _) in engine.running() {
-                let call = self.tries.get(&run).and_then(|row| self.calls.get(&row.request));
+                let call = self
+                    .tries
+                    .get(&run)
+                    .and_then(|row| self.calls.get(&row.request));
                 if let Some(call) = call {
                     received[call.customer] += engine.used(self.now, run);
                 }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -10,11 +10,15 @@
 //! - [`fleet`]: the driver.
 //! - [`meter`]: what was received, and the figures made of it.
 //! - [`report`]: the figures as one JSON object.
+//! - [`inject`]: faults of routers, targets, links, lists and callers.
+//! - [`verify`]: invariants of the whole fleet, checked apart from the kernels.
 
 pub mod engine;
 pub mod fleet;
+pub mod inject;
 pub mod load;
 pub mod meter;
 pub mod net;
 pub mod report;
 pub mod spec;
+pub mod verify;
