--- a/crates/router/src/driver/mod.rs
+++ b/crates/router/src/driver/mod.rs
@@ -21,6 +21,7 @@
 use dunlinward_kernel::table::Table;
 use dunlinward_kernel::verdict::{Failure, Refusal, Verdict};
 
+use crate::call::Call;
 use crate::clock::Clock;
 use crate::envelope::Envelope;
 use crate::idempotency::Fate;
@@ -267,16 +268,20 @@
         if number == 1 {
             self.tools.metrics.waited(entry.arrived.elapsed());
         }
-        let name = Arc::clone(&place.name);
-        let call = Arc::clone(&entry.call);
+        let reporter = Reporter {
+            call: Arc::clone(&entry.call),
+            number,
+            target: Arc::clone(&place.name),
+            inbox: self.tools.inbox.clone(),
+            report: Report::unknown(),
+        };
         let metrics = Arc::clone(&self.tools.metrics);
         let attempt = Attempt::new(permit, number, place, metrics);
         entry.run(number, attempt.exchange());
-        let inbox = self.tools.inbox.clone();
-        let job = move || run(attempt, call, number, name, &inbox);
+        let job = move || run(attempt, reporter);
         if let Err(err) = self.tools.workers.run(job) {
+            // The job was dropped, and its reporter has told the end.
             log::error!("no thread for an attempt: {err}");
-            self.unsent(request, number);
         }
     }
 
@@ -317,30 +322,42 @@
 }
 
 /// Runs an attempt on a worker's thread.
-fn run(
-    attempt: Attempt,
-    call: Arc<crate::call::Call>,
+fn run(attempt: Attempt, mut reporter: Reporter) {
+    let report = attempt.run(|units| reporter.progress(units));
+    reporter.report = report;
+}
+
+/// Tells the driver of an attempt. Its end is told when the reporter is dropped,
+/// so that even an attempt that panics ends.
+struct Reporter {
+    call: Arc<Call>,
     number: u32,
     target: Arc<str>,
-    inbox: &Sender<Input>,
-) {
-    let request = call.request;
-    let report: Report = attempt.run(|units| {
-        let progressed = Input::Progressed {
-            request,
-            attempt: number,
+    inbox: Sender<Input>,
+    report: Report,
+}
+
+impl Reporter {
+    fn progress(&self, units: u64) {
+        // A driver that is gone has ended the request already.
+        let _ = self.inbox.send(Input::Progressed {
+            request: self.call.request,
+            attempt: self.number,
             units,
+        });
+    }
+}
+
+impl Drop for Reporter {
+    fn drop(&mut self) {
+        let end = End {
+            call: Arc::clone(&self.call),
+            attempt: self.number,
+            target: Arc::clone(&self.target),
+            report: std::mem::replace(&mut self.report, Report::unknown()),
         };
-        let _ = inbox.send(progressed);
-    });
-    let end = End {
-        call,
-        attempt: number,
-        target,
-        report,
-    };
-    // A driver that is gone has ended the request already.
-    let _ = inbox.send(Input::Ended(Box::new(end)));
+        let _ = self.inbox.send(Input::Ended(Box::new(end)));
+    }
 }
 
 /// An attempt whose request was forgotten can still prove that it did not run.
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -84,6 +84,11 @@
         keys
     }
 
+    /// Waits until what is queued was written; false when the time is over before.
+    pub fn flush(&self, limit: Duration) -> bool {
+        self.pool.flush(limit)
+    }
+
     /// Sends an envelope; it may be lost.
     pub fn send(&self, to: Key, envelope: &Envelope) {
         let Some(name) = self.name(to) else {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -18,7 +18,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::refusal::Reason;
-use crate::targets::stream::Drop;
+use crate::targets::stream::Stray;
 
 /// Bounds of histograms of callers' waiting times, in seconds.
 const WAITS: [f64; 14] = [
@@ -145,7 +145,7 @@
         for failure in Failure::ALL {
             self.retries.add(0, &[label(failure.name())]);
         }
-        for reason in Drop::ALL {
+        for reason in Stray::ALL {
             self.dropped.add(0, &[label(reason.name())]);
         }
         self.undecoded.add(0, &[]);
@@ -188,7 +188,7 @@
     }
 
     /// An event of a stream was left out.
-    pub fn dropped(&self, reason: Drop) {
+    pub fn dropped(&self, reason: Stray) {
         self.dropped.add(1, &[label(reason.name())]);
     }
 
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -5,8 +5,8 @@
 //! with a configuration in force and while not draining.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
-use std::sync::{Arc, mpsc};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use crate::driver::Input;
 use crate::metrics::Metrics;
 use crate::state::{Snapshot, State};
+use crate::stop::Stop;
 
 /// How long the driver may take to tell its state.
 const INSPECT: Duration = Duration::from_secs(2);
@@ -25,6 +26,9 @@
 /// Threads of the port.
 const THREADS: usize = 4;
 
+/// How often the port looks whether it is to end.
+const POLL: Duration = Duration::from_millis(50);
+
 const PROMETHEUS: &str = "text/plain; version=0.0.4";
 
 /// What the operators' port needs of the router.
@@ -42,7 +46,7 @@
 /// The listener of the operators' port.
 pub(crate) struct Listener {
     address: SocketAddr,
-    stop: mpsc::Sender<()>,
+    stop: Arc<Stop>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -66,7 +70,19 @@
         })?;
         let server = server.pool_size(THREADS);
         let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
+        let stop = Arc::new(Stop::new());
+        let stopped = Arc::clone(&stop);
+        let thread = std::thread::Builder::new()
+            .name("operators".to_owned())
+            .spawn(move || {
+                while !stopped.given() {
+                    server.poll_timeout(POLL);
+                }
+            });
+        let thread = thread.map_err(|err| Unopened {
+            address,
+            message: err.to_string(),
+        })?;
         Ok(Self {
             address,
             stop,
@@ -81,7 +97,7 @@
 
     /// Ends the port.
     pub fn stop(&mut self) {
-        let _ = self.stop.send(());
+        self.stop.give();
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::mpsc::{Sender, channel};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use dunlinward_kernel::kernel::Kernel;
 use dunlinward_kernel::key::Key;
@@ -40,6 +41,9 @@
 /// Stack of the threads that follow the platform, in bytes.
 const STACK: usize = 512 << 10;
 
+/// How long the last messages to other routers may take to be written.
+const FLUSH: Duration = Duration::from_millis(500);
+
 /// A router that could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -94,6 +98,8 @@
     cell: Arc<Cell>,
     metrics: Arc<Metrics>,
     workers: worker::Pool,
+    /// Gone after the stop, so that the pool under them can end.
+    links: Option<Arc<Links>>,
     stop: Arc<Stop>,
     threads: Vec<JoinHandle<()>>,
     stopped: bool,
@@ -204,6 +210,7 @@
         cell,
         metrics,
         workers,
+        links: Some(links),
         stop,
         threads,
         stopped: false,
@@ -265,7 +272,13 @@
             // Without a configuration nothing was ever admitted.
             return true;
         }
-        self.state.wait_drained(self.settings.drain)
+        let drained = self.state.wait_drained(self.settings.drain);
+        if let Some(links) = &self.links
+            && !links.flush(FLUSH)
+        {
+            log::debug!("some messages to other routers were not written");
+        }
+        drained
     }
 
     /// Ends the router at once; requests that still run are cut.
@@ -284,6 +297,7 @@
         self.callers.stop();
         self.operators.stop();
         self.workers.stop();
+        self.links = None;
         for thread in self.threads.drain(..) {
             if thread.join().is_err() {
                 log::error!("a thread of the router panicked");
--- a/crates/router/src/targets/mod.rs
+++ b/crates/router/src/targets/mod.rs
@@ -84,6 +84,23 @@
     pub left: bool,
 }
 
+impl Report {
+    /// The report on an attempt of which nothing is known.
+    #[must_use]
+    pub const fn unknown() -> Self {
+        Self {
+            outcome: Outcome::Failed {
+                verdict: Verdict::MayHaveRun,
+                failure: Failure::AnswerBroken,
+                units: 0,
+                delivered: true,
+            },
+            proof: None,
+            left: false,
+        }
+    }
+}
+
 /// Why an attempt stopped before its end.
 #[derive(Debug)]
 pub(crate) enum Stop {
--- a/crates/router/src/targets/stream.rs
+++ b/crates/router/src/targets/stream.rs
@@ -41,14 +41,14 @@
 
 /// Why an event is not passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Drop {
+pub enum Stray {
     /// Its index was seen before.
     Doubled,
     /// It belongs to another stream.
     Crossed,
 }
 
-impl Drop {
+impl Stray {
     /// Every reason, in a fixed order.
     pub const ALL: &'static [Self] = &[Self::Doubled, Self::Crossed];
 
@@ -70,7 +70,7 @@
     /// Pass it on; the answer is whole.
     End,
     /// Leave it out.
-    Drop(Drop),
+    Drop(Stray),
     /// The answer is broken.
     Broken,
 }
@@ -122,10 +122,10 @@
             return Step::Broken;
         };
         if self.crosses(chunk.id.as_deref()) {
-            return Step::Drop(Drop::Crossed);
+            return Step::Drop(Stray::Crossed);
         }
         match event.index {
-            Some(index) if index < self.next => return Step::Drop(Drop::Doubled),
+            Some(index) if index < self.next => return Step::Drop(Stray::Doubled),
             Some(index) if index > self.next => return Step::Broken,
             Some(_) => self.next += 1,
             None => {}
--- a/crates/router/tests/path/answers.rs
+++ b/crates/router/tests/path/answers.rs
@@ -7,7 +7,7 @@
 use dunlinward_standin::engine::api::{self, Chunk};
 
 use crate::world::{
-    World, agent, busy, completion, fault, metric, request, run_count, runs, send, wait,
+    PATIENCE, World, agent, busy, completion, fault, metric, request, run_count, runs, send, wait,
 };
 
 fn words(body: &str) -> String {
@@ -149,19 +149,39 @@
         .settings("r1")
         .with_header_timeout(Duration::from_millis(200));
     let router = dunlinward_router::start(settings).unwrap();
-    let mut socket = TcpStream::connect(router.callers_address()).unwrap();
-    socket.write_all(b"POST /v1/chat/comp").unwrap();
-    socket
-        .set_read_timeout(Some(crate::world::PATIENCE))
-        .unwrap();
-    let mut rest = Vec::new();
-    // Either a 408 or nothing, but an end.
-    let _ = socket.read_to_end(&mut rest);
+    for begun in ["", "POST /v1/chat/comp"] {
+        let mut socket = TcpStream::connect(router.callers_address()).unwrap();
+        socket.write_all(begun.as_bytes()).unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut rest = Vec::new();
+        // Either a 408 or nothing, but an end.
+        socket.read_to_end(&mut rest).unwrap();
+    }
     wait("an end of the connection", || {
         metric(&router, "dunlinward_connections") == 0
     });
 }
 
+#[test]
+fn a_slow_body_is_refused() {
+    let world = World::new().with_plain(Duration::from_millis(1));
+    let settings = world.settings("r1");
+    let router = world.router(settings.with_header_timeout(Duration::from_millis(200)));
+    let mut socket = TcpStream::connect(router.callers_address()).unwrap();
+    socket
+        .write_all(
+            b"POST /portal/x HTTP/1.1\r\nhost: r1\r\nauthorization: Bearer key-alpha\r\n\
+              content-length: 10\r\n\r\npaper",
+        )
+        .unwrap();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("body_timeout"), "{answer}");
+    assert_eq!(run_count(&world.plains[0]), 0);
+}
+
 #[test]
 fn one_connection_too_many_is_turned_away() {
     let world = World::new();
