Tell the flooding customer apart and split the engine's long modules

Change: the summary has the flooding customer and the others apart and counts calls that started late; quick questions come from more clients at a lower rate.

--- a/crates/standin/src/demo/mod.rs
+++ b/crates/standin/src/demo/mod.rs
@@ -139,9 +139,9 @@
     }
     sample.count(&fleet)?;
     let under_load = scene::by_customer(&load.tallies());
-    table::live(out, &under_load, &sample, started.elapsed())?;
     let tallies = scene::by_customer(&load.stop(DRAIN));
-    table::summary(out, &under_load, &tallies, &sample)?;
+    let flooder = settings.deployment.flooder();
+    table::summary(out, flooder, &under_load, &tallies, &sample)?;
     fleet.stop();
     Ok(Summary { tallies, sample })
 }
--- a/crates/standin/src/demo/scene.rs
+++ b/crates/standin/src/demo/scene.rs
@@ -20,7 +20,10 @@
 const FLOOD: usize = 64;
 
 /// Quick questions of each customer in a second.
-const QUICK_RATE: f64 = 0.5;
+const QUICK_RATE: f64 = 0.25;
+
+/// Clients for the quick questions of each customer.
+const QUICK_CLIENTS: usize = 6;
 
 /// Calls of the plain service of each customer in a second.
 const PLAIN_RATE: f64 = 2.0;
@@ -43,7 +46,8 @@
             pause: Duration::ZERO,
         };
         customers.push(new(closed).with_work(1, deployment.long_work(config)));
-        customers.push(new(open(QUICK_RATE, 2)).with_work(1, deployment.quick_work(config)));
+        customers
+            .push(new(open(QUICK_RATE, QUICK_CLIENTS)).with_work(1, deployment.quick_work(config)));
         let mut plain = new(open(PLAIN_RATE, 1));
         for work in deployment.plain_work() {
             plain = plain.with_work(1, work);
--- a/crates/standin/src/demo/table.rs
+++ b/crates/standin/src/demo/table.rs
@@ -90,6 +90,7 @@
 /// got also counts the calls that ended after it.
 pub(super) fn summary(
     out: &mut dyn Write,
+    flooder: &str,
     under_load: &[Tally],
     tallies: &[Tally],
     sample: &Sample,
@@ -97,32 +98,43 @@
     writeln!(out, "Summary")?;
     let least = under_load.iter().map(per_share).fold(f64::MAX, f64::min);
     let most = under_load.iter().map(per_share).fold(0.0, f64::max);
+    let used = 100.0 * sample.use_mean();
+    let control = sample.control_mean();
     writeln!(out, "  tokens per share: least {least:.0}, most {most:.0}")?;
+    writeln!(out, "  slots in use, mean: {used:.1} %")?;
     writeln!(
         out,
-        "  slots in use, mean: {:.1} %",
-        100.0 * sample.use_mean()
-    )?;
-    writeln!(
-        out,
-        "  control traffic, mean: {:.0} B/s a router, both ways",
-        sample.control_mean()
+        "  control traffic, mean: {control:.0} B/s a router, both ways"
     )?;
+    let (flood, others): (Vec<&Tally>, Vec<&Tally>) =
+        tallies.iter().partition(|tally| &*tally.name == flooder);
+    writeln!(out, "  {flooder}, which floods:")?;
+    outcome(out, &flood)?;
+    writeln!(out, "  all others:")?;
+    outcome(out, &others)
+}
+
+/// Writes what some customers got.
+fn outcome(out: &mut dyn Write, tallies: &[&Tally]) -> io::Result<()> {
     let mut works: BTreeMap<&Arc<str>, Count> = BTreeMap::new();
     for (work, count) in tallies.iter().flat_map(|tally| &tally.works) {
         works.entry(work).or_default().add(count);
     }
     for (work, count) in works {
-        writeln!(out, "  {work}: {} whole", count.whole)?;
+        writeln!(out, "    {work}: {} whole", count.whole)?;
         times(out, "time to the answer", &count.latency)?;
         times(out, "time to the first token", &count.first_token)?;
         for (failure, number) in &count.failed {
-            writeln!(out, "    {number} {}", describe(failure))?;
+            writeln!(out, "      {number} {}", describe(failure))?;
         }
     }
     let started: u64 = tallies.iter().map(|tally| tally.started).sum();
+    let late: u64 = tallies.iter().map(|tally| tally.late).sum();
     let ended: u64 = tallies.iter().map(|t| t.whole() + t.failed()).sum();
-    writeln!(out, "  {started} calls started, {ended} ended")
+    writeln!(
+        out,
+        "    {started} calls started ({late} of them late), {ended} ended"
+    )
 }
 
 fn describe(failure: &Failure) -> String {
@@ -145,7 +157,7 @@
     let (half, most, all) = (millis(0.5), millis(0.99), millis(1.0));
     writeln!(
         out,
-        "    {what}: p50 {half:.0} ms, p99 {most:.0} ms, max {all:.0} ms"
+        "      {what}: p50 {half:.0} ms, p99 {most:.0} ms, max {all:.0} ms"
     )
 }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod order;
 pub mod server;
 mod sink;
+mod state;
 
 pub use api::Fault;
 pub use server::{Settings, start};
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -19,9 +19,10 @@
 use hyper::{Method, StatusCode};
 
 use super::api::{self, Fault};
-use super::model::{self, Engine, Id, Kind, Prompt};
+use super::model::{self, Engine, Id, Prompt};
 use super::order::Ledger;
 use super::sink::{Feed, Sink};
+use super::state::{State, Stream};
 use crate::Server;
 use crate::http::{Answer, Handler, Request, Whole};
 use crate::plain::{Record, Run};
@@ -66,21 +67,6 @@
     }
 }
 
-struct Stream {
-    feed: Feed,
-    sink: Option<Sink>,
-    /// When the connection was lost.
-    detached_at: Option<u64>,
-}
-
-struct State {
-    engine: Engine,
-    streams: BTreeMap<Id, Stream>,
-    runs: BTreeMap<String, u64>,
-    fault: Fault,
-    stopped: bool,
-}
-
 struct Service {
     settings: Settings,
     incarnation: u64,
@@ -151,52 +137,6 @@
     }
 }
 
-impl State {
-    /// Advances the model and hands out what happened.
-    fn pump(&mut self, now: u64, linger: u64) {
-        for event in self.engine.advance(now) {
-            let Some(stream) = self.streams.get_mut(&event.stream) else {
-                continue;
-            };
-            match event.kind {
-                Kind::FirstToken => stream.feed.made(0),
-                Kind::Token { index } => stream.feed.made(index),
-                Kind::Finished { usage } => stream.feed.finished(usage.into()),
-            }
-            stream.flow(self.fault.cut_after);
-        }
-        self.look_after(now, linger);
-    }
-
-    /// Notices lost connections, cancels streams that nobody came back for and
-    /// drops those that the model has forgotten.
-    fn look_after(&mut self, now: u64, linger: u64) {
-        let engine = &mut self.engine;
-        self.streams.retain(|&id, stream| {
-            if engine.generated(id).is_none() {
-                return false;
-            }
-            if stream.sink.as_ref().is_none_or(Sink::is_closed) {
-                stream.sink = None;
-                let since = *stream.detached_at.get_or_insert(now);
-                if now - since >= linger {
-                    engine.cancel(now, id);
-                }
-            }
-            true
-        });
-    }
-}
-
-impl Stream {
-    /// Sends what the connection has not got yet.
-    fn flow(&mut self, cut_after: Option<u32>) {
-        if let Some(sink) = self.sink.take() {
-            self.sink = sink.flow(&self.feed, cut_after);
-        }
-    }
-}
-
 impl Service {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -386,15 +326,6 @@
     }
 }
 
-impl State {
-    /// Breaks the connection of a stream that was stopped.
-    fn cut(&mut self, id: Id) {
-        if let Some(sink) = self.streams.get_mut(&id).and_then(|s| s.sink.take()) {
-            sink.cut();
-        }
-    }
-}
-
 /// An answer that no client of an engine understands.
 fn garbage() -> Answer {
     let body = "\u{0}\u{1}garbage".into();
--- a/crates/standin/src/load/client.rs
+++ b/crates/standin/src/load/client.rs
@@ -18,6 +18,9 @@
 /// Pause of a client with closed arrivals after a call that failed.
 const BACKOFF: Duration = Duration::from_millis(20);
 
+/// How long after it was due a call counts as late.
+const LATE: Duration = Duration::from_millis(100);
+
 /// Header by which a caller names a service.
 const SERVICE: &str = "x-dunlinward-service";
 
@@ -69,7 +72,7 @@
             if self.stop.sleep_until(call.due) {
                 return;
             }
-            self.tally().started += 1;
+            self.begin(&call);
             let result = self.make(&call);
             let failed = result.is_err();
             let time = call.due.elapsed();
@@ -83,6 +86,13 @@
         }
     }
 
+    fn begin(&self, call: &Call) {
+        let late = call.due.elapsed() > LATE;
+        let mut tally = self.tally();
+        tally.started += 1;
+        tally.late += u64::from(late);
+    }
+
     fn tally(&self) -> MutexGuard<'_, Tally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standin/src/load/tally.rs
+++ b/crates/standin/src/load/tally.rs
@@ -18,6 +18,10 @@
     pub share: u32,
     /// Calls started.
     pub started: u64,
+    /// Open arrivals that started late because every client was busy. Their
+    /// times count from when they were due, so with many of these the times
+    /// tell of the generator's queue and not only of the fleet.
+    pub late: u64,
     /// Model tokens received, as they come, and uncached prompt tokens when an
     /// answer ends.
     pub tokens: u64,
@@ -89,6 +93,7 @@
             name: Arc::clone(name),
             share,
             started: 0,
+            late: 0,
             tokens: 0,
             works: BTreeMap::new(),
         }
@@ -97,6 +102,7 @@
     /// Adds another's counts and times.
     pub fn add(&mut self, other: &Self) {
         self.started += other.started;
+        self.late += other.late;
         self.tokens += other.tokens;
         for (work, count) in &other.works {
             self.count(work).add(count);
