--- a/crates/kernel/src/kernel/entry.rs
+++ b/crates/kernel/src/kernel/entry.rs
@@ -49,6 +49,7 @@
         self.deadlines.insert((deadline, request));
         let waiting = request::Request::new(arrival, now);
         self.enqueue(&waiting, false);
+        self.tell_at = now;
         self.requests.insert(request, Life::Waiting(waiting));
     }
 
--- a/crates/kernel/src/kernel/slots.rs
+++ b/crates/kernel/src/kernel/slots.rs
@@ -20,6 +20,9 @@
 use crate::table::Table;
 use crate::time::Instant;
 
+/// Time between two looks at what waits, unless something new does.
+const TELL: Duration = Duration::from_millis(20);
+
 /// Time between two looks at idle slots and waiting work.
 const SWEEP: Duration = Duration::from_millis(100);
 
@@ -267,9 +270,10 @@
 
     /// Tells owners what waits here.
     pub(super) fn tell_wants(&mut self, now: Instant, table: &Arc<Table>) {
-        if self.settings.admission != Admission::Owner {
+        if self.settings.admission != Admission::Owner || now < self.tell_at {
             return;
         }
+        self.tell_at = now + TELL;
         let lanes: Vec<Lane> = self.queue.lanes().map(|(lane, _)| lane).collect();
         self.holder.note_waiting(now, &lanes);
         let mut wanted: BTreeMap<Key, Vec<Demand>> = BTreeMap::new();
