--- a/crates/trial/src/inject.rs
+++ b/crates/trial/src/inject.rs
@@ -17,6 +17,7 @@
 use crate::engine::{Engine, Run};
 use crate::fleet::{Fleet, Happening, Try};
 use crate::load::Job;
+use crate::meter::Meter;
 use crate::spec::Trial;
 use crate::verify::Watch;
 
@@ -291,6 +292,31 @@
         }
     }
 
+    /// Starts the figures that cover a time anew; counts of faults go on.
+    pub fn mark(&mut self) {
+        let meter = &self.meter;
+        let mut fresh = Meter::new(self.trial.routers);
+        fresh.requests = meter.requests;
+        fresh.whole = meter.whole;
+        fresh.refused = meter.refused;
+        fresh.doubled = meter.doubled;
+        fresh.lost = meter.lost;
+        fresh.false_not_run = meter.false_not_run;
+        self.meter = fresh;
+        self.inject.runs.fill(0);
+        for since in self.idle_since.iter_mut().flatten() {
+            *since = self.now;
+        }
+    }
+
+    /// The longest time that a slot was free while reachable work waited, up to now.
+    #[must_use]
+    pub fn longest_idle(&self) -> Duration {
+        let open = self.idle_since.iter().flatten();
+        let open = open.map(|since| self.now.since(*since)).max();
+        self.meter.idle_waiting.max(open.unwrap_or_default())
+    }
+
     /// Sends a request whose end is kept in [`State::ends`].
     pub fn call_on(&mut self, at: usize, customer: usize, cost: u64, terms: Terms) -> Request {
         self.inject.next_terms = Some(terms);
--- a/crates/trial/src/verify.rs
+++ b/crates/trial/src/verify.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use dunlinward_kernel::id::Target;
 use dunlinward_kernel::request::Life;
 use dunlinward_kernel::time::Instant;
 
@@ -106,11 +107,7 @@
     fn note_changes(&mut self, at: usize) {
         let kernel = &self.nodes[at].kernel;
         let version = kernel.view().version;
-        let owned: Vec<usize> = kernel
-            .owner()
-            .targets()
-            .map(|target| target.row())
-            .collect();
+        let owned: Vec<usize> = kernel.owner().targets().map(Target::row).collect();
         let watch = &mut self.inject.watch;
         if watch.versions[at] != version || watch.owned[at] != owned {
             watch.versions[at] = version;
