Test that a waiting caller that leaves takes its request along

Cause: only a caller that left its stream was tested. Change: one path test; its request never runs and counts as not run.

--- a/crates/router/tests/path/failures.rs
+++ b/crates/router/tests/path/failures.rs
@@ -1,6 +1,7 @@
 //! Callers that leave, targets that fail, and drains.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use dunlinward_standin::instances::{Instance, Role, State};
@@ -35,6 +36,31 @@
     assert_eq!(metric(&router, left), 1);
 }
 
+/// A caller that waits is noticed as well, and its request never runs.
+#[test]
+fn a_waiting_caller_that_leaves_takes_its_request_along() {
+    let world = World::new().with_engine(1);
+    let router = world.router(world.settings("r1"));
+    let asked = request(&router, "POST", "/v1/chat/completions").body(completion(5000, true));
+    let running = agent().run(asked.unwrap()).unwrap();
+    let body = completion(3, true);
+    let mut socket = TcpStream::connect(router.callers_address()).unwrap();
+    write!(
+        socket,
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: r1\r\nauthorization: Bearer key-beta\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    wait("two requests", || router.status().unwrap().requests == 2);
+    drop(socket);
+    wait("one request", || router.status().unwrap().requests == 1);
+    let left = "dunlinward_refusals_total{reason=\"caller_left\",verdict=\"not_run\"}";
+    assert_eq!(metric(&router, left), 1);
+    assert_eq!(run_count(&world.engines[0]), 1);
+    drop(running);
+}
+
 #[test]
 fn a_lost_answer_of_a_call_that_may_not_repeat_runs_once() {
     let world = World::new().with_plain(Duration::from_millis(1));
