--- a/crates/trial/examples/kernel-size.rs
+++ b/crates/trial/examples/kernel-size/drive.rs
@@ -1,17 +1,4 @@
-//! Memory and processor time of one kernel, by the size of its fleet.
-//!
-//! ```text
-//! cargo run --release -p dunlinward-trial --example kernel-size [ROUTERS[:CUSTOMERS[:TARGETS]] ...]
-//! ```
-//!
-//! Builds [`COPIES`] kernels that know the whole fleet and compares the resident
-//! set of this process before and after. Each copy is then driven alone for
-//! [`SECONDS`] of virtual time, by events as the rest of the fleet would send
-//! them: a tenth of the customers waits everywhere, rounds of accounts come every
-//! half second, and every 50 ms one request arrives, is granted a slot, progresses
-//! twice and ends, and another entry tells this owner what it wants and holds. The
-//! time of each step is summed by the kind of its event. No message travels, so
-//! the figures hold neither encoding nor sockets.
+//! One kernel, and the rest of its fleet as far as that kernel can tell.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -22,7 +9,7 @@
 use dunlinward_kernel::id::{Customer, Request, Service, Target};
 use dunlinward_kernel::kernel::Kernel;
 use dunlinward_kernel::key::Key;
-use dunlinward_kernel::member::{Listed, View};
+use dunlinward_kernel::member::Listed;
 use dunlinward_kernel::message::{
     Ask, Charge, Down, Grant, Hold, Ledger, Message, Part, Round, Run, Total, Up, Want,
 };
@@ -32,11 +19,8 @@
 use dunlinward_kernel::time::Instant;
 use dunlinward_trial::spec::Trial;
 
-/// Kernels of a role that are built and driven.
-const COPIES: u32 = 20;
-
 /// Virtual time for which each is driven.
-const SECONDS: u64 = 15;
+pub(crate) const SECONDS: u64 = 15;
 
 /// Virtual time between two requests.
 const BEAT: Duration = Duration::from_millis(50);
@@ -47,96 +31,14 @@
 /// Rounds in which each account that does not wait is told once.
 const ROTATION: usize = 16;
 
+/// Units of a customer after a day: 1.8 million a second over 350 customers.
+const DAY: i64 = 444_000_000;
+
 /// Requests of each backlogged customer that wait here.
 const DEPTH: usize = 4;
 
-/// Sizes measured when none is given.
-const SIZES: [&str; 4] = ["9:16:16", "35", "100", "350"];
-
-fn main() {
-    let _ = dunlinward_policies::link();
-    let given: Vec<String> = std::env::args().skip(1).collect();
-    let sizes = if given.is_empty() {
-        SIZES.map(str::to_owned).to_vec()
-    } else {
-        given
-    };
-    for size in sizes {
-        measure(&trial(&size));
-    }
-    println!("load average: {}", read("/proc/loadavg").trim());
-}
-
-/// The size that an argument names; the rest in the proportions of 350 routers.
-fn trial(size: &str) -> Trial {
-    let mut parts = size
-        .split(':')
-        .map(|part| part.parse::<usize>().expect("a size is a number"));
-    let routers = parts.next().expect("a size names its routers");
-    let customers = parts.next().unwrap_or(routers);
-    let mut trial = Trial::new();
-    trial.routers = routers;
-    trial.customers = customers;
-    trial.targets = parts.next().unwrap_or(routers * 12 / 7);
-    trial.slots = 8;
-    trial.backlogged = customers.div_ceil(10);
-    trial.domains = if routers < 100 { 3 } else { 5 };
-    trial.services = if routers < 35 { 1 } else { 6 };
-    trial
-}
-
-fn measure(trial: &Trial) {
-    let spec = trial.spec();
-    let before = resident();
-    let tables: Vec<Table> = (0..COPIES).map(|_| Table::new(&spec)).collect();
-    let table = kib_each(before);
-    println!(
-        "routers {} customers {} targets {} domains {}: table {table:.0} KiB",
-        trial.routers, trial.customers, trial.targets, trial.domains
-    );
-    let shared = Arc::new(tables[0].clone());
-    // Nothing is given back, or the next figure would hide in what was free.
-    std::mem::forget(tables);
-    for (role, at) in roles(trial) {
-        let before = resident();
-        let mut drives: Vec<Drive<'_>> = (0..COPIES)
-            .map(|_| Drive::new(trial, &shared, at))
-            .collect();
-        let started = kib_each(before);
-        for drive in &mut drives {
-            drive.run();
-        }
-        let loaded = kib_each(before);
-        println!("  {role}: started {started:.0} KiB, loaded {loaded:.0} KiB");
-        for (kind, cost) in sum(&drives) {
-            println!("    {kind:<10} {:>9.2} us x {}", cost.micros(), cost.steps);
-        }
-        drives.into_iter().for_each(std::mem::forget);
-    }
-}
-
-/// A root, a node with children and one without, each by its number.
-fn roles(trial: &Trial) -> Vec<(&'static str, usize)> {
-    let mut view = View::new();
-    view.list(&listed(trial));
-    let tree = Tree::new(&view, Key::new(&trial.domain(0)));
-    let number = |key: Key| (0..trial.routers).find(|at| Key::new(&Trial::router(*at)) == key);
-    let root = tree.root().and_then(number);
-    let inner = tree
-        .root()
-        .and_then(|root| tree.children(root).first().copied())
-        .and_then(number);
-    let leaf = (0..trial.routers).step_by(trial.domains).find(|at| {
-        let key = Key::new(&Trial::router(*at));
-        tree.root() != Some(key) && tree.children(key).is_empty()
-    });
-    [("root", root), ("inner", inner), ("leaf", leaf)]
-        .into_iter()
-        .filter_map(|(role, at)| at.map(|at| (role, at)))
-        .collect()
-}
-
-fn listed(trial: &Trial) -> Vec<Listed> {
+/// The whole fleet as the platform lists it.
+pub(crate) fn listed(trial: &Trial) -> Vec<Listed> {
     (0..trial.routers)
         .map(|at| Listed {
             name: Trial::router(at),
@@ -148,29 +50,22 @@
 
 /// Time of the steps of one kind.
 #[derive(Clone, Copy, Debug, Default)]
-struct Cost {
-    time: Duration,
-    steps: u32,
+pub(crate) struct Cost {
+    /// Time of all steps.
+    pub(crate) time: Duration,
+    /// Number of steps.
+    pub(crate) steps: u32,
 }
 
 impl Cost {
-    fn micros(self) -> f64 {
+    /// Mean time of a step in microseconds.
+    pub(crate) fn micros(self) -> f64 {
         self.time.as_secs_f64() * 1e6 / f64::from(self.steps.max(1))
     }
 }
 
-fn sum(drives: &[Drive<'_>]) -> BTreeMap<&'static str, Cost> {
-    let mut costs: BTreeMap<&'static str, Cost> = BTreeMap::new();
-    for (kind, cost) in drives.iter().flat_map(|drive| &drive.costs) {
-        let all = costs.entry(kind).or_default();
-        all.time += cost.time;
-        all.steps += cost.steps;
-    }
-    costs
-}
-
 /// One kernel and what the fleet does to it.
-struct Drive<'a> {
+pub(crate) struct Drive<'a> {
     trial: &'a Trial,
     table: Arc<Table>,
     me: usize,
@@ -181,11 +76,13 @@
     asked: Vec<(Key, Round)>,
     sent: VecDeque<(Request, u32)>,
     customers: BTreeMap<Request, usize>,
-    costs: BTreeMap<&'static str, Cost>,
+    /// Costs by the kind of event.
+    pub(crate) costs: BTreeMap<&'static str, Cost>,
 }
 
 impl<'a> Drive<'a> {
-    fn new(trial: &'a Trial, table: &Arc<Table>, me: usize) -> Self {
+    /// A kernel that has its configuration and the list of instances.
+    pub(crate) fn new(trial: &'a Trial, table: &Arc<Table>, me: usize) -> Self {
         let settings = Settings::new(&Trial::router(me), &trial.domain(me));
         let mut drive = Self {
             trial,
@@ -205,7 +102,8 @@
         drive
     }
 
-    fn run(&mut self) {
+    /// Drives the kernel for [`SECONDS`].
+    pub(crate) fn run(&mut self) {
         for customer in 0..self.trial.backlogged {
             for _ in 0..DEPTH {
                 self.arrive(customer);
@@ -302,33 +200,44 @@
             }
             return;
         }
-        let down = Down {
+        let down = self.spread(root);
+        self.receive("down", root, Message::Down(down));
+    }
+
+    /// A round as its root begins it.
+    pub(crate) fn spread(&self, root: usize) -> Down {
+        Down {
             round: self.round(root),
             path: vec![Key::new(&Trial::router(root))],
             missed: Vec::new(),
             suspects: Vec::new(),
             revision: 1,
-            totals: self.ledgers(),
+            totals: self.ledgers(self.told()),
             spare: self.spare(),
-        };
-        self.receive("down", root, Message::Down(down));
+        }
     }
 
     fn answer_round(&mut self) {
         for (child, round) in std::mem::take(&mut self.asked) {
-            let up = Up {
-                round,
-                missed: Vec::new(),
-                charges: self.ledgers(),
-                spare: self.spare(),
-            };
+            let up = self.answer(round);
             if let Some(child) = self.number(child) {
                 self.receive("up", child, Message::Up(up));
             }
         }
     }
 
-    fn round(&self, root: usize) -> Round {
+    /// An answer to a round from a child.
+    pub(crate) fn answer(&self, round: Round) -> Up {
+        Up {
+            round,
+            missed: Vec::new(),
+            charges: self.ledgers(self.told()),
+            spare: self.spare(),
+        }
+    }
+
+    /// The round of a root at this beat.
+    pub(crate) fn round(&self, root: usize) -> Round {
         Round {
             run: Run {
                 root: Key::new(&Trial::router(root)),
@@ -338,31 +247,37 @@
         }
     }
 
-    fn total(&self, root: usize) -> Total {
+    /// What a root tells the others.
+    pub(crate) fn total(&self, root: usize) -> Total {
         Total {
             round: self.round(root),
             domain: Key::new(&self.trial.domain(root)),
             revision: 1,
-            totals: self.ledgers(),
+            totals: self.ledgers(self.told()),
             suspects: Vec::new(),
             spare: self.spare(),
         }
     }
 
-    /// Accounts as a round tells them: those that wait, and a part of the others.
-    fn ledgers(&self) -> Vec<Ledger> {
+    /// Customers that a round tells, each with the number of routers at which it
+    /// waits: those that wait, and a part of the others.
+    fn told(&self) -> Vec<(usize, u32)> {
         let turn = usize::try_from(self.beat / ROUND).expect("rounds are few") % ROTATION;
+        (0..self.trial.customers)
+            .map(|customer| (customer, u32::from(customer < self.trial.backlogged) * 8))
+            .filter(|(customer, waiting)| *waiting > 0 || customer % ROTATION == turn)
+            .collect()
+    }
+
+    /// Charges of some customers, by pool.
+    pub(crate) fn ledgers(&self, told: Vec<(usize, u32)>) -> Vec<Ledger> {
         let mut ledgers: BTreeMap<Key, Vec<Charge>> = BTreeMap::new();
-        for customer in 0..self.trial.customers {
-            let waits = customer < self.trial.backlogged;
-            if !waits && customer % ROTATION != turn {
-                continue;
-            }
+        for (customer, waiting) in told {
             let pool = self.table.pool(self.service(customer));
             let charge = Charge {
                 customer: self.table.customers[customer].key,
-                units: i64::try_from(self.beat * 1_000).expect("beats are few"),
-                waiting: u32::from(waits) * 8,
+                units: DAY + i64::try_from(self.beat * 1_000).expect("beats are few"),
+                waiting,
             };
             let key = self.table.pool_key(pool);
             ledgers.entry(key).or_default().push(charge);
@@ -389,7 +304,17 @@
         if from == self.me {
             return;
         }
-        let waiting = 0..self.trial.backlogged.min(10);
+        let want = self.want(10);
+        self.receive("want", from, Message::Want(want));
+        if let Some(target) = self.owned(at) {
+            let hold = self.hold(target);
+            self.receive("hold", from, Message::Hold(hold));
+        }
+    }
+
+    /// What another entry wants for at most some customers.
+    pub(crate) fn want(&self, most: usize) -> Want {
+        let waiting = 0..self.trial.backlogged.min(most);
         let asks = waiting.map(|customer| Ask {
             service: self.table.services[self.service(customer).row()].key,
             model: None,
@@ -397,19 +322,31 @@
             count: 2,
             cost: 150,
         });
-        let want = Want {
+        Want {
             stamp: self.beat,
             asks: asks.collect(),
-        };
-        self.receive("want", from, Message::Want(want));
-        if let Some(target) = self.owned(at) {
-            let hold = Hold {
-                target: self.table.targets[target].key,
-                stamp: self.beat,
-                sequence: u64::MAX,
-                count: 0,
-            };
-            self.receive("hold", from, Message::Hold(hold));
+        }
+    }
+
+    /// What another entry holds of a target: nothing.
+    pub(crate) fn hold(&self, target: usize) -> Hold {
+        Hold {
+            target: self.table.targets[target].key,
+            stamp: self.beat,
+            sequence: self.beat,
+            count: 0,
+        }
+    }
+
+    /// A slot for a customer.
+    pub(crate) fn grants(&self, customer: usize, target: Target) -> Grant {
+        Grant {
+            target: self.table.targets[target.row()].key,
+            sequence: self.beat,
+            parts: vec![Part {
+                customer: self.table.customers[customer].key,
+                count: 1,
+            }],
         }
     }
 
@@ -465,14 +402,7 @@
         if owner == self.me {
             return;
         }
-        let grant = Grant {
-            target: self.table.targets[target.row()].key,
-            sequence: self.beat,
-            parts: vec![Part {
-                customer: self.table.customers[customer].key,
-                count: 1,
-            }],
-        };
+        let grant = self.grants(customer, target);
         self.receive("grant", owner, Message::Grant(grant));
     }
 
@@ -501,22 +431,3 @@
         }
     }
 }
-
-fn kib_each(before: u64) -> f64 {
-    let grown = resident().saturating_sub(before);
-    f64::from(u32::try_from(grown).unwrap_or(u32::MAX)) / f64::from(COPIES)
-}
-
-/// Resident set of this process in KiB.
-fn resident() -> u64 {
-    read("/proc/self/status")
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .and_then(|rest| rest.trim().strip_suffix(" kB"))
-        .and_then(|kib| kib.trim().parse().ok())
-        .expect("the kernel tells the resident set")
-}
-
-fn read(path: &str) -> String {
-    std::fs::read_to_string(path).expect("proc is mounted")
-}
