Report a customer as waiting only when its requests wait for a round

Cause: at any moment some request of every busy customer waits for a grant, so customers without backlog counted as waiting, held the frontier far back (leads of 600,000 units at 100 routers), and every slot went through grants; a lone caller gave its slot back after each call because it was its own frontier. Change: waiting means overdue by a round; the window is a time, turned into units by the pace of the frontier, so that it means the same at every size; wants are paced only while all targets are busy.

--- a/crates/kernel/src/account.rs
+++ b/crates/kernel/src/account.rs
@@ -23,8 +23,11 @@
 //! slots cannot be taken back, so an order by what was received alone would give
 //! the customer that is behind far too many, starve it in turn, and swing.
 
+use std::time::Duration;
+
 use crate::id::{Customer, Pool};
 use crate::table::Table;
+use crate::time::Instant;
 
 /// Virtual time per unit of service and share.
 pub const SCALE: i64 = 1024;
@@ -44,6 +47,8 @@
     pub waiting: u32,
     /// Requests of it waiting here.
     pub queued: u32,
+    /// Whether one of them has waited for a round or longer.
+    pub overdue: bool,
 }
 
 impl Account {
@@ -67,9 +72,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank(pub i64);
 
+/// How fast a pool's frontier moves.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    frontier: Option<i64>,
+    at: Instant,
+    /// Virtual time a second, smoothed over about [`PACE_PARTS`] rounds.
+    rate: i64,
+}
+
+/// Rounds over which the pace of a frontier is smoothed.
+const PACE_PARTS: i64 = 4;
+
 /// All accounts of a router.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
+    /// How fast the frontiers move, by pool.
+    paces: Vec<Pace>,
     /// Accounts by pool, then customer.
     rows: Vec<Vec<Account>>,
     /// Shares by customer.
@@ -94,6 +113,7 @@
             .collect();
         self.rows.resize(table.pools, Vec::new());
         self.waiting.resize(table.pools, Vec::new());
+        self.paces.resize(table.pools, Pace::default());
         for accounts in &mut self.rows {
             accounts.resize(self.shares.len(), Account::default());
         }
@@ -215,6 +235,29 @@
         account.waiting = routers;
     }
 
+    /// Notes where the frontiers stand after a round.
+    pub fn note_round(&mut self, now: Instant) {
+        for at in 0..self.paces.len() {
+            let frontier = self.frontier(Pool::new(at));
+            let pace = &mut self.paces[at];
+            if let (Some(before), Some(after)) = (pace.frontier, frontier) {
+                let micros = i64::try_from(now.since(pace.at).as_micros()).unwrap_or(i64::MAX);
+                let moved = (after - before).max(0).saturating_mul(1_000_000);
+                let rate = moved / micros.max(1);
+                pace.rate += (rate - pace.rate) / PACE_PARTS;
+            }
+            pace.frontier = frontier;
+            pace.at = now;
+        }
+    }
+
+    /// How far a pool's frontier moves in a time, in virtual time.
+    #[must_use]
+    pub fn advance(&self, pool: Pool, span: Duration) -> i64 {
+        let millis = i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
+        self.paces[pool.row()].rate.saturating_mul(millis) / 1_000
+    }
+
     /// Ages what was granted provisionally by one round.
     pub fn age_provisional(&mut self) {
         for (_, _, account) in self.all_mut() {
--- a/crates/kernel/src/holder.rs
+++ b/crates/kernel/src/holder.rs
@@ -100,9 +100,24 @@
     pub cost: u64,
 }
 
+/// Counts of slots that moved.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moved {
+    /// Slots granted to this router.
+    pub granted: u64,
+    /// Slots given back.
+    pub returned: u64,
+    /// Slots given back that were never used since they were granted.
+    pub unused: u64,
+    /// Wants told.
+    pub wants: u64,
+}
+
 /// All slots held, and what was asked for.
 #[derive(Debug, Default)]
 pub struct Holder {
+    /// Counts of slots that moved.
+    pub moved: Moved,
     holdings: BTreeMap<Target, Holding>,
     desks: BTreeMap<Key, Desk>,
     waiting_since: BTreeMap<Lane, Instant>,
@@ -147,15 +162,18 @@
         if holding.owner != owner || grant.sequence <= holding.sequence {
             return false;
         }
+        let mut granted = 0;
         holding.sequence = grant.sequence;
         holding.idle_since = now;
         holding.recalled = false;
         for part in &grant.parts {
             holding.held += part.count;
+            granted += u64::from(part.count);
             if let Some(customer) = table.customer_by_key(part.customer) {
                 *holding.permits.entry(customer).or_default() += part.count;
             }
         }
+        self.moved.granted += granted;
         self.note_granted(table, owner, grant);
         true
     }
@@ -231,6 +249,9 @@
         if holding.free() == 0 {
             return;
         }
+        let unused: u32 = holding.permits.values().sum();
+        self.moved.returned += u64::from(holding.free());
+        self.moved.unused += u64::from(unused.min(holding.free()));
         holding.held = holding.busy;
         holding.permits.clear();
         self.state(now, table, target, outbox);
@@ -341,7 +362,7 @@
         };
         let micros = step.as_micros().max(1);
         let steps = (now.since(*since).as_micros() / micros).min(8);
-        if steps == 0 && busy {
+        if steps == 0 && patient {
             return 0;
         }
         let shift = u32::try_from(steps).unwrap_or(8);
@@ -367,12 +388,13 @@
         self.holdings.values().map(|holding| holding.busy).sum()
     }
 
-    /// Tells one owner what is wanted of it, when that differs enough.
+    /// Tells one owner what is wanted of it, when that differs enough and the last
+    /// want is older than the pause.
     pub fn tell(
         &mut self,
         now: Instant,
         table: &Table,
-        settings: &Settings,
+        pause: Duration,
         owner: Key,
         demands: &[Demand],
         outbox: &mut Vec<(Key, Message)>,
@@ -381,11 +403,12 @@
             return;
         }
         let desk = self.desks.entry(owner).or_default();
-        let early = desk.at.is_some_and(|at| now.since(at) < settings.retell);
+        let early = desk.at.is_some_and(|at| now.since(at) < pause);
         if early || !differs(now, desk, demands) {
             return;
         }
         self.stamp += 1;
+        self.moved.wants += 1;
         desk.stamp = self.stamp;
         desk.at = Some(now);
         desk.told = demands
--- a/crates/kernel/src/kernel/link.rs
+++ b/crates/kernel/src/kernel/link.rs
@@ -7,6 +7,7 @@
 use crate::key::Key;
 use crate::member::{Heard, Listed};
 use crate::message::{Grant, Hold, Message};
+use crate::request::Life;
 use crate::round::Scope;
 use crate::settings::Admission;
 use crate::table::Table;
@@ -129,11 +130,33 @@
     pub(super) fn run_rounds(&mut self, now: Instant, table: &Table) {
         let due = self.rounds.is_due(now, &self.settings, &self.view);
         if self.settings.admission == Admission::Owner && due {
+            self.mark_overdue(now, table);
             self.with_rounds(now, table, |rounds, scope| rounds.tick(now, scope));
             self.orders.clear();
         }
     }
 
+    /// Notes whose requests have waited here for a round or longer.
+    fn mark_overdue(&mut self, now: Instant, table: &Table) {
+        for (_, _, account) in self.book.all_mut() {
+            account.overdue = false;
+        }
+        for (lane, lines) in self.queue.lanes() {
+            for (customer, line) in lines {
+                let late = line.heads().any(|head| match self.requests.get(&head) {
+                    Some(Life::Waiting(request)) => {
+                        now.since(request.arrived) >= self.settings.round
+                    }
+                    _ => false,
+                });
+                if late {
+                    let pool = table.pool(lane.service);
+                    self.book.get_mut(pool, *customer).overdue = true;
+                }
+            }
+        }
+    }
+
     /// Puts what the parts want to say into the mail; true when some was for us.
     pub(super) fn post(&mut self, now: Instant) -> bool {
         let mut own = false;
--- a/crates/kernel/src/kernel/slots.rs
+++ b/crates/kernel/src/kernel/slots.rs
@@ -197,7 +197,7 @@
         customer: Customer,
     ) -> Vec<Target> {
         let fair = self.settings.admission != Admission::Owner
-            || self.book.lead(pool, customer) <= self.window(table);
+            || self.book.lead(pool, customer) <= self.window(table, pool);
         if fair {
             return able.to_vec();
         }
@@ -277,9 +277,13 @@
         let lanes: Vec<Lane> = self.queue.lanes().map(|(lane, _)| lane).collect();
         self.holder.note_waiting(now, &lanes);
         let mut wanted: BTreeMap<Key, Vec<Demand>> = BTreeMap::new();
+        let mut pause = self.settings.retell;
         for lane in lanes {
             let order = self.order(table, lane);
             let full = self.full(table, lane);
+            if !full {
+                pause = TELL;
+            }
             let width = self.holder.width(now, lane, &self.settings, full);
             for demand in self.demands(lane) {
                 let width = if self.behind(table, &demand) {
@@ -299,7 +303,7 @@
             self.holder.tell(
                 now,
                 table,
-                &self.settings,
+                pause,
                 owner,
                 &demands,
                 &mut self.outbox,
@@ -325,14 +329,13 @@
             return false;
         };
         let rank = self.book.rank(pool, demand.customer);
-        rank.0 + self.window(table) / BEHIND < most
+        rank.0 + self.window(table, pool) / BEHIND < most
     }
 
     /// How far ahead of the frontier a slot may be kept, in virtual time.
-    fn window(&self, table: &Table) -> i64 {
-        let lean = i64::from(1_000 - table.gap_permille.min(1_000));
-        let window = i64::try_from(self.settings.window).unwrap_or(i64::MAX);
-        (window.saturating_mul(lean) / 1_000).saturating_mul(SCALE)
+    fn window(&self, table: &Table, pool: Pool) -> i64 {
+        let lean = 1_000 - table.gap_permille.min(1_000);
+        self.book.advance(pool, self.settings.window * lean / 1_000)
     }
 
     fn demands(&self, lane: Lane) -> Vec<Demand> {
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -52,6 +52,12 @@
         self.quick.len()
     }
 
+    /// The oldest request of each class.
+    pub fn heads(&self) -> impl Iterator<Item = Request> {
+        let heads = [self.quick.front(), self.long.front()];
+        heads.into_iter().flatten().copied()
+    }
+
     /// The request that goes next.
     #[must_use]
     pub fn front(&self) -> Option<Request> {
--- a/crates/kernel/src/round/book.rs
+++ b/crates/kernel/src/round/book.rs
@@ -20,7 +20,8 @@
     let number = open.round.number;
     for (pool, customer, account) in book.all_mut() {
         let slot = (pool, customer);
-        let waits = account.queued > 0;
+        // Short waits happen to everybody; only who waits long is behind.
+        let waits = account.overdue;
         if waits {
             *open.waiting.entry(slot).or_default() += 1;
         }
--- a/crates/kernel/src/round/mod.rs
+++ b/crates/kernel/src/round/mod.rs
@@ -311,6 +311,7 @@
         self.adopt_suspects(now, scope, &down.suspects);
         self.confirm(&down, scope);
         book::apply(scope, &down.totals);
+        scope.book.note_round(now);
         // A round still open here will be named as missed.
         self.open = None;
         let tree = Tree::new(scope.view, self.domain);
--- a/crates/kernel/src/round/root.rs
+++ b/crates/kernel/src/round/root.rs
@@ -77,6 +77,7 @@
             }
         }
         self.waiting_before = waiting;
+        scope.book.note_round(now);
     }
 
     pub(super) fn leads(&self, fresh: Instant) -> bool {
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -49,8 +49,9 @@
     /// Rounds missed after which an instance counts as dead.
     pub missed_rounds: u32,
     /// How far a customer may run ahead of the pool's frontier before this router
-    /// gives its slot up, in units per share, when utilisation comes first.
-    pub window: u64,
+    /// gives its slot up, when utilisation comes first: as far as the frontier moves
+    /// in this time.
+    pub window: Duration,
     /// Reservation of a running request, in thousandths of its estimated cost.
     pub reserve: u64,
     /// The most that a customer may be owed against the furthest ahead, in units
@@ -79,7 +80,7 @@
             restate: Duration::from_secs(10),
             takeover: Duration::from_secs(1),
             missed_rounds: 3,
-            window: 16_000,
+            window: Duration::from_secs(9),
             reserve: 1_000,
             owed: 262_144,
             quick_first: true,
