Stop waking for a gathering that nobody waits for

Cause: a target that others served meanwhile kept the time until which it gathered wants; that time passed, and the kernel asked to be woken for it without end. Change: the time is dropped when nothing is wanted or the target is closed.

--- a/crates/kernel/src/owner.rs
+++ b/crates/kernel/src/owner.rs
@@ -251,6 +251,8 @@
             return;
         };
         if now < owned.open_at || !row.open() || !wanted {
+            // Nothing to wait for; a time that is kept would wake the router without end.
+            owned.gather = None;
             return;
         }
         let mut free = row.slots.saturating_sub(owned.held());
