--- a/crates/trial/examples/fairness.rs
+++ b/crates/trial/examples/fairness.rs
@@ -24,6 +24,7 @@
             "seconds" => t.length = Duration::from_secs(v.parse().unwrap()),
             "round" => t.round = Duration::from_millis(v.parse().unwrap()),
             "gap" => t.gap_permille = v.parse().unwrap(),
+            "speed" => t.speed = v.parse().unwrap(),
             "light" => t.light_permille = v.parse().unwrap(),
             "policy" => {
                 t.admission = match v.as_str() {
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -43,6 +43,10 @@
     pub control_messages_per_node_s: f64,
     /// Messages sent by kind, of the whole fleet a second.
     pub messages_per_s: BTreeMap<&'static str, f64>,
+    /// Slots granted a second, over the fleet.
+    pub granted_per_s: f64,
+    /// Part of the granted slots that was given back without being used.
+    pub unused_ratio: f64,
     /// Processor time in kernels for a request.
     pub kernel_cpu_us_per_request: f64,
     /// Longest wait by customer.
@@ -89,6 +93,9 @@
         let bytes: u64 = meter.traffic.iter().map(|row| row.bytes).sum();
         let messages: u64 = meter.traffic.iter().map(|row| row.messages).sum();
         let most = meter.traffic.iter().map(|row| row.bytes).max().unwrap_or(0);
+        let moved = (0..trial.routers).map(|at| fleet.node(at).holder().moved);
+        let granted: u64 = moved.clone().map(|row| row.granted).sum();
+        let unused: u64 = moved.map(|row| row.unused).sum();
         let max_wait_ms = meter
             .max_wait
             .iter()
@@ -114,6 +121,8 @@
                 .iter()
                 .map(|(kind, count)| (*kind, *count as f64 / seconds))
                 .collect(),
+            granted_per_s: granted as f64 / seconds,
+            unused_ratio: unused as f64 / granted.max(1) as f64,
             kernel_cpu_us_per_request: meter.kernel.as_secs_f64() * 1e6
                 / (meter.requests.max(1) as f64),
             max_wait_ms,
@@ -136,8 +145,19 @@
     let capacity = slots as f64 * trial.speed as f64;
     let age = trial.round.as_secs_f64();
     let lean = f64::from(1_000 - trial.gap_permille) / 1_000.0;
-    let window = settings.window as f64 * lean;
-    2.0 * MOST_COST as f64 + capacity * age + window
+    let window = settings.window.as_secs_f64() * lean;
+    2.0 * MOST_COST as f64 + capacity * age + capacity * window / shares(trial)
+}
+
+/// The least sum of shares of the backlogged customers of a service.
+fn shares(trial: &Trial) -> f64 {
+    let customers = trial.spec().customers;
+    let sums = (0..trial.services).map(|service| {
+        let rows = customers.iter().take(trial.backlogged).enumerate();
+        let own = rows.filter(|(at, _)| at % trial.services == service);
+        own.map(|(_, row)| f64::from(row.share)).sum::<f64>()
+    });
+    sums.fold(f64::INFINITY, f64::min).max(1.0)
 }
 
 const fn policy(admission: Admission) -> &'static str {
