--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -3,4 +3,5 @@
 mod answers;
 mod failures;
 mod fleet;
+mod idle;
 mod world;
