Restate the accepted revision only with a whole knowledge of the log

Cause: a router that had missed records of the log appended a statement every 5 s; no reader has a use for one that ends before the oldest retained record. Change: Keeper::restatement gives nothing while the ledger is not current; statements to peers are as before. Conclusion: two tests of the keeper; they pass.

--- a/crates/router/src/configuration/mod.rs
+++ b/crates/router/src/configuration/mod.rs
@@ -8,6 +8,8 @@
 
 pub(crate) mod reader;
 mod spec;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeSet;
 use std::sync::mpsc::Sender;
@@ -108,6 +110,13 @@
         }
     }
 
+    /// The statement to append to the log again; nothing while this router has
+    /// missed records of the log, since readers have no use for it then.
+    pub fn restatement(&self, id: &str) -> Option<String> {
+        let current = self.lock().ledger.is_current();
+        current.then(|| self.statement(id)).flatten()
+    }
+
     /// Notes which targets the platform lists as leaving.
     pub fn leave(&self, leaving: BTreeSet<Arc<str>>) {
         let mut kept = self.lock();
--- a/crates/router/src/configuration/reader.rs
+++ b/crates/router/src/configuration/reader.rs
@@ -165,7 +165,9 @@
         greater.count()
     }
 
-    /// Writes the accepted revision down again before the log forgets it.
+    /// Writes the accepted revision down again before the log forgets it. A
+    /// reader that missed records leaves that to others: it cannot know what
+    /// those records accepted.
     fn restate(&self, log: &dyn Log, page: &Page, rank: usize, memory: &mut Memory) {
         let now = memory.begun.elapsed();
         let stated_to = self.keeper.stated_to();
@@ -186,7 +188,7 @@
             return;
         }
         let id = format!("{}-{}", self.prefix, now.as_micros());
-        let Some(text) = self.keeper.statement(&id) else {
+        let Some(text) = self.keeper.restatement(&id) else {
             return;
         };
         memory.restated = Some(Instant::now());
