Tell few waiting requests to few owners while all targets are busy

Cause: each owner grants by itself, so one request told to twelve owners brought up twelve slots, and at 35 routers 61 in 100 granted slots came back unused. Change: a demand is told to at most as many owners as requests wait in it.

--- a/crates/kernel/src/holder.rs
+++ b/crates/kernel/src/holder.rs
@@ -32,6 +32,10 @@
 /// How much later a lane is told when all targets are busy, some with its requests.
 const LATE: u32 = 5;
 
+/// Time without a grant after which a want is told again: it may have been lost, or
+/// its owner may have taken us for dead and forgotten it.
+const UNANSWERED: Duration = Duration::from_secs(3);
+
 /// Age after which a want that has ended is taken back.
 const STALE: Duration = Duration::from_secs(3);
 
@@ -85,6 +89,8 @@
     stamp: u64,
     told: BTreeMap<(Lane, Customer), Told>,
     at: Option<Instant>,
+    /// When it was last told, or last granted something.
+    proved: Option<Instant>,
 }
 
 /// Waiting requests of one customer in one lane.
@@ -174,15 +180,16 @@
             }
         }
         self.moved.granted += granted;
-        self.note_granted(table, owner, grant);
+        self.note_granted(now, table, owner, grant);
         true
     }
 
     /// The owner has taken its grants off what we told it; so do we.
-    fn note_granted(&mut self, table: &Table, owner: Key, grant: &Grant) {
+    fn note_granted(&mut self, now: Instant, table: &Table, owner: Key, grant: &Grant) {
         let Some(desk) = self.desks.get_mut(&owner) else {
             return;
         };
+        desk.proved = Some(now);
         for part in &grant.parts {
             let Some(customer) = table.customer_by_key(part.customer) else {
                 continue;
@@ -411,6 +418,7 @@
         self.moved.wants += 1;
         desk.stamp = self.stamp;
         desk.at = Some(now);
+        desk.proved = Some(now);
         desk.told = demands
             .iter()
             .map(|demand| {
@@ -454,7 +462,8 @@
 
 /// Whether what is wanted differs much from what was told: something new, or a
 /// backlog four times as large or as small. What is no longer wanted is told after
-/// a while; until then a grant for it comes back unused.
+/// a while; until then a grant for it comes back unused. What gets no grant for a
+/// while is told again.
 fn differs(now: Instant, desk: &Desk, demands: &[Demand]) -> bool {
     let stale = desk.at.is_some_and(|at| now.since(at) >= STALE);
     let gone = desk
@@ -466,7 +475,9 @@
                 .iter()
                 .any(|demand| (demand.lane, demand.customer) == *place)
         });
+    let unanswered = desk.proved.is_some_and(|at| now.since(at) >= UNANSWERED);
     (gone && stale)
+        || (unanswered && !demands.is_empty())
         || demands.iter().any(|demand| {
             let told = desk
                 .told
--- a/crates/kernel/src/kernel/slots.rs
+++ b/crates/kernel/src/kernel/slots.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh64::xxh64;
 
 use super::Kernel;
-use crate::account::{Rank, SCALE};
+use crate::account::Rank;
 use crate::action::Action;
 use crate::holder::{self, Demand};
 use crate::id::{Customer, Pool, Request, Target};
@@ -26,6 +26,9 @@
 /// Time between two looks at idle slots and waiting work.
 const SWEEP: Duration = Duration::from_millis(100);
 
+/// Owners told for each waiting request at most while all targets are busy.
+const SURPLUS: usize = 1;
+
 /// Part of the window by which a customer must be behind others to ask all owners.
 const BEHIND: i64 = 2;
 
@@ -286,11 +289,7 @@
             }
             let width = self.holder.width(now, lane, &self.settings, full);
             for demand in self.demands(lane) {
-                let width = if self.behind(table, &demand) {
-                    holder::WIDTH
-                } else {
-                    width
-                };
+                let width = self.breadth(table, &demand, width, full);
                 for owner in order.iter().take(width) {
                     wanted.entry(*owner).or_default().push(demand);
                 }
@@ -322,6 +321,22 @@
                 .any(|target| spare.contains(&table.targets[target.row()].key))
     }
 
+    /// How many owners are told of a demand. While all targets are busy each of them
+    /// grants by itself, and what comes beyond the demand goes back unused: so few
+    /// waiting requests are told to few.
+    fn breadth(&self, table: &Table, demand: &Demand, width: usize, full: bool) -> usize {
+        let width = if self.behind(table, demand) {
+            holder::WIDTH
+        } else {
+            width
+        };
+        if !full {
+            return width;
+        }
+        let count = usize::try_from(demand.count).unwrap_or(holder::WIDTH);
+        width.min(count.saturating_mul(SURPLUS))
+    }
+
     /// Whether a customer is so far behind others that slots should come from afar.
     fn behind(&self, table: &Table, demand: &Demand) -> bool {
         let pool = table.pool(demand.lane.service);
