--- a/crates/kernel/src/holder.rs
+++ b/crates/kernel/src/holder.rs
@@ -30,14 +30,14 @@
 const FIRST_WIDTH: usize = 1;
 
 /// How much later a lane is told when all targets are busy, some with its requests.
-const LATE: u32 = 5;
+const LATE: u32 = 10;
 
 /// Time without a grant after which a want is told again: it may have been lost, or
 /// its owner may have taken us for dead and forgotten it.
 const UNANSWERED: Duration = Duration::from_secs(3);
 
 /// Age after which a want that has ended is taken back.
-const STALE: Duration = Duration::from_secs(3);
+const STALE: Duration = Duration::from_secs(10);
 
 /// Slots held of one target.
 #[derive(Clone, Debug)]
