Ask entries that do not say whether a grant has come

Cause: a grant lost on its way to an entry that had held nothing of the target was never found: the entry had nothing to state, and the owner counted the slot as held for ever. Change: an owner asks (by the recall) an entry whose grant it has not seen confirmed for a second, and an entry that is asked says what it holds, nothing included.

--- a/crates/kernel/src/kernel/link.rs
+++ b/crates/kernel/src/kernel/link.rs
@@ -80,7 +80,10 @@
                 None => self.dropped.unknown_names += 1,
             },
             Message::Recall(recall) => match table.target_by_key(recall.target) {
-                Some(target) => self.holder.recall(target, from),
+                Some(target) => {
+                    self.holder
+                        .recall(now, &table, target, from, &mut self.outbox);
+                }
                 None => self.dropped.unknown_names += 1,
             },
             Message::Leaving => self.view.leave(from),
--- a/crates/kernel/src/owner.rs
+++ b/crates/kernel/src/owner.rs
@@ -49,6 +49,8 @@
     stated: u32,
     stamp: u64,
     unseen: VecDeque<Unseen>,
+    /// When it was last asked whether its grants have come.
+    asked: Option<Instant>,
 }
 
 impl Grantee {
@@ -210,6 +212,7 @@
         }
         grantee.stamp = hold.stamp;
         grantee.stated = hold.count;
+        grantee.asked = None;
         grantee
             .unseen
             .retain(|grant| grant.sequence > hold.sequence && now.since(grant.at) < GRANT_LOST);
@@ -233,10 +236,36 @@
     ) {
         let targets: Vec<Target> = self.owned.keys().copied().collect();
         for target in targets {
+            self.ask_after(now, table, target, outbox);
             self.fill_target(now, table, book, target, outbox);
         }
     }
 
+    /// Asks entries that do not say whether a grant has come: the grant or what they
+    /// said of it may be lost.
+    fn ask_after(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        target: Target,
+        outbox: &mut Vec<(Key, Message)>,
+    ) {
+        let Some(owned) = self.owned.get_mut(&target) else {
+            return;
+        };
+        let key = table.targets[target.row()].key;
+        for (entry, grantee) in &mut owned.grantees {
+            let since = grantee
+                .asked
+                .or(grantee.unseen.front().map(|grant| grant.at));
+            let silent = since.is_some_and(|at| now.since(at) >= GRANT_LOST);
+            if silent && !grantee.unseen.is_empty() {
+                grantee.asked = Some(now);
+                outbox.push((*entry, Message::Recall(Recall { target: key })));
+            }
+        }
+    }
+
     fn fill_target(
         &mut self,
         now: Instant,
