--- a/crates/kernel/src/holder.rs
+++ b/crates/kernel/src/holder.rs
@@ -18,6 +18,7 @@
 use crate::id::{Customer, Target};
 use crate::key::Key;
 use crate::message::{Ask, Grant, Hold, Message, Want};
+use crate::owner::GRANT_LOST;
 use crate::queue::Lane;
 use crate::settings::Settings;
 use crate::table::Table;
@@ -226,12 +227,23 @@
         }
     }
 
-    /// The owner asks for unused slots back.
-    pub fn recall(&mut self, target: Target, owner: Key) {
-        if let Some(holding) = self.holdings.get_mut(&target)
-            && holding.owner == owner
-        {
-            holding.recalled = true;
+    /// The owner asks for unused slots back, and to be told what is held.
+    pub fn recall(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        target: Target,
+        owner: Key,
+        outbox: &mut Vec<(Key, Message)>,
+    ) {
+        let unknown = !self.holdings.contains_key(&target);
+        let holding = self.holding(now, target, owner);
+        if holding.owner != owner {
+            return;
+        }
+        holding.recalled = true;
+        if unknown || now.since(holding.stated_at) >= GRANT_LOST {
+            self.state(now, table, target, outbox);
         }
     }
 
