--- a/crates/kernel/src/kernel/slots.rs
+++ b/crates/kernel/src/kernel/slots.rs
@@ -299,14 +299,8 @@
             wanted.entry(owner).or_default();
         }
         for (owner, demands) in wanted {
-            self.holder.tell(
-                now,
-                table,
-                pause,
-                owner,
-                &demands,
-                &mut self.outbox,
-            );
+            self.holder
+                .tell(now, table, pause, owner, &demands, &mut self.outbox);
         }
     }
 
