Measure a router's path and a fleet's fairness

The example measure has one subcommand for each. path compares the same short completions directly and through a router in this process, and shows how late the events of a stream arrive; its report carries the machine's load. fairness wraps the trial's report, with the design's shape from 100 routers on.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,8 @@
 //!
 //! [`load`] stands in for the customers: it calls a fleet and checks the answers.
 //!
+//! `demo` and `measure` run a whole fleet, or its kernels, among them.
+//!
 //! The stand-ins exist to be unpleasant: each has a `POST /admin/faults` that
 //! brings about the failures which the real systems are known for. They hold
 //! everything in memory and bind only to the address that they are given.
@@ -20,6 +22,8 @@
 pub mod instances;
 pub mod load;
 pub mod log;
+#[cfg(feature = "fleet")]
+pub mod measure;
 pub mod plain;
 mod rate;
 pub mod weights;
