Tell what was decided on a request, a customer or a target; export the kernel's counts

Cause: an operator could not see why a request waits or where it went, and the kernel's counts of moved slots and ignored events were not exported. Change: the driver writes each decision into a ring of fixed-size records; the operators' port answers /explain/request/ID, /explain/customer/NAME and /explain/target/NAME from it, without prompts and keys. An id names its router, so any router can say whom to ask.

Figures: 48 bytes a record, 3,145,728 bytes for 65,536 (test of the ring).

--- a/crates/router/src/callers/admit.rs
+++ b/crates/router/src/callers/admit.rs
@@ -151,7 +151,7 @@
             ticket,
         };
         let shape = call.shape;
-        let entry = Entry::new(Arc::new(call), arrival);
+        let entry = Entry::new(Arc::new(call), arrival, self.clock.now());
         self.driver
             .send(Input::Call(Box::new(entry)))
             .map_err(|_| Reason::Stopping)?;
--- a/crates/router/src/driver/entry.rs
+++ b/crates/router/src/driver/entry.rs
@@ -4,12 +4,14 @@
 //! decides when to send; the types decide whether that can be done at all.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use dunlinward_kernel::event::{Arrival, Outcome};
+use dunlinward_kernel::id;
+use dunlinward_kernel::time::Instant;
 use dunlinward_kernel::verdict::Verdict;
 
 use crate::call::{Admitted, Call, Once, Permit, Repeatable, Sent};
+use crate::explain::ring::Subject;
 use crate::idempotency::Fate;
 use crate::targets::Report;
 use crate::targets::transport::Exchange;
@@ -27,6 +29,7 @@
 #[derive(Debug)]
 struct Running {
     number: u32,
+    target: id::Target,
     exchange: Exchange,
 }
 
@@ -37,16 +40,15 @@
     pub call: Arc<Call>,
     /// What the kernel is told at first.
     pub arrival: Arrival,
-    /// When it arrived.
-    pub arrived: Instant,
+    arrived: Instant,
     life: Option<Life>,
     running: Option<Running>,
     units: u64,
 }
 
 impl Entry {
-    /// A request as it arrives.
-    pub fn new(call: Arc<Call>, arrival: Arrival) -> Self {
+    /// A request that arrived at `arrived`.
+    pub fn new(call: Arc<Call>, arrival: Arrival, arrived: Instant) -> Self {
         let life = if arrival.repeatable {
             Life::Repeatable(Admitted::new(Arc::clone(&call)))
         } else {
@@ -55,13 +57,22 @@
         Self {
             call,
             arrival,
-            arrived: Instant::now(),
+            arrived,
             life: Some(life),
             running: None,
             units: 0,
         }
     }
 
+    /// The request as records name it.
+    pub fn subject(&self) -> Subject {
+        Subject {
+            request: self.call.request,
+            customer: self.arrival.customer,
+            arrived: self.arrived,
+        }
+    }
+
     /// The right to send the request, if it can be sent now.
     pub fn send(&mut self) -> Option<Permit> {
         let (life, permit) = match self.life.take()? {
@@ -80,9 +91,13 @@
     }
 
     /// Notes the attempt that runs.
-    pub fn run(&mut self, number: u32, exchange: Exchange) {
+    pub fn run(&mut self, number: u32, target: id::Target, exchange: Exchange) {
         self.call.sink.select(number);
-        self.running = Some(Running { number, exchange });
+        self.running = Some(Running {
+            number,
+            target,
+            exchange,
+        });
         self.units = 0;
     }
 
@@ -104,6 +119,16 @@
             .is_some_and(|running| running.number == number)
     }
 
+    /// Whether an attempt runs.
+    pub fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
+    /// The target of the attempt that runs.
+    pub fn runs_at(&self) -> Option<id::Target> {
+        self.running.as_ref().map(|running| running.target)
+    }
+
     /// Breaks an attempt off.
     pub fn cancel(&mut self, number: u32) {
         if self.runs(number)
--- a/crates/router/src/driver/inbox.rs
+++ b/crates/router/src/driver/inbox.rs
@@ -8,6 +8,8 @@
 
 use super::Entry;
 use crate::call::Call;
+use crate::explain::ring::Subject;
+use crate::explain::{Answer, Question};
 use crate::state::Snapshot;
 use crate::targets::Report;
 
@@ -18,6 +20,10 @@
     pub call: Arc<Call>,
     /// The attempt.
     pub attempt: u32,
+    /// The request as records name it.
+    pub subject: Subject,
+    /// The target.
+    pub place: id::Target,
     /// Name of the target.
     pub target: Arc<str>,
     /// How it ended.
@@ -44,6 +50,8 @@
     Event(Event),
     /// Somebody asks for the state of the kernel.
     Inspect(Sender<Snapshot>),
+    /// Somebody asks about a request, a customer or a target.
+    Explain(Question, Sender<Answer>),
     /// The router stops.
     Stop,
 }
--- a/crates/router/src/driver/inspect.rs
+++ b/crates/router/src/driver/inspect.rs
@@ -52,7 +52,7 @@
             .collect()
     }
 
-    fn customers(&self, table: &Table) -> Vec<Customer> {
+    pub(super) fn customers(&self, table: &Table) -> Vec<Customer> {
         self.kernel
             .book()
             .all()
@@ -72,22 +72,25 @@
 
     fn targets(&self, table: &Table) -> Vec<Target> {
         let live = table.targets.iter().enumerate().filter(|(_, row)| row.live);
-        live.map(|(at, row)| {
-            let target = id::Target::new(at);
-            let holding = self.kernel.holder().get(target);
-            let held = holding.map_or(0, |holding| holding.held);
-            let free = holding.map_or(0, Holding::free);
-            Target {
-                name: Arc::clone(&row.name),
-                failure_domain: Arc::clone(table.domain_name(row.domain)),
-                owner: self.kernel.owner_of(target).map(|key| self.name(key)),
-                slots: row.slots,
-                held,
-                busy: held.saturating_sub(free),
-                leaving: row.leaving,
-            }
-        })
-        .collect()
+        live.map(|(at, _)| self.target(table, at)).collect()
+    }
+
+    /// The target of a row.
+    pub(super) fn target(&self, table: &Table, at: usize) -> Target {
+        let row = &table.targets[at];
+        let target = id::Target::new(at);
+        let holding = self.kernel.holder().get(target);
+        let held = holding.map_or(0, |holding| holding.held);
+        let free = holding.map_or(0, Holding::free);
+        Target {
+            name: Arc::clone(&row.name),
+            failure_domain: Arc::clone(table.domain_name(row.domain)),
+            owner: self.kernel.owner_of(target).map(|key| self.name(key)),
+            slots: row.slots,
+            held,
+            busy: held.saturating_sub(free),
+            leaving: row.leaving,
+        }
     }
 
     fn name(&self, key: Key) -> Arc<str> {
--- a/crates/router/src/driver/mod.rs
+++ b/crates/router/src/driver/mod.rs
@@ -6,8 +6,10 @@
 //! never blocks on a socket: links queue, attempts run on their own threads.
 
 mod entry;
+mod explain;
 mod inbox;
 mod inspect;
+mod reporter;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -21,9 +23,9 @@
 use dunlinward_kernel::table::Table;
 use dunlinward_kernel::verdict::{Failure, Refusal, Verdict};
 
-use crate::call::Call;
 use crate::clock::Clock;
 use crate::envelope::Envelope;
+use crate::explain::ring::{Deed, RECORDS, Ring};
 use crate::idempotency::Fate;
 use crate::links::Links;
 use crate::metrics::Metrics;
@@ -33,6 +35,7 @@
 use crate::worker::Pool;
 pub(crate) use entry::Entry;
 pub(crate) use inbox::{End, Input};
+use reporter::Reporter;
 
 /// Longest sleep of the driver.
 const SLEEP: Duration = Duration::from_secs(1);
@@ -61,6 +64,7 @@
     table: Option<Arc<Table>>,
     actions: Vec<Action>,
     published: Option<u64>,
+    ring: Ring,
 }
 
 impl Driver {
@@ -73,6 +77,7 @@
             table: None,
             actions: Vec::new(),
             published: None,
+            ring: Ring::new(RECORDS),
         }
     }
 
@@ -111,6 +116,10 @@
                 // A reader that is gone needs no answer.
                 let _ = answer.send(self.inspect());
             }
+            Input::Explain(question, answer) => {
+                // As above.
+                let _ = answer.send(self.explain(&question));
+            }
             Input::Stop => {}
         }
     }
@@ -120,6 +129,8 @@
         let begun = Instant::now();
         self.kernel.step(now, event, &mut self.actions);
         self.tools.metrics.stepped(begun.elapsed());
+        let (moved, dropped) = (self.kernel.holder().moved, self.kernel.dropped());
+        self.tools.metrics.kernel(moved, dropped);
         let actions = std::mem::take(&mut self.actions);
         for action in actions {
             self.act(action);
@@ -131,7 +142,10 @@
     fn note(&mut self, event: &Event) {
         match event {
             Event::Configured(table) => self.table = Some(Arc::clone(table)),
-            Event::Left(request) => self.count_left(*request),
+            Event::Left(request) => {
+                self.record_of(*request, Deed::Left);
+                self.count_left(*request);
+            }
             _ => {}
         }
     }
@@ -147,8 +161,14 @@
         let metrics = &self.tools.metrics;
         metrics.admitted(&entry.call.customer, &entry.call.service);
         let arrival = entry.arrival.clone();
-        self.entries.insert(entry.call.request, entry);
+        let (request, service) = (entry.call.request, arrival.service);
+        self.entries.insert(request, entry);
+        self.record_of(request, Deed::Arrived { service });
         self.step(Event::Arrived(arrival));
+        let waits = self.entries.get(&request);
+        if waits.is_some_and(|entry| !entry.is_running()) {
+            self.record_of(request, Deed::Queued);
+        }
     }
 
     fn progress(&mut self, request: id::Request, attempt: u32, units: u64) {
@@ -178,6 +198,8 @@
             reason = failure.map_or("whole", Failure::name);
             "attempt {attempt} ended"
         );
+        self.record_end(&end);
+        let call = &end.call;
         match self.entries.get_mut(&request) {
             Some(entry) => {
                 let new = entry.progress(attempt, units);
@@ -187,6 +209,7 @@
             None => settle_late(&end),
         }
         if end.report.left {
+            self.record_of(request, Deed::Left);
             self.count_left(request);
             self.step(Event::Left(request));
         }
@@ -219,6 +242,12 @@
                 verdict,
                 retry_after,
             } => {
+                let deed = Deed::Refused {
+                    refusal,
+                    failure,
+                    verdict,
+                };
+                self.record_of(request, deed);
                 let notice =
                     Notice::kernel(refusal, failure, verdict).with_retry_after(retry_after);
                 self.tools.metrics.refused(refusal, verdict);
@@ -229,7 +258,10 @@
                     entry.forget();
                 }
             }
-            Action::Retry { failure, .. } => self.tools.metrics.retried(failure),
+            Action::Retry { request, failure } => {
+                self.record_of(request, Deed::Retried { failure });
+                self.tools.metrics.retried(failure);
+            }
             Action::Drained => self.tools.state.set_drained(),
         }
     }
@@ -266,19 +298,30 @@
             return self.unsent(request, number);
         };
         if number == 1 {
-            self.tools.metrics.waited(entry.arrived.elapsed());
+            let arrived = entry.subject().arrived;
+            let waited = self.tools.clock.now().since(arrived);
+            self.tools.metrics.waited(waited);
         }
         let reporter = Reporter {
             call: Arc::clone(&entry.call),
             number,
+            subject: entry.subject(),
+            place: target,
             target: Arc::clone(&place.name),
             inbox: self.tools.inbox.clone(),
             report: Report::unknown(),
         };
         let metrics = Arc::clone(&self.tools.metrics);
         let attempt = Attempt::new(permit, number, place, metrics);
-        entry.run(number, attempt.exchange());
-        let job = move || run(attempt, reporter);
+        entry.run(number, target, attempt.exchange());
+        self.record_of(
+            request,
+            Deed::Dispatched {
+                attempt: number,
+                target,
+            },
+        );
+        let job = move || reporter::run(attempt, reporter);
         if let Err(err) = self.tools.workers.run(job) {
             // The job was dropped, and its reporter has told the end.
             log::error!("no thread for an attempt: {err}");
@@ -321,45 +364,6 @@
     }
 }
 
-/// Runs an attempt on a worker's thread.
-fn run(attempt: Attempt, mut reporter: Reporter) {
-    let report = attempt.run(|units| reporter.progress(units));
-    reporter.report = report;
-}
-
-/// Tells the driver of an attempt. Its end is told when the reporter is dropped,
-/// so that even an attempt that panics ends.
-struct Reporter {
-    call: Arc<Call>,
-    number: u32,
-    target: Arc<str>,
-    inbox: Sender<Input>,
-    report: Report,
-}
-
-impl Reporter {
-    fn progress(&self, units: u64) {
-        // A driver that is gone has ended the request already.
-        let _ = self.inbox.send(Input::Progressed {
-            request: self.call.request,
-            attempt: self.number,
-            units,
-        });
-    }
-}
-
-impl Drop for Reporter {
-    fn drop(&mut self) {
-        let end = End {
-            call: Arc::clone(&self.call),
-            attempt: self.number,
-            target: Arc::clone(&self.target),
-            report: std::mem::replace(&mut self.report, Report::unknown()),
-        };
-        let _ = self.inbox.send(Input::Ended(Box::new(end)));
-    }
-}
-
 /// An attempt whose request was forgotten can still prove that it did not run.
 fn settle_late(end: &End) {
     if let Some(ticket) = &end.call.ticket
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,7 @@
 //! - `driver`: the thread that owns the kernel.
 //! - `links`, [`envelope`]: the other routers.
 //! - `configuration`, [`current`], `instances`: what the platform tells.
-//! - `operators`, [`metrics`], [`state`]: what operators see.
+//! - `operators`, [`metrics`], [`state`], [`explain`]: what operators see.
 //! - [`router`]: how it is all put together and taken apart.
 
 mod callers;
@@ -27,6 +27,7 @@
 pub mod clock;
 pub mod current;
 pub mod envelope;
+pub mod explain;
 pub mod flags;
 pub mod idempotency;
 pub mod logs;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -5,9 +5,11 @@
 //! counter, present from the start at zero: a rate over a counter that appears
 //! only with its first event misses that event. Units stand in the names.
 
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
+use dunlinward_kernel::holder::Moved;
+use dunlinward_kernel::kernel::Dropped;
 use dunlinward_kernel::verdict::{Failure, Refusal, Verdict};
 use dunlinward_wire::Pool;
 use dunlinward_wire::counter::Loss;
@@ -64,6 +66,25 @@
     step: Histogram<f64>,
     undecoded: Counter<u64>,
     events: Counter<u64>,
+    kernel: Kernel,
+}
+
+/// Counts that the kernel keeps, as last seen.
+#[derive(Debug, Default)]
+struct Seen {
+    moved: Moved,
+    dropped: Dropped,
+}
+
+/// Instruments of the kernel's own counts.
+#[derive(Debug)]
+struct Kernel {
+    seen: Mutex<Seen>,
+    granted: Counter<u64>,
+    returned: Counter<u64>,
+    unused: Counter<u64>,
+    wants: Counter<u64>,
+    ignored: Counter<u64>,
 }
 
 impl Metrics {
@@ -127,6 +148,7 @@
                 "dunlinward_log_records",
                 "Records read from the log by outcome",
             ),
+            kernel: Kernel::new(&meter),
             registry,
             provider,
             meter,
@@ -150,6 +172,7 @@
         }
         self.undecoded.add(0, &[]);
         self.connections.add(0, &[]);
+        self.kernel.start_at_zero();
     }
 
     /// A request was admitted.
@@ -213,6 +236,11 @@
         self.step.record(time.as_secs_f64(), &[]);
     }
 
+    /// What the kernel has counted so far.
+    pub fn kernel(&self, moved: Moved, dropped: Dropped) {
+        self.kernel.count(moved, dropped);
+    }
+
     /// A message between routers could not be read.
     pub fn undecoded(&self) {
         self.undecoded.add(1, &[]);
@@ -276,6 +304,66 @@
     }
 }
 
+impl Kernel {
+    fn new(meter: &Meter) -> Self {
+        let count = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        Self {
+            seen: Mutex::default(),
+            granted: count("dunlinward_granted_slots", "Slots granted to this router"),
+            returned: count("dunlinward_returned_slots", "Slots given back to owners"),
+            unused: count(
+                "dunlinward_unused_slots",
+                "Slots given back that were not used since they were granted",
+            ),
+            wants: count("dunlinward_wants", "Wants told to owners"),
+            ignored: count(
+                "dunlinward_ignored_events",
+                "Events and messages that the kernel ignored",
+            ),
+        }
+    }
+
+    fn start_at_zero(&self) {
+        for counter in [&self.granted, &self.returned, &self.unused, &self.wants] {
+            counter.add(0, &[]);
+        }
+        for (reason, _) in reasons(Dropped::default()) {
+            self.ignored.add(0, &[label(reason)]);
+        }
+    }
+
+    /// Adds what was counted since the last call; most calls find nothing new.
+    fn count(&self, moved: Moved, dropped: Dropped) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        if seen.moved != moved {
+            self.granted.add(moved.granted - seen.moved.granted, &[]);
+            self.returned.add(moved.returned - seen.moved.returned, &[]);
+            self.unused.add(moved.unused - seen.moved.unused, &[]);
+            self.wants.add(moved.wants - seen.moved.wants, &[]);
+            seen.moved = moved;
+        }
+        if seen.dropped != dropped {
+            let before = reasons(seen.dropped);
+            for ((reason, now), (_, before)) in reasons(dropped).into_iter().zip(before) {
+                self.ignored.add(now - before, &[label(reason)]);
+            }
+            seen.dropped = dropped;
+        }
+    }
+}
+
+/// Why the kernel ignored something, and how often.
+fn reasons(dropped: Dropped) -> [(&'static str, u64); 4] {
+    [
+        ("late_event", dropped.late_events),
+        ("stale_message", dropped.stale_messages),
+        ("unknown_name", dropped.unknown_names),
+        ("void_grant", dropped.void_grants),
+    ]
+}
+
 fn label(reason: &'static str) -> KeyValue {
     KeyValue::new("reason", reason)
 }
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -16,11 +16,12 @@
 
 use crate::current::Cell;
 use crate::driver::Input;
+use crate::explain::{Answer, Question, Why};
 use crate::metrics::Metrics;
 use crate::state::{Snapshot, State};
 use crate::stop::Stop;
 
-/// How long the driver may take to tell its state.
+/// How long the driver may take to tell something.
 const INSPECT: Duration = Duration::from_secs(2);
 
 /// Threads of the port.
@@ -120,10 +121,21 @@
             ("GET", "/metrics") => self.metrics(),
             ("GET", "/status") => self.status(),
             ("POST", "/drain") => self.drain(),
+            ("GET", path) => match question(path) {
+                Some(question) => self.explain(question),
+                None => Response::empty_404(),
+            },
             _ => Response::empty_404(),
         }
     }
 
+    fn explain(&self, question: Question) -> Response {
+        match ask(&self.driver, question) {
+            Some(answer) => Response::json(&answer).with_status_code(status_of(&answer)),
+            None => Response::text("the driver does not answer\n").with_status_code(503),
+        }
+    }
+
     fn ready(&self) -> Response {
         if self.state.draining() {
             return Response::text("draining\n").with_status_code(503);
@@ -154,6 +166,33 @@
     }
 }
 
+/// The question that a path asks.
+fn question(path: &str) -> Option<Question> {
+    let (kind, name) = path.strip_prefix("/explain/")?.split_once('/')?;
+    let name = name.to_owned();
+    match kind {
+        "request" => Some(Question::Request(name)),
+        "customer" => Some(Question::Customer(name)),
+        "target" => Some(Question::Target(name)),
+        _ => None,
+    }
+}
+
+fn status_of(answer: &Answer) -> u16 {
+    match answer {
+        Answer::Unknown(unknown) if unknown.unknown == Why::NoId => 400,
+        Answer::Unknown(_) => 404,
+        _ => 200,
+    }
+}
+
+/// Asks the driver about a request, a customer or a target.
+fn ask(driver: &Sender<Input>, question: Question) -> Option<Answer> {
+    let (answer, answered) = channel();
+    driver.send(Input::Explain(question, answer)).ok()?;
+    answered.recv_timeout(INSPECT).ok()
+}
+
 /// Asks the driver for its state.
 pub(crate) fn inspect(driver: &Sender<Input>) -> Option<Snapshot> {
     let (answer, answered) = channel();
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -1,7 +1,9 @@
 //! The whole path: callers, a router, stand-ins, the platform.
 
 mod answers;
+mod explain;
 mod failures;
 mod fleet;
 mod idle;
+mod metrics;
 mod world;
