Ask entries that hold slots and have been silent

Cause: an entry that restarted empty and never spoke to the owner kept its former slots there: the owner hears restarts only from what it is sent. Change: an entry that stated slots and has not done so again for 12 s is asked.

--- a/crates/kernel/src/owner.rs
+++ b/crates/kernel/src/owner.rs
@@ -35,6 +35,10 @@
 /// Free slots that are given out without gathering wants.
 const FEW: u32 = 2;
 
+/// After this an entry that holds slots and has not said so again is asked; longer
+/// than [`crate::settings::Settings::restate`].
+const SILENT: Duration = Duration::from_secs(12);
+
 /// A grant that the entry may not have seen yet.
 #[derive(Clone, Copy, Debug)]
 struct Unseen {
@@ -49,7 +53,9 @@
     stated: u32,
     stamp: u64,
     unseen: VecDeque<Unseen>,
-    /// When it was last asked whether its grants have come.
+    /// When it last said what it holds.
+    said: Instant,
+    /// When it was last asked to say so.
     asked: Option<Instant>,
 }
 
@@ -57,6 +63,15 @@
     fn held(&self) -> u32 {
         self.stated + self.unseen.iter().map(|grant| grant.count).sum::<u32>()
     }
+
+    /// Whether it ought to have said something of what it holds.
+    fn is_silent(&self, now: Instant) -> bool {
+        let lost = self
+            .unseen
+            .front()
+            .is_some_and(|grant| now.since(grant.at) >= GRANT_LOST);
+        lost || (self.stated > 0 && now.since(self.said) >= SILENT)
+    }
 }
 
 /// A target that this router owns.
@@ -212,6 +227,7 @@
         }
         grantee.stamp = hold.stamp;
         grantee.stated = hold.count;
+        grantee.said = now;
         grantee.asked = None;
         grantee
             .unseen
@@ -241,8 +257,8 @@
         }
     }
 
-    /// Asks entries that do not say whether a grant has come: the grant or what they
-    /// said of it may be lost.
+    /// Asks entries that do not say whether a grant has come, or whether they still
+    /// hold what they said: it may be lost, or they may have restarted unheard.
     fn ask_after(
         &mut self,
         now: Instant,
@@ -255,11 +271,8 @@
         };
         let key = table.targets[target.row()].key;
         for (entry, grantee) in &mut owned.grantees {
-            let since = grantee
-                .asked
-                .or(grantee.unseen.front().map(|grant| grant.at));
-            let silent = since.is_some_and(|at| now.since(at) >= GRANT_LOST);
-            if silent && !grantee.unseen.is_empty() {
+            let lately = grantee.asked.is_some_and(|at| now.since(at) < GRANT_LOST);
+            if !lately && grantee.is_silent(now) {
                 grantee.asked = Some(now);
                 outbox.push((*entry, Message::Recall(Recall { target: key })));
             }
