Add dunlinctl explain and drain; show shares, slots and suspicions in status

Cause: what routers tell on their operators' ports had to be read as JSON, one router at a time. Change: explain asks the named routers in turn for a request and all of them for a customer or target; drain takes one address, from the command line only; status adds tables of customers, targets and who suspects whom. Exit code 8 says that no router knows what explain asks about.

--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -4,6 +4,8 @@
 pub mod check;
 pub mod completions;
 pub mod diff;
+pub mod drain;
+pub mod explain;
 pub mod status;
 
 use std::io::Write;
@@ -11,7 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use dunlinward_config::revision::STREAM;
 use dunlinward_platform::log::Client;
 use snafu::ResultExt;
@@ -31,13 +33,14 @@
   4  another file was accepted instead
   5  the file may or may not have been accepted; run the command again
   6  a system can't be reached and nothing was changed; run the command again
-  7  the log no longer tells which revision is accepted";
+  7  the log no longer tells which revision is accepted
+  8  no router that was asked knows what explain asks about";
 
 /// The whole command line.
 #[must_use]
 pub fn cli() -> Command {
     Command::new("dunlinctl")
-        .about("Checks, applies and shows the configuration of a dunlinward fleet")
+        .about("Configures, shows and explains a dunlinward fleet")
         .version(env!("CARGO_PKG_VERSION"))
         .after_help(EXITS)
         .subcommand_required(true)
@@ -46,6 +49,8 @@
         .subcommand(diff::command())
         .subcommand(apply::command())
         .subcommand(status::command())
+        .subcommand(explain::command())
+        .subcommand(drain::command())
         .subcommand(completions::command())
 }
 
@@ -59,6 +64,8 @@
         Some(("diff", matches)) => diff::run(matches, out),
         Some(("apply", matches)) => apply::run(matches, out),
         Some(("status", matches)) => status::run(matches, out),
+        Some(("explain", matches)) => explain::run(matches, out),
+        Some(("drain", matches)) => drain::run(matches, out),
         Some(("completions", matches)) => completions::run(matches, out),
         other => unreachable!("clap lets no other command pass: {other:?}"),
     }
@@ -89,6 +96,24 @@
     [log, stream, timeout_arg()]
 }
 
+fn routers_arg() -> Arg {
+    Arg::new("routers")
+        .long("router")
+        .env("DUNLINCTL_ROUTERS")
+        .value_name("ADDR")
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .value_parser(value_parser!(SocketAddr))
+        .help("Operators' port of a router; may be repeated")
+}
+
+fn json_arg() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print JSON in place of a table")
+}
+
 fn timeout_arg() -> Arg {
     Arg::new("timeout")
         .long("timeout-ms")
@@ -112,6 +137,11 @@
     Client::new(*address).with_timeout(millis_of(matches, "timeout"))
 }
 
+fn routers_of(matches: &ArgMatches) -> impl Iterator<Item = SocketAddr> {
+    let routers = matches.get_many("routers");
+    routers.unwrap_or_default().copied()
+}
+
 fn stream_of(matches: &ArgMatches) -> &str {
     matches
         .get_one::<String>("stream")
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -1,50 +1,39 @@
-//! `dunlinctl status`: the accepted revision of the log and what each router has in force.
+//! `dunlinctl status`: the accepted revision of the log and what each router has in force and sees.
 
-use std::io::{self, Write};
+mod show;
+
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use dunlinward_platform::log::Log;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
-use ureq::Agent;
 
-use super::{log_args, log_of, millis_of, stream_of};
+use super::{json_arg, log_args, log_of, millis_of, routers_arg, routers_of, stream_of};
 use crate::error::{Error, JsonSnafu, WriteSnafu};
 use crate::exit::Exit;
 use crate::follower::Follower;
+use crate::operators::Client;
+pub use show::print;
 
 /// The command line.
 pub(super) fn command() -> Command {
-    let routers = Arg::new("routers")
-        .long("router")
-        .env("DUNLINCTL_ROUTERS")
-        .value_name("ADDR")
-        .action(ArgAction::Append)
-        .value_delimiter(',')
-        .value_parser(value_parser!(SocketAddr))
-        .help("Operators' port of a router; may be repeated");
-    let json = Arg::new("json")
-        .long("json")
-        .action(ArgAction::SetTrue)
-        .help("Print JSON in place of a table");
     Command::new("status")
-        .about("Prints the accepted revision and what each router has in force")
+        .about("Prints the accepted revision and what each router has in force and sees")
         .args(log_args())
-        .args([routers, json])
+        .args([routers_arg(), json_arg()])
 }
 
 /// Runs the command.
 pub(super) fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<Exit, Error> {
-    let timeout = millis_of(matches, "timeout");
-    let routers = matches
-        .get_many::<SocketAddr>("routers")
-        .unwrap_or_default();
+    let client = Client::new(millis_of(matches, "timeout"));
     let status = Status {
         log: look(&log_of(matches), stream_of(matches)),
-        routers: routers.map(|address| ask(*address, timeout)).collect(),
+        routers: routers_of(matches)
+            .map(|address| ask(&client, address))
+            .collect(),
     };
     if matches.get_flag("json") {
         let text = serde_json::to_string_pretty(&status).context(JsonSnafu)?;
@@ -124,6 +113,62 @@
     pub draining: bool,
     /// Requests that run or wait there.
     pub requests: u64,
+    /// Instances as it sees them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub instances: Vec<Instance>,
+    /// Accounts, one for each customer and competition.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub customers: Vec<Customer>,
+    /// Targets as it sees them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub targets: Vec<Target>,
+}
+
+/// An instance as a router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Whether it may be given duties.
+    pub live: bool,
+    /// Whether it is suspected to be dead or cut off.
+    pub suspected: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// An account as a router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Customer {
+    /// Name of the customer.
+    pub name: Arc<str>,
+    /// First service of the competition.
+    pub pool: Arc<str>,
+    /// Weight of the customer.
+    pub share: u32,
+    /// Service received over the fleet, in units, as known there.
+    pub service_units: i64,
+    /// Requests that wait there.
+    pub queued: u32,
+}
+
+/// A target as a router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// The instance that hands out its slots.
+    pub owner: Option<Arc<str>>,
+    /// Slots it has in all.
+    pub slots: u32,
+    /// Slots held by the router that tells.
+    pub held: u32,
+    /// Of these, slots in use.
+    pub busy: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
 }
 
 impl Status {
@@ -170,101 +215,14 @@
 
 /// Asks the router whose operators' port is `address`.
 #[must_use]
-pub fn ask(address: SocketAddr, timeout: Duration) -> Router {
-    let config = Agent::config_builder().proxy(None).max_redirects(0);
-    let agent: Agent = config.timeout_global(Some(timeout)).build().into();
-    let body = agent
-        .get(format!("http://{address}/status"))
-        .call()
-        .and_then(|mut response| response.body_mut().read_to_vec());
-    let report = body
-        .map_err(|error| error.to_string())
-        .and_then(|body| serde_json::from_slice(&body).map_err(|error| error.to_string()));
+pub fn ask(client: &Client, address: SocketAddr) -> Router {
+    let answer = client.get(address, "status");
+    let report = answer.and_then(|answer| answer.whole()?.read());
     let answer = match report {
         Ok(report) => Answer::Reached(report),
-        Err(cause) => Answer::Unavailable { cause },
+        Err(cause) => Answer::Unavailable {
+            cause: cause.to_string(),
+        },
     };
     Router { address, answer }
 }
-
-/// Prints `status` as a table.
-///
-/// # Errors
-/// The output can't be written.
-pub fn print(status: &Status, out: &mut dyn Write) -> io::Result<()> {
-    match &status.log {
-        Accepted::Accepted {
-            revision,
-            author,
-            fleet,
-        } => {
-            writeln!(out, "accepted: revision {revision} of {fleet} by {author}")?;
-        }
-        Accepted::Nothing => writeln!(out, "accepted: nothing yet")?,
-        Accepted::Untold => writeln!(out, "accepted: unknown, the log no longer tells")?,
-        Accepted::Unavailable { cause } => writeln!(out, "accepted: unknown: {cause}")?,
-    }
-    if status.routers.is_empty() {
-        return Ok(());
-    }
-    let head = [
-        "ROUTER",
-        "INSTANCE",
-        "FAILURE DOMAIN",
-        "REVISION",
-        "STATE",
-        "REQUESTS",
-    ];
-    let head = head.map(str::to_owned);
-    let rows: Vec<_> = std::iter::once(head)
-        .chain(status.routers.iter().map(row))
-        .collect();
-    table(&rows, out)
-}
-
-fn row(router: &Router) -> [String; 6] {
-    let address = router.address.to_string();
-    match &router.answer {
-        Answer::Reached(report) => [
-            address,
-            report.instance.to_string(),
-            report.failure_domain.to_string(),
-            report
-                .revision
-                .map_or_else(|| "none".to_owned(), |revision| revision.to_string()),
-            if report.draining {
-                "draining"
-            } else {
-                "serving"
-            }
-            .to_owned(),
-            report.requests.to_string(),
-        ],
-        Answer::Unavailable { cause } => {
-            let none = || "-".to_owned();
-            [
-                address,
-                none(),
-                none(),
-                none(),
-                format!("unavailable: {cause}"),
-                none(),
-            ]
-        }
-    }
-}
-
-/// Prints `rows` with each column as wide as its widest cell.
-fn table<const N: usize>(rows: &[[String; N]], out: &mut dyn Write) -> io::Result<()> {
-    let width = |column: usize| rows.iter().map(|row| row[column].len()).max().unwrap_or(0);
-    let widths: [usize; N] = std::array::from_fn(width);
-    for row in rows {
-        let cells = row
-            .iter()
-            .zip(widths)
-            .map(|(cell, width)| format!("{cell:width$}"));
-        let line = cells.collect::<Vec<_>>().join("  ");
-        writeln!(out, "{}", line.trim_end())?;
-    }
-    Ok(())
-}
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -22,6 +22,8 @@
     Unavailable = 6,
     /// The log no longer tells which revision is accepted.
     Untold = 7,
+    /// No router that was asked knows what `explain` asks about.
+    NotFound = 8,
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod error;
 pub mod exit;
 pub mod follower;
+pub mod operators;
+mod table;
 
 use std::ffi::OsString;
 use std::io::Write;
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -43,6 +43,9 @@
     let (exit, out, _) = run(&["apply", "--help"]);
     assert_eq!(exit, Exit::Done);
     insta::assert_snapshot!(out);
+    let (exit, out, _) = run(&["explain", "request", "--help"]);
+    assert_eq!(exit, Exit::Done);
+    insta::assert_snapshot!(out);
 }
 
 #[test]
@@ -54,6 +57,10 @@
         &["apply", FILE],
         &["apply", FILE, "--log", "localhost:9000"],
         &["status", "--log", "127.0.0.1:1", "--router", "router-1:80"],
+        &["explain", "request", "r1-1-1"],
+        &["explain", "prompt", "r1-1-1", "--router", "127.0.0.1:1"],
+        &["drain"],
+        &["drain", "--router", "127.0.0.1:1,127.0.0.1:2"],
         &["completions", "tcsh"],
         &["dance"],
     ] {
@@ -138,12 +145,17 @@
 
 /// A router's operators' port that answers `count` requests with a status of `revision`.
 fn router(count: usize, revision: u64, draining: bool) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
     let body = format!(
         "{{\"instance\":\"r1\",\"failure_domain\":\"bkk-lat\",\"revision\":{revision},\
          \"draining\":{draining},\"requests\":7,\"incarnation\":3}}"
     );
+    port(count, body)
+}
+
+/// A router's operators' port that answers `count` requests for its status with `body`.
+fn port(count: usize, body: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for _ in 0..count {
             let (mut stream, _) = listener.accept().unwrap();
@@ -198,3 +210,43 @@
     );
     server.stop();
 }
+
+/// The status of a router that suspects `suspect` and owns or not.
+fn seen(instance: &str, suspect: &str, owner: &str, held: u32) -> String {
+    let sees = |name: &str| {
+        let suspected = name == suspect;
+        format!(
+            "{{\"name\":\"{name}\",\"live\":{},\"suspected\":{suspected},\"leaving\":false}}",
+            !suspected
+        )
+    };
+    format!(
+        "{{\"instance\":\"{instance}\",\"failure_domain\":\"bkk-lat\",\"revision\":0,\
+         \"draining\":false,\"requests\":{held},\"instances\":[{},{},{}],\
+         \"customers\":[{{\"name\":\"alpha\",\"pool\":\"portal\",\"share\":3,\
+         \"service_units\":{},\"queued\":{held}}}],\
+         \"targets\":[{{\"name\":\"portal-0\",\"failure_domain\":\"bkk-lat\",\
+         \"owner\":{owner},\"slots\":8,\"held\":{held},\"busy\":1,\"leaving\":false}}]}}",
+        sees("r1"),
+        sees("r2"),
+        sees("r3"),
+        40 + held,
+    )
+}
+
+/// Shares, service, slots, owners and suspicions over two routers that disagree.
+#[test]
+fn status_shows_what_the_routers_see() {
+    let server = start(Settings::default()).unwrap();
+    let log = server.address().to_string();
+    assert_eq!(run(&["apply", FILE, "--log", &log]).0, Exit::Done);
+    let first = port(1, seen("r1", "r3", "\"r2\"", 2)).to_string();
+    let second = port(1, seen("r2", "nobody", "\"r3\"", 5)).to_string();
+    let (exit, out, _) = run(&[
+        "status", "--log", &log, "--router", &first, "--router", &second,
+    ]);
+    assert_eq!(exit, Exit::Done);
+    let out = out.replace(&first, "127.0.0.1:1");
+    insta::assert_snapshot!(words(&out.replace(&second, "127.0.0.1:2")));
+    server.stop();
+}
