Measure faults, convergence and a soak

Three more figures had no command: what random faults lose or double, how long an accepted configuration takes to be in force everywhere, and whether a fleet under hostile callers grows.

faults wraps the trial's. convergence runs real kernels in virtual time and models the log, its readers and their questions after the router's reader; its report says so. soak runs the demonstration's fleet with half-sent requests, slow readers and floods. The demonstration tells its load for it.

--- a/crates/standin/src/demo/mod.rs
+++ b/crates/standin/src/demo/mod.rs
@@ -114,6 +114,12 @@
     pub sample: Sample,
 }
 
+/// The load of a demonstration, for a fleet that was started with its settings.
+#[must_use]
+pub fn load(settings: &Settings, fleet: &Fleet) -> load::Settings {
+    scene::load(settings, fleet)
+}
+
 /// Runs a demonstration and writes it to `out`.
 ///
 /// # Errors
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,21 +1,25 @@
 //! Measurements of a fleet, each one subcommand of the example `measure`.
 //!
 //! Two kinds of figures come from here, and they must not be mixed up. [`path`]
-//! takes real time: routers, stand-ins and callers share this machine, so its
+//! and [`soak`] take real time: routers, stand-ins and callers share this machine, so their
 //! figures hold for this machine and its load, which is printed with them.
-//! [`fairness`] takes virtual time: it steps real kernels between modelled
-//! targets, so that the same arguments give the same figures on any machine,
-//! except for processor time.
+//! [`fairness`], [`faults`] and [`convergence`] take virtual time: they step real
+//! kernels between modelled targets, so that the same arguments give the same
+//! figures on any machine, except for processor time.
 //!
 //! A measurement is a command line, settings that are made of it, and a report of
 //! plain data. [`run`] prints a report as one JSON object or as a table.
 
 mod arguments;
 mod arrival;
+pub mod convergence;
 pub mod fairness;
+pub mod faults;
+mod hostile;
 mod machine;
 pub mod path;
 mod print;
+pub mod soak;
 mod times;
 mod world;
 
@@ -83,6 +87,12 @@
         /// In what way.
         what: String,
     },
+    /// The fleet of the demonstration did not start.
+    #[snafu(display("{source}"))]
+    Demo {
+        /// What it said.
+        source: crate::demo::Error,
+    },
     /// The arguments contradict each other.
     #[snafu(display("{what}"))]
     Arguments {
@@ -100,6 +110,9 @@
         .arg_required_else_help(true)
         .subcommand(path::command())
         .subcommand(fairness::command())
+        .subcommand(faults::command())
+        .subcommand(convergence::command())
+        .subcommand(soak::command())
 }
 
 /// Makes the measurement that was asked for and prints its figures.
@@ -117,6 +130,15 @@
             let trial = fairness::trial(matches)?;
             show(matches, out, &fairness::measure(&trial))
         }
+        Some(("faults", matches)) => show(matches, out, &faults::measure(matches)),
+        Some(("convergence", matches)) => {
+            let settings = convergence::Settings::new(matches);
+            show(matches, out, &convergence::measure(&settings))
+        }
+        Some(("soak", matches)) => {
+            let settings = soak::settings(matches);
+            show(matches, out, &soak::measure(&settings)?)
+        }
         _ => ArgumentsSnafu {
             what: "no such measurement",
         }
--- a/crates/standin/tests/measure.rs
+++ b/crates/standin/tests/measure.rs
@@ -5,7 +5,8 @@
 
 use clap::ArgMatches;
 use dunlinward_kernel::settings::Admission;
-use dunlinward_standin::measure::{self, fairness, path};
+use dunlinward_standin::demo::Deployment;
+use dunlinward_standin::measure::{self, convergence, fairness, path, soak};
 use dunlinward_trial::spec::Trial;
 
 fn parse(line: &str) -> Result<ArgMatches, String> {
@@ -91,6 +92,9 @@
         "fairness --policy fair",
         "path --requests 0",
         "path --clients 1",
+        "faults --runs 0",
+        "convergence --routers none",
+        "soak --deployment somewhere",
     ] {
         assert!(parse(line).is_err(), "{line}");
     }
@@ -101,3 +105,34 @@
     let settings = path::Settings::new(&sub("path --requests 5 --clients 100000"));
     assert_eq!((settings.requests, settings.clients), (5, 256));
 }
+
+#[test]
+fn convergence_takes_the_designs_size() {
+    let settings = convergence::Settings::new(&sub("convergence"));
+    assert_eq!((settings.trial.routers, settings.trial.domains), (350, 5));
+    assert_eq!(settings.cut_permille, 100);
+    let line = "convergence --routers 3 --domains 9 --cut-permille 5000 --seed 4";
+    let settings = convergence::Settings::new(&sub(line));
+    assert_eq!((settings.trial.routers, settings.trial.domains), (3, 3));
+    assert_eq!((settings.cut_permille, settings.trial.seed), (1000, 4));
+}
+
+/// A revision never appears at a router before the append, and without any cut it
+/// appears at every router.
+#[test]
+fn a_revision_gets_everywhere() {
+    let line = "convergence --routers 12 --domains 3 --cut-permille 250";
+    let report = convergence::measure(&convergence::Settings::new(&sub(line)));
+    assert_eq!((report.up.cut, report.up.in_force), (0, 12));
+    assert_eq!((report.cut.cut, report.cut.in_force), (3, 12));
+    assert!(report.up.p50_ms.unwrap() > 0.0);
+    assert!(report.up.p50_ms <= report.up.max_ms);
+}
+
+#[test]
+fn a_soak_is_of_the_demonstrations_fleet() {
+    let settings = soak::settings(&sub("soak --seconds 7 --deployment tickworks --seed 3"));
+    assert_eq!(settings.time, Duration::from_secs(7));
+    assert_eq!((settings.routers, settings.seed), (9, 3));
+    assert_eq!(settings.deployment, Deployment::Tickworks);
+}
