Serve what can be reached during a cut; spend no budget on what was not sent

Cause: a cut-off failure domain saw more than half of the targets fail, so it left none alone, and requests used up their four attempts or the retry budget on targets beyond the cut: they were refused although reachable targets worked. A retry after an attempt that did not reach its target, or that was refused while another target works, costs no budget and ends no request.

--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -5,7 +5,10 @@
 //! [`FIRST_WAIT`] to [`LONGEST_WAIT`] with jitter drawn from the settings' seed.
 //! Retries are paid from a budget that first attempts fill by [`BUDGET_SHARE`]
 //! each, so that while every target fails, retries add a tenth to the load and no
-//! more, on every router and hence over the fleet.
+//! more, on every router and hence over the fleet. A retry is free when
+//! the attempt did not reach its target, which adds nothing to the target's load, or
+//! was refused as not run while another target works; such a request then waits for
+//! that one as long as its queue lets it.
 
 use std::time::Duration;
 
@@ -13,9 +16,12 @@
 
 use crate::id::Request;
 
-/// Attempts at most, the first included.
+/// Attempts at most, the first included, unless another target works.
 pub const MOST_ATTEMPTS: u32 = 4;
 
+/// Attempts at most when the last did not reach its target and none works.
+pub const MOST_UNSENT: u32 = 8;
+
 /// Wait before the second attempt, before jitter.
 pub const FIRST_WAIT: Duration = Duration::from_millis(20);
 
