Give an entry no slot of a target that it cannot reach

Cause: an owner gave an entry slots of a dead target again and again, in order of index; the entry gave them back, and all four attempts of a call went to the dead target while a healthy one stood idle (test a_refused_connection_is_tried_elsewhere was red). Change: a statement of what is held says whether the target is unusable for the entry, and the owner passes the entry over for that target for a second.

--- a/crates/kernel/src/holder.rs
+++ b/crates/kernel/src/holder.rs
@@ -55,6 +55,8 @@
     stamp: u64,
     stated_at: Instant,
     recalled: bool,
+    /// Whether requests sent to the target fail.
+    unusable: bool,
     /// Slots to give back as soon as they are free.
     excess: u32,
     permits: BTreeMap<Customer, u32>,
@@ -278,6 +280,13 @@
         self.stamp
     }
 
+    /// Notes whether requests sent to a target fail; told with the next statement.
+    pub fn mark(&mut self, target: Target, unusable: bool) {
+        if let Some(holding) = self.holdings.get_mut(&target) {
+            holding.unusable = unusable;
+        }
+    }
+
     /// Gives all unused slots of a target back.
     pub fn release(
         &mut self,
@@ -321,6 +330,7 @@
             stamp,
             sequence: holding.sequence,
             count: holding.held,
+            unusable: holding.unusable,
         };
         outbox.push((holding.owner, Message::Hold(hold)));
     }
@@ -493,6 +503,7 @@
             stamp: 0,
             stated_at: now,
             recalled: false,
+            unusable: false,
             excess: 0,
             permits: BTreeMap::new(),
         })
--- a/crates/kernel/src/kernel/link.rs
+++ b/crates/kernel/src/kernel/link.rs
@@ -107,6 +107,7 @@
                 stamp: self.holder.next_stamp(),
                 sequence: grant.sequence,
                 count: 0,
+                unusable: false,
             };
             self.outbox.push((from, Message::Hold(hold)));
         }
--- a/crates/kernel/src/kernel/slots.rs
+++ b/crates/kernel/src/kernel/slots.rs
@@ -258,6 +258,7 @@
                 let row = &table.targets[target.row()];
                 holding.recalled()
                     || !row.open()
+                    || self.health.ejected(now, *target)
                     || now.since(holding.idle_since) >= self.settings.hold
                     || row
                         .services
@@ -267,6 +268,8 @@
             .map(|(target, _)| target)
             .collect();
         for target in idle {
+            let unusable = self.health.ejected(now, target);
+            self.holder.mark(target, unusable);
             self.holder.release(now, table, target, &mut self.outbox);
         }
     }
--- a/crates/kernel/src/message.rs
+++ b/crates/kernel/src/message.rs
@@ -150,6 +150,8 @@
     pub sequence: u64,
     /// Slots held.
     pub count: u32,
+    /// Whether the entry cannot reach the target now, and wants no slot of it.
+    pub unusable: bool,
 }
 
 /// From an owner: others wait, so give back what is unused.
--- a/crates/kernel/src/owner.rs
+++ b/crates/kernel/src/owner.rs
@@ -32,6 +32,9 @@
 /// Time for which wants are gathered before many free slots are given out.
 const GATHER: Duration = Duration::from_millis(5);
 
+/// How long an entry that cannot reach a target is given no slot of it.
+const SHUN: Duration = Duration::from_secs(1);
+
 /// Free slots that are given out without gathering wants.
 const FEW: u32 = 2;
 
@@ -55,6 +58,8 @@
     unseen: VecDeque<Unseen>,
     /// When it last said what it holds.
     said: Instant,
+    /// Until when it wants no slot of the target, because it cannot reach it.
+    shuns: Option<Instant>,
     /// When it was last asked to say so.
     asked: Option<Instant>,
 }
@@ -230,6 +235,7 @@
         }
         grantee.stamp = hold.stamp;
         grantee.stated = hold.count;
+        grantee.shuns = hold.unusable.then_some(now + SHUN);
         grantee.said = now;
         grantee.asked = None;
         grantee
@@ -351,7 +357,7 @@
         }
         let mut given: BTreeMap<Key, Vec<Part>> = BTreeMap::new();
         while free > 0 {
-            let Some((entry, customer)) = self.next(table, book, target) else {
+            let Some((entry, customer)) = self.next(now, table, book, target) else {
                 break;
             };
             add(
@@ -374,10 +380,28 @@
         }
     }
 
+    /// Whether an entry has said lately that it cannot reach a target.
+    fn shuns(&self, now: Instant, entry: Key, target: Target) -> bool {
+        self.owned
+            .get(&target)
+            .and_then(|owned| owned.grantees.get(&entry))
+            .and_then(|grantee| grantee.shuns)
+            .is_some_and(|until| now < until)
+    }
+
     /// Takes the wish that comes first and charges it provisionally.
-    fn next(&mut self, table: &Table, book: &mut Book, target: Target) -> Option<(Key, Customer)> {
+    fn next(
+        &mut self,
+        now: Instant,
+        table: &Table,
+        book: &mut Book,
+        target: Target,
+    ) -> Option<(Key, Customer)> {
         let mut best: Option<(Rank, u32, Key, usize)> = None;
         for (entry, wishes) in &self.wishes {
+            if self.shuns(now, *entry, target) {
+                continue;
+            }
             for (at, wish) in wishes.rows.iter().enumerate() {
                 if wish.count == 0 || !table.serves(target, wish.lane.service, wish.lane.model) {
                     continue;
--- a/crates/trial/examples/kernel-size/drive.rs
+++ b/crates/trial/examples/kernel-size/drive.rs
@@ -335,6 +335,7 @@
             stamp: self.beat,
             sequence: self.beat,
             count: 0,
+            unusable: false,
         }
     }
 
