Take a customer for idle only after four rounds without a report

Cause: a customer whose report was lost for one round was lifted as if it had been idle (known red lossy_accounts). Change: idle means four rounds without a report.

--- a/crates/kernel/src/round/book.rs
+++ b/crates/kernel/src/round/book.rs
@@ -149,7 +149,7 @@
 pub fn lifts(
     scope: &Scope<'_>,
     waiting: &BTreeMap<Slot, u32>,
-    before: &BTreeMap<Slot, u32>,
+    before: &BTreeMap<Slot, u64>,
 ) -> Vec<(Slot, i64)> {
     let mut lifts = Vec::new();
     let owed = i64::try_from(scope.settings.owed)
--- a/crates/kernel/src/round/mod.rs
+++ b/crates/kernel/src/round/mod.rs
@@ -54,6 +54,9 @@
 /// one and still learn what became of its answer.
 const NAMED: usize = 4;
 
+/// Rounds after which a customer without a report counts as idle: reports may be lost.
+const IDLE: u64 = 4;
+
 /// Rounds over which accounts that do not wait are repeated once.
 const ROTATION: u64 = 16;
 
@@ -114,7 +117,8 @@
     tally: Tally,
     deputy: Option<Key>,
     was_root: bool,
-    waiting_before: BTreeMap<Slot, u32>,
+    /// When an account was last reported waiting, by round.
+    waited: BTreeMap<Slot, u64>,
     spare: Vec<Key>,
     probe: usize,
     started: Instant,
@@ -148,7 +152,7 @@
             tally: Tally::new(),
             deputy: None,
             was_root: false,
-            waiting_before: BTreeMap::new(),
+            waited: BTreeMap::new(),
             spare: Vec::new(),
             probe: 0,
             started: now,
--- a/crates/kernel/src/round/root.rs
+++ b/crates/kernel/src/round/root.rs
@@ -2,7 +2,7 @@
 
 use super::tally::Sheet;
 use super::tree::Tree;
-use super::{NAMED, Open, Rounds, Scope, book, limit, silence};
+use super::{IDLE, NAMED, Open, Rounds, Scope, book, limit, silence};
 use crate::key::Key;
 use crate::message::{Down, Message, Round};
 use crate::time::Instant;
@@ -67,8 +67,10 @@
         for (slot, routers) in &waiting {
             scope.book.set_waiting(slot.0, slot.1, *routers);
         }
+        let oldest = self.number.saturating_sub(IDLE);
+        self.waited.retain(|_, number| *number >= oldest);
         if self.leads(fresh) {
-            let lifts = book::lifts(scope, &waiting, &self.waiting_before);
+            let lifts = book::lifts(scope, &waiting, &self.waited);
             if let Some(sheet) = self.tally.sheets.get_mut(&self.run) {
                 for (slot, units) in lifts {
                     *sheet.totals.entry(slot).or_default() += units;
@@ -76,7 +78,9 @@
                 }
             }
         }
-        self.waiting_before = waiting;
+        for slot in waiting.keys() {
+            self.waited.insert(*slot, self.number);
+        }
         scope.book.note_round(now);
     }
 
