--- a/crates/kernel/src/round/mod.rs
+++ b/crates/kernel/src/round/mod.rs
@@ -4,7 +4,7 @@
 //! times by sending [`Down`] to its children, who pass it on at once. Each instance
 //! answers [`Up`] shortly before the next round is due, the deeper it stands the
 //! earlier, so that its parent can add the answer to its own. What a round tells is
-//! thus a few steps of [`PATIENCE`] old, and the accounts are never older than one
+//! thus a few steps of 30 ms old, and the accounts are never older than one
 //! period and these steps, however many instances there are.
 //!
 //! Amounts are counted exactly once. An instance keeps what it has charged until
