Let every router look at the log now and then

Cause: the two routers chosen to read the log stay its readers when they cannot reach it; with all readers cut off a configuration came into force nowhere (measure -- convergence: never, within 60 s). Change: every other router reads the log itself every ten seconds. Test: two readers with a closed log, a third that reaches it; it fails without the look (24 s, given up) and passes with it (14 s). Measured cost, by the formula: 35 reads a second at 350 routers.

--- a/crates/router/src/configuration/reader.rs
+++ b/crates/router/src/configuration/reader.rs
@@ -6,7 +6,10 @@
 //! of its failure domain at once. Every other router asks a random peer now and
 //! then, which mends what was lost, serves one that started empty, and brings a
 //! configuration into a failure domain that cannot reach the log itself. A
-//! reader whose log is away asks as well.
+//! reader whose log is away asks as well. The readers may all be cut off from the
+//! log while others are not, and stay the readers; so every router looks at the
+//! log itself now and then, every [`LOOK`], which at 350 routers is 35 reads a
+//! second.
 //!
 //! A router that knows of no other live one is its own reader.
 
@@ -35,6 +38,9 @@
 /// Pause after the log could not be read.
 const AWAY: Duration = Duration::from_millis(500);
 
+/// Time between two looks at the log of a router that is not a reader.
+const LOOK: Duration = Duration::from_secs(10);
+
 /// Time between two questions to peers while a configuration is in force.
 const ASK: Duration = Duration::from_secs(2);
 
@@ -78,6 +84,7 @@
     stated_to: u64,
     restated: Option<Instant>,
     asked: Option<Instant>,
+    looked: Option<Instant>,
 }
 
 impl Reader {
@@ -93,6 +100,7 @@
             stated_to: 0,
             restated: None,
             asked: None,
+            looked: None,
         };
         while !self.stop.given() {
             let pause = self.turn(&mut memory);
@@ -105,6 +113,7 @@
     fn turn(&self, memory: &mut Memory) -> Duration {
         let rank = self.rank();
         let Some(log) = self.log.as_deref().filter(|_| rank < READERS) else {
+            self.look(memory);
             return self.ask(memory);
         };
         let query = Query::new(self.keeper.next()).with_wait(WAIT);
@@ -121,6 +130,19 @@
         }
     }
 
+    /// Looks at the log, when it is time, as a router that is not a reader.
+    fn look(&self, memory: &mut Memory) {
+        let early = memory.looked.is_some_and(|at| at.elapsed() < LOOK);
+        let Some(log) = self.log.as_deref().filter(|_| !early) else {
+            return;
+        };
+        memory.looked = Some(Instant::now());
+        match log.read(&self.stream, Query::new(self.keeper.next())) {
+            Ok(page) => self.take(&page),
+            Err(err) => log::debug!("the log cannot be read: {err}"),
+        }
+    }
+
     fn take(&self, page: &Page) {
         let before = self.keeper.revision();
         let records = page.records.iter();
--- a/crates/router/tests/path/fleet.rs
+++ b/crates/router/tests/path/fleet.rs
@@ -1,7 +1,10 @@
 //! Several routers: configurations, slots and drains between them.
 
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
+use dunlinward_kernel::key::Key;
+use dunlinward_kernel::rendezvous;
 use dunlinward_router::{Router, start};
 use dunlinward_standin::instances::{Instance, Role, State};
 
@@ -77,6 +80,51 @@
     in_force(&routers, second);
 }
 
+/// The routers that are to read the log cannot reach it; another one can.
+#[test]
+fn a_revision_comes_into_force_although_no_reader_reaches_the_log() {
+    let world = World::new().with_engine(2);
+    let text = world.text(true);
+    world.apply("first", None, &text);
+    let mut names = ["r1", "r2", "r3"];
+    names.sort_by_key(|name| rendezvous::weight(Key::new(name), Key::new("configuration")));
+    let closed = closed_address();
+    let routers: Vec<Router> = names
+        .iter()
+        .enumerate()
+        .map(|(place, name)| {
+            let settings = world.settings(name);
+            // The least weight reads last; the two others are the readers.
+            let settings = if place == 0 {
+                settings
+            } else {
+                settings.with_log(closed)
+            };
+            let router = start(settings).unwrap();
+            world.list(&router, name);
+            router
+        })
+        .collect();
+    in_force(&routers, 0);
+    wait("a whole view", || {
+        let live = |router: &Router| {
+            let status = router.status().unwrap();
+            status.instances.iter().filter(|one| one.live).count()
+        };
+        routers.iter().all(|router| live(router) == 3)
+    });
+    // Until it saw the others, the last one was its own reader; let that read end.
+    std::thread::sleep(Duration::from_secs(2));
+    let second = world.apply("second", Some(0), &text.replace("share = 1", "share = 3"));
+    in_force(&routers, second);
+}
+
+/// An address at which nobody listens.
+fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
 /// A router that starts while the log is away learns the configuration from a peer.
 #[test]
 fn a_router_started_empty_asks_a_peer() {
