--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -70,6 +70,7 @@
 #[derive(Debug)]
 pub struct Sink {
     state: Mutex<State>,
+    stall: Duration,
 }
 
 impl Sink {
@@ -83,7 +84,15 @@
             sender: Some(sender),
         };
         let state = Mutex::new(state);
-        (Self { state }, receiver)
+        let stall = STALL;
+        (Self { state, stall }, receiver)
+    }
+
+    /// The same end, for a caller that may read nothing for `stall`.
+    #[must_use]
+    pub const fn with_stall(mut self, stall: Duration) -> Self {
+        self.stall = stall;
+        self
     }
 
     /// From now on only `attempt` may write.
@@ -97,7 +106,7 @@
     ///
     /// [`Closed::Left`] or [`Closed::Superseded`].
     pub fn send(&self, attempt: u32, part: Part) -> Result<(), Closed> {
-        let deadline = Instant::now() + STALL;
+        let deadline = Instant::now() + self.stall;
         let mut part = part;
         loop {
             match self.offer(attempt, part) {
