--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of a router on the shared data path.
+//!
+//! Everything here is pure: no input or output, no clock, no randomness. Times
+//! are durations since the router started and come with each call. The crate
+//! `dunlinward-path` brings events and carries out what is decided.
+//!
+//! - [`configuration`]: routes, services, customers and limits in force.
+//! - [`target`], [`registry`]: the targets that are known, and which may get work.
+//! - [`usage`]: work at each target, this router's and its peers'.
+//! - [`prefix`], [`placement`]: which target runs a request.
+//! - [`share`]: what each customer has used and may use.
+//! - [`budget`]: how often a request may be sent once more.
+//! - [`health`]: targets that fail and are left alone for a while.
+//! - [`report`]: what routers tell each other.
+
+pub mod budget;
+pub mod configuration;
+pub mod health;
+pub mod placement;
+pub mod prefix;
+pub mod registry;
+pub mod report;
+pub mod share;
+pub mod target;
+pub mod usage;
--- /dev/null
+++ b/crates/dispatch/src/registry.rs
@@ -0,0 +1,131 @@
+//! The targets that are known.
+//!
+//! The platform's list is read as a whole. A target that is missing has ended,
+//! with one exception: entries lapse while the store is away and come back soon
+//! after it, so after an outage a missing target is kept for [`RETURN_TIME`].
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::target::{State, Tag, Target};
+
+/// How long a lapsed entry may take to come back after an outage of the store;
+/// the operators' letter says about two seconds.
+pub const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// A read that comes this much later than the one before follows an outage.
+pub const OUTAGE: Duration = Duration::from_millis(2_500);
+
+/// A change to what is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A target is new.
+    Came(Arc<Target>),
+    /// A target is about to end.
+    Leaves(Arc<Target>),
+    /// A target has ended.
+    Ended(Arc<Target>),
+}
+
+/// Known targets and the age of that knowledge.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    targets: HashMap<Tag, Arc<Target>>,
+    by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
+    read_at: Option<Duration>,
+    keep_until: Duration,
+}
+
+impl Registry {
+    /// An empty registry.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a whole list that was true at `as_of`; an older list than the known one is ignored.
+    pub fn take(&mut self, list: Vec<Target>, as_of: Duration) -> Vec<Change> {
+        if self.read_at.is_some_and(|at| as_of < at) {
+            return Vec::new();
+        }
+        if self.read_at.is_some_and(|at| as_of - at > OUTAGE) {
+            self.keep_until = as_of + RETURN_TIME;
+        }
+        self.read_at = Some(as_of);
+        let mut changes = Vec::new();
+        let mut next = HashMap::with_capacity(list.len());
+        for target in list {
+            let target = Arc::new(target);
+            match self.targets.get(&target.tag()) {
+                None => changes.push(Change::Came(target.clone())),
+                Some(old) if old.state != target.state && target.state == State::Leaving => {
+                    changes.push(Change::Leaves(target.clone()));
+                }
+                Some(_) => {}
+            }
+            next.insert(target.tag(), target);
+        }
+        let keep = as_of < self.keep_until;
+        for (tag, old) in &self.targets {
+            if next.contains_key(tag) {
+                continue;
+            }
+            let replaced = next.values().any(|it| it.address == old.address);
+            if keep && !replaced {
+                next.insert(*tag, old.clone());
+            } else {
+                changes.push(Change::Ended(old.clone()));
+            }
+        }
+        self.targets = next;
+        self.index();
+        changes
+    }
+
+    /// Forgets a target that another one has replaced at its address.
+    pub fn forget(&mut self, tag: Tag) {
+        if self.targets.remove(&tag).is_some() {
+            self.index();
+        }
+    }
+
+    /// Notes that the store could not be read, so that entries may have lapsed.
+    pub fn outage(&mut self, now: Duration) {
+        self.keep_until = self.keep_until.max(now + RETURN_TIME);
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for target in self.targets.values() {
+            let service = self.by_service.entry(target.service.clone()).or_default();
+            service.push(target.clone());
+        }
+        for targets in self.by_service.values_mut() {
+            targets.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+    }
+
+    /// Targets of a service, in the order of their identities.
+    #[must_use]
+    pub fn of(&self, service: &str) -> &[Arc<Target>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All targets.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.values()
+    }
+
+    /// A target by its short name.
+    #[must_use]
+    pub fn get(&self, tag: Tag) -> Option<&Arc<Target>> {
+        self.targets.get(&tag)
+    }
+
+    /// When the newest list was true.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Duration> {
+        self.read_at
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/share.rs
@@ -0,0 +1,201 @@
+//! What each customer has used and may use.
+//!
+//! Customers share the engines' tokens by max-min over a sliding window: who
+//! asks for less than an even share gets it all, the others get the same. Each
+//! router adds up what was asked and granted at itself and tells its peers, so
+//! that the level is that of the fleet. A request within its customer's share
+//! goes before one beyond it; one beyond it runs only while targets have room.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh64::xxh64;
+
+use crate::prefix::Prompt;
+use crate::report::{CustomerTag, CustomerUse};
+use crate::usage::{PEER_TIMEOUT, Peer};
+
+/// Parts into which the window is cut.
+const PARTS: usize = 8;
+
+/// How long a computed level is used.
+const LEVEL_TIME: Duration = Duration::from_millis(50);
+
+/// Weight of a generated token against one that is read, from the platform's pages.
+const GENERATED_WEIGHT: u64 = 2;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tokens {
+    asked: u64,
+    granted: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Account {
+    parts: [Tokens; PARTS],
+    newest: u64,
+}
+
+impl Account {
+    fn part(&mut self, number: u64) -> &mut Tokens {
+        let steps = number.saturating_sub(self.newest).min(PARTS as u64);
+        for step in 0..steps {
+            self.parts[index(number - step)] = Tokens::default();
+        }
+        self.newest = self.newest.max(number);
+        &mut self.parts[index(number)]
+    }
+
+    fn sum(&mut self, number: u64) -> Tokens {
+        self.part(number);
+        self.parts.iter().fold(Tokens::default(), |sum, it| Tokens {
+            asked: sum.asked + it.asked,
+            granted: sum.granted + it.granted,
+        })
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "the remainder is small")]
+fn index(number: u64) -> usize {
+    (number % PARTS as u64) as usize
+}
+
+#[derive(Clone, Debug, Default)]
+struct PeerUse {
+    at: Duration,
+    customers: HashMap<CustomerTag, Tokens>,
+}
+
+/// Accounts of all customers.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    window: Duration,
+    own: HashMap<CustomerTag, Account>,
+    peers: HashMap<Peer, PeerUse>,
+    level: Option<u64>,
+    level_at: Option<Duration>,
+}
+
+/// The short name of a customer.
+#[must_use]
+#[expect(clippy::cast_possible_truncation, reason = "a short name is the low half of the hash")]
+pub fn tag(customer: &Arc<str>) -> CustomerTag {
+    CustomerTag(xxh64(customer.as_bytes(), 0) as u32)
+}
+
+/// Tokens for which a request is charged: read once, generated twice; shared parts are free.
+#[must_use]
+pub fn cost(prompt: &Prompt) -> u64 {
+    prompt.own_tokens() + GENERATED_WEIGHT * prompt.answer_tokens
+}
+
+impl Shares {
+    /// No tokens asked for yet; `window` is the time over which shares hold.
+    #[must_use]
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            own: HashMap::new(),
+            peers: HashMap::new(),
+            level: None,
+            level_at: None,
+        }
+    }
+
+    #[expect(clippy::cast_possible_truncation, reason = "milliseconds of uptime")]
+    fn number(&self, now: Duration) -> u64 {
+        let part = (self.window.as_millis() as u64 / PARTS as u64).max(1);
+        now.as_millis() as u64 / part + PARTS as u64
+    }
+
+    /// A customer asks for tokens.
+    pub fn ask(&mut self, customer: CustomerTag, tokens: u64, now: Duration) {
+        let number = self.number(now);
+        self.own.entry(customer).or_default().part(number).asked += tokens;
+    }
+
+    /// A customer's request was sent to a target.
+    pub fn grant(&mut self, customer: CustomerTag, tokens: u64, now: Duration) {
+        let number = self.number(now);
+        self.own.entry(customer).or_default().part(number).granted += tokens;
+    }
+
+    /// What this router reports.
+    pub fn report(&mut self, now: Duration) -> Vec<CustomerUse> {
+        let number = self.number(now);
+        let mut uses: Vec<_> = self.own.iter_mut().map(|(tag, account)| {
+            let sum = account.sum(number);
+            CustomerUse { tag: *tag, asked: sum.asked, granted: sum.granted }
+        }).collect();
+        uses.retain(|it| it.asked > 0 || it.granted > 0);
+        uses
+    }
+
+    /// Takes a peer's report.
+    pub fn hear(&mut self, peer: Peer, uses: &[CustomerUse], now: Duration) {
+        let customers = uses.iter().map(|it| {
+            let tokens = Tokens { asked: it.asked, granted: it.granted };
+            (it.tag, tokens)
+        });
+        let customers = customers.collect();
+        self.peers.insert(peer, PeerUse { at: now, customers });
+    }
+
+    /// Whether a customer may have `tokens` more within its share of `tokens_per_second`.
+    pub fn within(
+        &mut self,
+        customer: CustomerTag,
+        tokens: u64,
+        tokens_per_second: f64,
+        now: Duration,
+    ) -> bool {
+        if self.level_at.is_none_or(|at| now.saturating_sub(at) >= LEVEL_TIME) {
+            self.peers.retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a count of tokens")]
+            let capacity = (tokens_per_second * self.window.as_secs_f64()) as u64;
+            self.level = level(self.demands(now), capacity);
+            self.level_at = Some(now);
+        }
+        let Some(level) = self.level else {
+            return true;
+        };
+        self.granted(customer, now) + tokens <= level
+    }
+
+    /// Tokens that all routers granted to a customer within the window.
+    pub fn granted(&mut self, customer: CustomerTag, now: Duration) -> u64 {
+        let number = self.number(now);
+        let own = self.own.get_mut(&customer).map_or(0, |it| it.sum(number).granted);
+        let peers = self.peers.values().filter_map(|it| it.customers.get(&customer));
+        own + peers.map(|it| it.granted).sum::<u64>()
+    }
+
+    fn demands(&mut self, now: Duration) -> Vec<u64> {
+        let number = self.number(now);
+        let mut asked: HashMap<CustomerTag, u64> = HashMap::new();
+        for (tag, account) in &mut self.own {
+            *asked.entry(*tag).or_default() += account.sum(number).asked;
+        }
+        for (tag, tokens) in self.peers.values().flat_map(|it| &it.customers) {
+            *asked.entry(*tag).or_default() += tokens.asked;
+        }
+        asked.into_values().collect()
+    }
+}
+
+/// The largest amount that each may have, or none where all demands fit together.
+#[must_use]
+pub fn level(mut demands: Vec<u64>, capacity: u64) -> Option<u64> {
+    demands.sort_unstable();
+    let mut rest = capacity;
+    let count = demands.len();
+    for (done, demand) in demands.into_iter().enumerate() {
+        let even = rest / (count - done) as u64;
+        if demand > even {
+            return Some(even);
+        }
+        rest -= demand;
+    }
+    None
+}
--- /dev/null
+++ b/crates/path/src/attempt.rs
@@ -0,0 +1,207 @@
+//! One attempt at a target, up to the head of its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunlinward_dispatch::configuration::Route;
+use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::prefix::Prompt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::{request, response};
+use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
+
+use crate::dialect::Dispatch;
+use crate::node::{Lease, Node};
+use crate::pool::{self, Connection};
+
+/// Part of its objective for which a request waits for a connection.
+const CONNECT_PART: f64 = 0.5;
+
+/// Shortest time for which it waits, as a lost packet is sent again only then.
+const CONNECT_LEAST: Duration = Duration::from_millis(150);
+
+/// A request that has been read and may be sent.
+#[derive(Debug)]
+pub struct Job {
+    /// Identity of the request.
+    pub id: Arc<str>,
+    /// The caller's head.
+    pub head: request::Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// The route under which it arrived.
+    pub route: Arc<Route>,
+    /// The service that is to run it.
+    pub service: Arc<str>,
+    /// The customer that holds its key.
+    pub customer: Option<Arc<str>>,
+    /// Its prompt.
+    pub prompt: Option<Rc<Prompt>>,
+    /// Tokens for which its customer is charged.
+    pub cost: u64,
+    /// Whether its caller was refused before.
+    pub returning: bool,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When its caller or its route gives it up.
+    pub deadline: Duration,
+    /// Last event that the caller had when it asked.
+    pub resume_after: Option<u64>,
+}
+
+/// Whether a request that failed may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Not a byte of it was sent.
+    NotSent,
+    /// The target says that it has not run it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Failure {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What happened, for logs and metrics.
+    pub reason: &'static str,
+}
+
+impl Failure {
+    fn new(verdict: Verdict, reason: &'static str) -> Self {
+        Self { verdict, reason }
+    }
+}
+
+/// A target's answer up to its head.
+pub struct Attempt {
+    /// Head of the answer.
+    pub head: response::Parts,
+    /// Rest of the answer.
+    pub body: Incoming,
+    /// The place at the target.
+    pub lease: Lease,
+    connection: Connection,
+    keep: Duration,
+}
+
+impl Attempt {
+    /// The answer was read to its end: keeps the connection.
+    pub fn finish(self, node: &Node) {
+        let Self { lease, connection, keep, .. } = self;
+        let tag = lease.target.tag();
+        drop(lease);
+        node.pool.put(tag, connection, keep, node.now());
+    }
+}
+
+/// Sends a request to the target of `lease` and waits until `limit` for its head.
+///
+/// # Errors
+///
+/// If there is no answer that belongs to the request.
+pub async fn send(
+    node: &Rc<Node>,
+    job: &Job,
+    lease: Lease,
+    resume_after: Option<u64>,
+    limit: Instant,
+) -> Result<Attempt, Failure> {
+    let target = lease.target.clone();
+    let connection = match node.pool.take(target.tag(), node.now()) {
+        Some(connection) => connection,
+        None => connect(node, job, &lease).await?,
+    };
+    let (response, connection) = exchange(node, job, &lease, connection, resume_after, limit).await?;
+    let (head, body) = response.into_parts();
+    let keep = pool::keep(&head.headers);
+    check(node, job, &lease, &head)?;
+    Ok(Attempt { head, body, lease, connection, keep })
+}
+
+async fn connect(node: &Rc<Node>, job: &Job, lease: &Lease) -> Result<Connection, Failure> {
+    let left = job.deadline.saturating_sub(node.now());
+    let part = job.route.objective.mul_f64(CONNECT_PART).max(CONNECT_LEAST);
+    let opened = pool::open(lease.target.address, part.min(left)).await;
+    node.metrics.add("connections_total", &lease.target.service, 1);
+    opened.map_err(|error| {
+        node.note(&lease.target, Outcome::Unreachable);
+        let line = node.journal.line("connect_failed").with("id", job.id.as_ref());
+        let line = line.with("target", lease.target.id.as_ref());
+        drop(line.with("error", error.to_string()));
+        Failure::new(Verdict::NotSent, "connect_failed")
+    })
+}
+
+async fn exchange(
+    node: &Rc<Node>,
+    job: &Job,
+    lease: &Lease,
+    mut connection: Connection,
+    resume_after: Option<u64>,
+    limit: Instant,
+) -> Result<(Response<Incoming>, Connection), Failure> {
+    let request = request(node, job, lease, resume_after);
+    let sent = connection.sender.try_send_request(request);
+    let Ok(sent) = tokio::time::timeout_at(limit, sent).await else {
+        node.note(&lease.target, Outcome::Bad);
+        return Err(Failure::new(Verdict::Unknown, "no_answer"));
+    };
+    match sent {
+        Ok(response) => Ok((response, connection)),
+        Err(mut error) => {
+            if error.take_message().is_some() {
+                return Err(Failure::new(Verdict::NotSent, "connection_closed"));
+            }
+            if !connection.used {
+                node.note(&lease.target, Outcome::Bad);
+            }
+            Err(Failure::new(Verdict::Unknown, "broken_off"))
+        }
+    }
+}
+
+fn request(
+    node: &Rc<Node>,
+    job: &Job,
+    lease: &Lease,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let dispatch = Dispatch {
+        left: job.deadline.saturating_sub(node.now()),
+        target: &lease.target.id,
+        customer: job.customer.as_deref(),
+        resume_after,
+    };
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.head.method.clone();
+    *request.uri_mut() = job.head.uri.clone();
+    *request.headers_mut() = node.dialect.headers(&job.head.headers, &dispatch);
+    request
+}
+
+/// Whether an answer belongs to the request and comes from the target.
+fn check(node: &Rc<Node>, job: &Job, lease: &Lease, head: &response::Parts) -> Result<(), Failure> {
+    let answer = node.dialect.answer(head);
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        node.replaced(&lease.target);
+        return Err(Failure::new(Verdict::NotRun, "misdirected"));
+    }
+    if answer.id.as_ref().is_some_and(|it| *it != job.id) {
+        return Err(Failure::new(Verdict::Unknown, "other_answer"));
+    }
+    if answer.not_run {
+        return Err(Failure::new(Verdict::NotRun, "turned_away"));
+    }
+    if !answer.genuine || answer.id.is_none() {
+        node.note(&lease.target, Outcome::Bad);
+        return Err(Failure::new(Verdict::Unknown, "not_genuine"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/path/src/exchange.rs
@@ -0,0 +1,376 @@
+//! One request from its head to its answer.
+//!
+//! The request is checked against the configuration in force, its body is read,
+//! and it is placed, sent and answered. What failed is sent once more only if it
+//! has not run or may run twice, if its route allows another target, and if the
+//! budget of repeats does. A request that is given up gets its answer at once.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunlinward_dispatch::configuration::{Kind, Route, Table};
+use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::share;
+use dunlinward_dispatch::target::Tag;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::http::{request, response};
+use hyper::{Request, Response};
+use xxhash_rust::xxh64::xxh64;
+
+use crate::attempt::{self, Attempt, Failure, Job, Verdict};
+use crate::dialect::Call;
+use crate::node::{Node, Wish};
+use crate::relay::Relay;
+use crate::reply::{Content, Reason, Refusal};
+
+/// Sends of one request beyond its route's attempts, where it has not run.
+const EXTRA_SENDS: u32 = 2;
+
+/// Part of its objective for which a repeatable request waits for a plain answer.
+const ANSWER_PART: f64 = 0.6;
+
+/// Largest plain answer that is read whole before it is passed on.
+const WHOLE_ANSWER: usize = 4 * 1024 * 1024;
+
+/// A caller whose time is this much shorter than its route's was refused before.
+const RETURNING_MARGIN: Duration = Duration::from_millis(50);
+
+/// Time after which a caller may come back if nothing is known yet.
+const UNKNOWN_RETURN: Duration = Duration::from_millis(500);
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Serves one request.
+pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Content> {
+    let arrived = node.now();
+    node.open.set(node.open.get() + 1);
+    let open = Open(node.clone());
+    let (head, body) = request.into_parts();
+    let mut response = match answer(&node, head, body, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
+    };
+    if node.leaving().is_some() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    drop(open);
+    response
+}
+
+struct Open(Rc<Node>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+async fn answer(
+    node: &Rc<Node>,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Duration,
+) -> Result<Response<Content>, Refusal> {
+    let call = node.dialect.call(&head).map_err(|error| {
+        let line = node.journal.line("refused").with("reason", "malformed");
+        drop(line.with("error", error.reason));
+        Refusal::new(Reason::Malformed)
+    })?;
+    let id = call.id.clone();
+    let refused = |refusal: Refusal| {
+        tell_refusal(node, &id, arrived, refusal);
+        refusal
+    };
+    let admission = admit(node, &head, &call).map_err(refused)?;
+    let body = read(&admission.table, body).await.map_err(refused)?;
+    let job = Rc::new(job(node, head, body, call, admission, arrived));
+    run(node, &job).await.map_err(refused)
+}
+
+fn tell_refusal(node: &Rc<Node>, id: &Arc<str>, arrived: Duration, refusal: Refusal) {
+    node.metrics.add("refusals_total", refusal.reason.name(), 1);
+    let line = node.journal.line("refused").with_text("id", id);
+    let line = line.with("reason", refusal.reason.name());
+    let line = line.with("status", refusal.reason.status().as_u16());
+    let line = line.with_ms("after_ms", node.now().saturating_sub(arrived));
+    drop(node.views(line));
+}
+
+struct Admission {
+    table: Rc<Table>,
+    route: Arc<Route>,
+    customer: Option<Arc<str>>,
+    service: Arc<str>,
+}
+
+/// Checks a request against the configuration in force.
+fn admit(node: &Rc<Node>, head: &request::Parts, call: &Call) -> Result<Admission, Refusal> {
+    let Some(table) = node.table() else {
+        return Err(Refusal::new(Reason::NoConfiguration).with_retry_after(UNKNOWN_RETURN));
+    };
+    let host = head.headers.get(HOST).and_then(|it| it.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = table.route(host, head.uri.path()).cloned();
+    let route = route.ok_or_else(|| Refusal::new(Reason::NoRoute))?;
+    let key = call.key.as_deref();
+    let customer = key.and_then(|key| table.customer(key)).cloned();
+    if table.has_customers() && !route.anonymous && customer.is_none() {
+        return Err(Refusal::new(Reason::UnknownKey));
+    }
+    let draw = xxh64(call.id.as_bytes(), 0);
+    let service = route.service(draw).cloned();
+    let service = service.ok_or_else(|| Refusal::new(Reason::NoTarget))?;
+    Ok(Admission {
+        table,
+        route,
+        customer,
+        service,
+    })
+}
+
+async fn read(table: &Rc<Table>, body: Incoming) -> Result<Bytes, Refusal> {
+    let limits = table.limits();
+    let reading = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.idle_timeout, reading).await {
+        Err(_) => Err(Refusal::new(Reason::SlowBody)),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::TooLarge)),
+        Ok(Err(_)) => Err(Refusal::new(Reason::Malformed)),
+    }
+}
+
+fn job(
+    node: &Rc<Node>,
+    head: request::Parts,
+    body: Bytes,
+    call: Call,
+    admission: Admission,
+    arrived: Duration,
+) -> Job {
+    let Admission { table, route, customer, service } = admission;
+    let engine = table.service(&service).is_some_and(|it| it.engine);
+    let left = call.left.unwrap_or(route.timeout);
+    let returning = left + RETURNING_MARGIN < route.timeout;
+    let prompt = call.prompt.filter(|_| engine).map(Rc::new);
+    let cost = prompt.as_deref().map_or(0, share::cost);
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    state.budget.request(&service, now);
+    if let Some(customer) = &customer
+        && !returning
+        && cost > 0
+    {
+        state.shares.ask(share::tag(customer), cost, now);
+    }
+    Job {
+        id: call.id,
+        head,
+        body,
+        deadline: arrived + left.min(route.timeout),
+        route,
+        service,
+        customer,
+        prompt,
+        cost,
+        returning,
+        arrived,
+        resume_after: call.resume_after,
+    }
+}
+
+/// What a request asks of the queue.
+pub(crate) fn wish(node: &Rc<Node>, job: &Job, exclude: Option<Tag>, until: Duration) -> Wish {
+    Wish {
+        id: job.id.clone(),
+        service: job.service.clone(),
+        prompt: job.prompt.clone(),
+        customer: job.customer.as_ref().filter(|_| job.cost > 0).map(share::tag),
+        cost: job.cost,
+        objective: job.route.objective,
+        arrived: job.arrived,
+        returning: job.returning,
+        exclude,
+        until,
+        draw: node.draw(),
+    }
+}
+
+async fn run(node: &Rc<Node>, job: &Rc<Job>) -> Result<Response<Content>, Refusal> {
+    let mut sends = 0;
+    let mut exclude = None;
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let wish = wish(node, job, exclude, give_up_at(node, job));
+        let lease = node.place(wish).await;
+        let lease = lease.map_err(|refusal| with_return(node, job, refusal))?;
+        let target = lease.target.clone();
+        tell_sent(node, job, &lease, sends);
+        let limit = node.instant(answer_limit(node, job, sends));
+        sends += 1;
+        let outcome = attempt::send(node, job, lease, job.resume_after, limit).await;
+        let outcome = match outcome {
+            Ok(attempt) => accept(node, job, attempt, sends).await,
+            Err(failure) => Err(failure),
+        };
+        let failure = match outcome {
+            Ok(response) => return Ok(response),
+            Err(failure) => failure,
+        };
+        if failure.verdict == Verdict::NotSent {
+            sends -= 1;
+        }
+        tell_failure(node, job, &target.id, failure);
+        exclude = Some(target.tag());
+        if !again(node, job, failure, sends, tries) {
+            return Err(final_refusal(node, job, failure));
+        }
+    }
+}
+
+fn tell_sent(node: &Rc<Node>, job: &Job, lease: &crate::node::Lease, sends: u32) {
+    let line = node.journal.line("sent").with("id", job.id.as_ref());
+    let line = line.with("target", lease.target.id.as_ref());
+    let line = line.with("hit", lease.hit).with("sends", sends);
+    let line = line.with_ms("waited_ms", node.now().saturating_sub(job.arrived));
+    drop(node.views(line));
+}
+
+fn tell_failure(node: &Rc<Node>, job: &Job, target: &str, failure: Failure) {
+    node.metrics.add("failures_total", failure.reason, 1);
+    let line = node.journal.line("attempt_failed").with("id", job.id.as_ref());
+    let line = line.with("target", target).with("reason", failure.reason);
+    drop(line.with("verdict", format!("{:?}", failure.verdict)));
+}
+
+fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
+    let patience = &node.settings.patience;
+    let part = if job.returning { patience.returning } else { patience.first };
+    let until = job.arrived + job.route.objective.mul_f64(part);
+    until.min(job.deadline)
+}
+
+fn answer_limit(node: &Rc<Node>, job: &Job, sends: u32) -> Duration {
+    let more = sends + 1 < job.route.attempts;
+    if job.route.kind == Kind::Idempotent && more {
+        let part = job.route.objective.mul_f64(ANSWER_PART);
+        return job.deadline.min(node.now() + part);
+    }
+    job.deadline
+}
+
+fn again(node: &Rc<Node>, job: &Job, failure: Failure, sends: u32, tries: u32) -> bool {
+    let attempts = job.route.attempts;
+    if node.now() >= job.deadline || tries > attempts + EXTRA_SENDS {
+        return false;
+    }
+    match failure.verdict {
+        Verdict::NotSent => true,
+        Verdict::NotRun => node.may_repeat(&job.service),
+        Verdict::Unknown => {
+            let repeatable = matches!(job.route.kind, Kind::Idempotent | Kind::Resumable);
+            repeatable && sends < attempts && node.may_repeat(&job.service)
+        }
+    }
+}
+
+fn final_refusal(node: &Rc<Node>, job: &Job, failure: Failure) -> Refusal {
+    let expired = node.now() >= job.deadline;
+    let reason = match (failure.verdict, expired) {
+        (Verdict::Unknown, true) => Reason::Expired,
+        (Verdict::Unknown, false) => Reason::TargetFailed,
+        (_, true) => Reason::ExpiredUnsent,
+        (Verdict::NotSent, false) => Reason::NoTarget,
+        (Verdict::NotRun, false) => Reason::TurnedAway,
+    };
+    with_return(node, job, Refusal::new(reason))
+}
+
+fn with_return(node: &Rc<Node>, job: &Job, refusal: Refusal) -> Refusal {
+    if refusal.reason.status() != hyper::StatusCode::SERVICE_UNAVAILABLE {
+        return refusal;
+    }
+    let part = node.settings.patience.come_back;
+    refusal.with_retry_after(job.route.objective.mul_f64(part))
+}
+
+/// Turns a target's answer into the caller's.
+async fn accept(
+    node: &Rc<Node>,
+    job: &Rc<Job>,
+    attempt: Attempt,
+    sends: u32,
+) -> Result<Response<Content>, Failure> {
+    if attempt.head.status.is_server_error() {
+        let repeatable = job.route.kind == Kind::Idempotent && sends < job.route.attempts;
+        if repeatable {
+            return Err(Failure {
+                verdict: Verdict::Unknown,
+                reason: "target_error",
+            });
+        }
+    }
+    if job.route.kind.streams() && attempt.head.status.is_success() {
+        let head = answer_head(&attempt.head, true);
+        let relay = Relay::new(node.clone(), job.clone(), attempt, sends);
+        return Ok(Response::from_parts(head, Content::Relayed(Box::new(relay))));
+    }
+    whole(node, job, attempt, sends).await
+}
+
+/// Reads a plain answer to its end before it is passed on, so that one cut short can be tried again.
+async fn whole(
+    node: &Rc<Node>,
+    job: &Job,
+    mut attempt: Attempt,
+    sends: u32,
+) -> Result<Response<Content>, Failure> {
+    let limit = node.instant(answer_limit(node, job, sends.saturating_sub(1)));
+    let reading = Limited::new(&mut attempt.body, WHOLE_ANSWER).collect();
+    let body = match tokio::time::timeout_at(limit, reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) | Err(_) => {
+            node.note(&attempt.lease.target, Outcome::Bad);
+            return Err(Failure {
+                verdict: Verdict::Unknown,
+                reason: "cut_short",
+            });
+        }
+    };
+    let outcome = if attempt.head.status.is_server_error() { Outcome::Bad } else { Outcome::Good };
+    node.note(&attempt.lease.target, outcome);
+    let head = answer_head(&attempt.head, false);
+    let line = node.journal.line("answered").with("id", job.id.as_ref());
+    let line = line.with("status", head.status.as_u16()).with("sends", sends);
+    drop(line.with_ms("after_ms", node.now().saturating_sub(job.arrived)));
+    attempt.finish(node);
+    Ok(Response::from_parts(head, Content::Whole(body)))
+}
+
+fn answer_head(head: &response::Parts, stream: bool) -> response::Parts {
+    let mut answer = Response::new(()).into_parts().0;
+    answer.status = head.status;
+    answer.headers = head.headers.clone();
+    for name in CONNECTION_HEADERS {
+        answer.headers.remove(name);
+    }
+    if stream {
+        answer.headers.remove(CONTENT_LENGTH);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/path/src/relay.rs
@@ -0,0 +1,230 @@
+//! A target's answer on its way to the caller.
+//!
+//! A stream of events is passed on event by event. One that may be resumed goes
+//! on at another target, within the same answer, when its target fails: the
+//! attempt before is dropped first, so that no two targets work on it. Dropping
+//! a [`Relay`], as when the caller has left, ends the work at the target.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunlinward_dispatch::configuration::Kind;
+use dunlinward_dispatch::health::Outcome;
+use http_body_util::BodyExt;
+use snafu::Snafu;
+
+use crate::attempt::{self, Attempt, Job};
+use crate::event::Splitter;
+use crate::exchange;
+use crate::node::Node;
+
+/// Silence of a stream, in objectives, after which it goes on elsewhere if it may.
+const SILENCE: f64 = 2.0;
+
+/// An answer ends before its end; the caller's connection is broken off.
+#[derive(Debug, Snafu)]
+#[snafu(display("the answer broke off: {reason}"))]
+pub struct Broken {
+    /// Why.
+    pub reason: &'static str,
+}
+
+type Next = Option<Result<Bytes, Broken>>;
+type Step = Pin<Box<dyn Future<Output = (Box<Flow>, Next)>>>;
+
+enum Phase {
+    Idle(Box<Flow>),
+    Busy(Step),
+    Done,
+}
+
+/// The body of an answer that comes from a target.
+pub struct Relay {
+    phase: Phase,
+}
+
+impl Relay {
+    /// Passes on the answer of `attempt`.
+    #[must_use]
+    pub fn new(node: Rc<Node>, job: Rc<Job>, attempt: Attempt, sends: u32) -> Self {
+        let splitter = Splitter::new(job.resume_after);
+        let flow = Flow {
+            node,
+            job,
+            attempt: Some(attempt),
+            splitter,
+            sends,
+            begun: false,
+            ended: false,
+        };
+        Self {
+            phase: Phase::Idle(Box::new(flow)),
+        }
+    }
+
+    /// The next bytes for the caller.
+    pub fn poll_bytes(&mut self, context: &mut Context<'_>) -> Poll<Next> {
+        loop {
+            match std::mem::replace(&mut self.phase, Phase::Done) {
+                Phase::Done => return Poll::Ready(None),
+                Phase::Idle(mut flow) => {
+                    self.phase = Phase::Busy(Box::pin(async move {
+                        let next = flow.next().await;
+                        (flow, next)
+                    }));
+                }
+                Phase::Busy(mut step) => match step.as_mut().poll(context) {
+                    Poll::Pending => {
+                        self.phase = Phase::Busy(step);
+                        return Poll::Pending;
+                    }
+                    Poll::Ready((flow, next)) => {
+                        if matches!(next, Some(Ok(_))) {
+                            self.phase = Phase::Idle(flow);
+                        }
+                        return Poll::Ready(next);
+                    }
+                },
+            }
+        }
+    }
+}
+
+/// An answer under way.
+struct Flow {
+    node: Rc<Node>,
+    job: Rc<Job>,
+    attempt: Option<Attempt>,
+    splitter: Splitter,
+    sends: u32,
+    begun: bool,
+    ended: bool,
+}
+
+/// What a target's body brings next.
+enum Piece {
+    Bytes(Bytes),
+    End,
+    Failed(&'static str),
+}
+
+impl Flow {
+    async fn next(&mut self) -> Next {
+        loop {
+            if self.ended {
+                return None;
+            }
+            match self.piece().await {
+                Piece::Bytes(bytes) => {
+                    self.first();
+                    if let Some(whole) = self.splitter.push(bytes) {
+                        return Some(Ok(whole));
+                    }
+                }
+                Piece::End => {
+                    let rest = self.splitter.take_rest();
+                    self.finish();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Piece::Failed(reason) => {
+                    if let Err(broken) = self.go_on(reason).await {
+                        return Some(Err(broken));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn piece(&mut self) -> Piece {
+        let limit = self.limit();
+        let Some(attempt) = &mut self.attempt else {
+            return Piece::Failed("no_attempt");
+        };
+        let frame = tokio::time::timeout_at(self.node.instant(limit), attempt.body.frame());
+        match frame.await {
+            Err(_) if limit >= self.job.deadline => Piece::Failed("expired"),
+            Err(_) => Piece::Failed("silent"),
+            Ok(None) => Piece::End,
+            Ok(Some(Err(_))) => Piece::Failed("broken_off"),
+            Ok(Some(Ok(frame))) => Piece::Bytes(frame.into_data().unwrap_or_default()),
+        }
+    }
+
+    fn limit(&self) -> Duration {
+        let deadline = self.job.deadline;
+        if self.may_go_on() {
+            let silence = self.job.route.objective.mul_f64(SILENCE);
+            return deadline.min(self.node.now() + silence);
+        }
+        deadline
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.job.route.kind == Kind::Resumable && self.sends < self.job.route.attempts
+    }
+
+    fn first(&mut self) {
+        if self.begun {
+            return;
+        }
+        self.begun = true;
+        if let Some(attempt) = &self.attempt {
+            attempt.lease.read();
+        }
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        if let Some(attempt) = self.attempt.take() {
+            self.node.note(&attempt.lease.target, Outcome::Good);
+            attempt.finish(&self.node);
+        }
+        self.tell("answered", "complete");
+    }
+
+    fn tell(&self, event: &str, reason: &str) {
+        let node = &self.node;
+        let line = node.journal.line(event).with("id", self.job.id.as_ref());
+        let line = line.with("reason", reason).with("sends", self.sends);
+        let line = line.with("last_event", self.splitter.last());
+        drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
+        node.metrics.add("streams_total", reason, 1);
+    }
+
+    /// Goes on at another target, or says why that can't be.
+    async fn go_on(&mut self, reason: &'static str) -> Result<(), Broken> {
+        drop(self.splitter.take_rest());
+        let failed = self.attempt.take().map(|it| it.lease.target.clone());
+        if let Some(target) = &failed
+            && reason != "expired"
+        {
+            self.node.note(target, Outcome::Bad);
+        }
+        let expired = self.node.now() >= self.job.deadline;
+        if expired || !self.may_go_on() || !self.node.may_repeat(&self.job.service) {
+            self.tell("broken_off", reason);
+            return Err(Broken { reason });
+        }
+        self.tell("resumed", reason);
+        self.sends += 1;
+        self.begun = false;
+        let exclude = failed.map(|it| it.tag());
+        let wish = exchange::wish(&self.node, &self.job, exclude, self.job.deadline);
+        let Ok(lease) = self.node.place(wish).await else {
+            return Err(Broken { reason: "no_room" });
+        };
+        let limit = self.node.instant(self.job.deadline);
+        let last = self.splitter.last();
+        match attempt::send(&self.node, &self.job, lease, last, limit).await {
+            Ok(attempt) if attempt.head.status.is_success() => {
+                self.attempt = Some(attempt);
+                Ok(())
+            }
+            Ok(_) => Err(Broken { reason: "not_resumed" }),
+            Err(failure) => Err(Broken { reason: failure.reason }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/path/src/reply.rs
@@ -0,0 +1,172 @@
+//! Answers to callers, and the router's own refusals.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::relay::Relay;
+
+/// Why a request was refused or given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The head can't be read.
+    Malformed,
+    /// No route serves the host and path.
+    NoRoute,
+    /// The key is not known.
+    UnknownKey,
+    /// The body is too large.
+    TooLarge,
+    /// The body did not come in time.
+    SlowBody,
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No target of the service is known or can be reached.
+    NoTarget,
+    /// All targets are busy.
+    Busy,
+    /// The customer is beyond its share and all targets are busy.
+    OverShare,
+    /// The deadline is over and the request has not run.
+    ExpiredUnsent,
+    /// The deadline is over and the request may have run.
+    Expired,
+    /// Targets refused to run it.
+    TurnedAway,
+    /// A target failed and the request may have run.
+    TargetFailed,
+    /// The router is about to end.
+    Leaving,
+}
+
+impl Reason {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::TooLarge => "too_large",
+            Self::SlowBody => "slow_body",
+            Self::NoConfiguration => "no_configuration",
+            Self::NoTarget => "no_target",
+            Self::Busy => "busy",
+            Self::OverShare => "over_share",
+            Self::ExpiredUnsent => "expired_unsent",
+            Self::Expired => "expired",
+            Self::TurnedAway => "turned_away",
+            Self::TargetFailed => "target_failed",
+            Self::Leaving => "leaving",
+        }
+    }
+
+    /// Status that callers get; 503 and 408 promise that the request has not run.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::Expired => StatusCode::GATEWAY_TIMEOUT,
+            Self::TargetFailed => StatusCode::BAD_GATEWAY,
+            Self::NoConfiguration
+            | Self::NoTarget
+            | Self::Busy
+            | Self::OverShare
+            | Self::ExpiredUnsent
+            | Self::TurnedAway
+            | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// A refusal, and when the caller may come back.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Time after which there may be room.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal without a time to come back.
+    #[must_use]
+    pub fn new(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Sets the time to come back.
+    #[must_use]
+    pub fn with_retry_after(mut self, time: Duration) -> Self {
+        self.retry_after = Some(time);
+        self
+    }
+
+    /// The answer to the caller.
+    #[must_use]
+    pub fn response(self) -> Response<Content> {
+        let mut response = Response::new(Content::Whole(Bytes::new()));
+        *response.status_mut() = self.reason.status();
+        let headers = response.headers_mut();
+        if let Some(time) = self.retry_after {
+            let text = format!("{:.2}", time.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        if matches!(self.reason, Reason::TooLarge | Reason::SlowBody | Reason::Malformed) {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Body of an answer.
+pub enum Content {
+    /// Bytes at hand.
+    Whole(Bytes),
+    /// Bytes that come from a target.
+    Relayed(Box<Relay>),
+}
+
+impl Body for Content {
+    type Data = Bytes;
+    type Error = crate::relay::Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => {
+                let bytes = std::mem::take(bytes);
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Self::Relayed(relay) => relay.poll_bytes(context).map(|it| it.map(|it| it.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/path/src/server.rs
@@ -0,0 +1,144 @@
+//! Callers' connections, and the pages for the platform and operators.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::exchange;
+use crate::life;
+use crate::node::Node;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Time for which an idle connection is kept before a configuration is known.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// Part of the callers' idle limit that is added, as they may use all of it.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a port can't be served.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}: {source}"))]
+pub struct Error {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// Opens a port.
+///
+/// # Errors
+///
+/// If the address can't be had.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    bind(address).context(Snafu { address })
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept(node: &Rc<Node>, listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                let line = node.journal.line("accept_failed");
+                drop(line.with("error", error.to_string()));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves callers for as long as the router runs.
+pub async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = accept(&node, &listener).await;
+        // Only a delay is lost if this fails.
+        drop(stream.set_nodelay(true));
+        tokio::task::spawn_local(serve_caller(node.clone(), stream));
+    }
+}
+
+async fn serve_caller(node: Rc<Node>, stream: TcpStream) {
+    let idle = node.table().map_or(IDLE, |it| it.limits().idle_timeout);
+    let head_bytes = node.table().map_or(16 * 1024, |it| it.limits().head_bytes);
+    let server = node.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let node = server.clone();
+        async move { Ok::<_, Infallible>(exchange::serve(node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_SLACK)
+        .max_buf_size(head_bytes.max(16 * 1024))
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // An answer that broke off has been told by its request.
+        _ = connection.as_mut() => return,
+        () = life::closing(&node) => connection.as_mut().graceful_shutdown(),
+    }
+    drop(connection.await);
+}
+
+/// A page of the router itself.
+#[derive(Clone, Copy, Debug)]
+pub enum Page {
+    /// Whether callers should be sent here.
+    Ready,
+    /// Counters.
+    Metrics,
+}
+
+/// Serves a page for as long as the router runs.
+pub async fn serve_page(node: Rc<Node>, listener: TcpListener, page: Page) {
+    loop {
+        let stream = accept(&node, &listener).await;
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let response = show(&node, page);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .auto_date_header(false)
+                .serve_connection(TokioIo::new(stream), service);
+            // Whoever asks comes again if this fails.
+            drop(connection.await);
+        });
+    }
+}
+
+fn show(node: &Rc<Node>, page: Page) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    match page {
+        Page::Ready if node.ready() => {}
+        Page::Ready => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
+        Page::Metrics => *response.body_mut() = Full::new(Bytes::from(node.metrics.text())),
+    }
+    response
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -10,13 +10,23 @@
 /// How often the end of a drain that operators began is looked for.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// First word of the command line that starts a router on the users' platform.
+const PLATFORM: &str = "platform";
+
 fn main() -> ExitCode {
+    if std::env::args_os().nth(1).is_some_and(|it| it == PLATFORM) {
+        return finish(dunlinward_adapter::program::run().map_err(Into::into));
+    }
     let secret = std::env::var(flags::FLEET_KEY).ok();
     let flags = match flags::parse(std::env::args_os(), secret) {
         Ok(flags) => flags,
         Err(err) => err.exit(),
     };
-    match run(flags) {
+    finish(run(flags))
+}
+
+fn finish(result: Result<(), Box<dyn std::error::Error>>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("dunlinward: {err}");
