--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -36,7 +36,7 @@
         Self {
             fill: 0.9,
             reading: 0.7,
-            miss: 1.5,
+            miss: 4.0,
             running: 60.0,
             queue: 2.0,
             remote: 0.0,
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -62,6 +62,8 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// It has run and failed; another run is allowed and taken from the budget.
+    Repeat,
 }
 
 /// Why an attempt brought no answer.
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -56,8 +56,6 @@
 /// Serves one request.
 pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Content> {
     let arrived = node.now();
-    node.open.set(node.open.get() + 1);
-    let open = Open(node.clone());
     let (head, body) = request.into_parts();
     let mut response = match answer(&node, head, body, arrived).await {
         Ok(response) => response,
@@ -67,18 +65,9 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    drop(open);
     response
 }
 
-struct Open(Rc<Node>);
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
 async fn answer(
     node: &Rc<Node>,
     head: request::Parts,
@@ -281,6 +270,7 @@
     }
     match failure.verdict {
         Verdict::NotSent => true,
+        Verdict::Repeat => true,
         Verdict::NotRun => node.may_repeat(&job.service),
         Verdict::Unknown => {
             let repeatable = matches!(job.route.kind, Kind::Idempotent | Kind::Resumable);
@@ -292,8 +282,8 @@
 fn final_refusal(node: &Rc<Node>, job: &Job, failure: Failure) -> Refusal {
     let expired = node.now() >= job.deadline;
     let reason = match (failure.verdict, expired) {
-        (Verdict::Unknown, true) => Reason::Expired,
-        (Verdict::Unknown, false) => Reason::TargetFailed,
+        (Verdict::Unknown | Verdict::Repeat, true) => Reason::Expired,
+        (Verdict::Unknown | Verdict::Repeat, false) => Reason::TargetFailed,
         (_, true) => Reason::ExpiredUnsent,
         (Verdict::NotSent, false) => Reason::NoTarget,
         (Verdict::NotRun, false) => Reason::TurnedAway,
@@ -318,9 +308,9 @@
 ) -> Result<Response<Content>, Failure> {
     if attempt.head.status.is_server_error() {
         let repeatable = job.route.kind == Kind::Idempotent && sends < job.route.attempts;
-        if repeatable {
+        if repeatable && node.may_repeat(&job.service) {
             return Err(Failure {
-                verdict: Verdict::Unknown,
+                verdict: Verdict::Repeat,
                 reason: "target_error",
             });
         }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -156,6 +156,7 @@
     begun: Instant,
     room: Notify,
     draws: Cell<u64>,
+    /// Callers' connections that are open.
     pub(crate) open: Cell<usize>,
     leaving: watch::Sender<Option<Duration>>,
 }
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -83,6 +83,7 @@
 }
 
 async fn serve_caller(node: Rc<Node>, stream: TcpStream) {
+    let open = Open::new(&node);
     let idle = node.table().map_or(IDLE, |it| it.limits().idle_timeout);
     let head_bytes = node.table().map_or(16 * 1024, |it| it.limits().head_bytes);
     let server = node.clone();
@@ -103,6 +104,23 @@
         () = life::closing(&node) => connection.as_mut().graceful_shutdown(),
     }
     drop(connection.await);
+    drop(open);
+}
+
+/// A caller's connection that is open.
+struct Open(Rc<Node>);
+
+impl Open {
+    fn new(node: &Rc<Node>) -> Self {
+        node.open.set(node.open.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
 }
 
 /// A page of the router itself.
