Read a prefix anew only where half of a target's room is free; figures as flags

Cause: at a full home requests spilled, and the prefixes read anew filled the others. Ruled out: the weight of a miss alone (1.5 to 4: no change), as full homes are no candidates.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -23,23 +23,23 @@
     pub reading: f64,
     /// Weight of a prefix that is read anew, against its tokens.
     pub miss: f64,
+    /// Part of a target's room that a request may use whose prefix is read anew there.
+    pub miss_room: f64,
     /// Tokens by which one more running request counts.
     pub running: f64,
     /// Requests at a plain target for each of its slots.
     pub queue: f64,
-    /// Tokens by which another failure domain counts.
-    pub remote: f64,
 }
 
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            fill: 0.9,
+            fill: 0.6,
             reading: 0.7,
             miss: 4.0,
+            miss_room: 0.5,
             running: 60.0,
             queue: 2.0,
-            remote: 0.0,
         }
     }
 }
@@ -101,14 +101,16 @@
 ) -> Option<Choice> {
     let prefix = prompt.prefix();
     let home = home(prefix, candidates);
-    let budget = ask.rate * ask.objective.as_secs_f64() * policy.reading * ask.room;
+    let budget = ask.rate * ask.objective.as_secs_f64() * policy.reading;
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
-        let slots = f64::from(candidate.target.slots) * policy.fill * ask.room;
+        let hit = prefix.is_none() || candidate.keeps || home == Some(candidate.target.tag());
+        let room = if hit { ask.room } else { ask.room * policy.miss_room };
+        let slots = f64::from(candidate.target.slots) * policy.fill * room;
         if f64::from(candidate.load.running) + 1.0 > slots.max(1.0) {
             continue;
         }
-        let hit = prefix.is_none() || candidate.keeps || home == Some(candidate.target.tag());
+        let budget = budget * room;
         let shared = prompt.shared_tokens();
         let unread = prompt.own_tokens() + if hit { 0 } else { shared };
         let before = candidate.load.unread as f64;
@@ -118,8 +120,7 @@
         }
         let missed = if hit { 0.0 } else { shared as f64 * policy.miss };
         let running = f64::from(candidate.load.running) * policy.running;
-        let remote = if candidate.local { 0.0 } else { policy.remote };
-        let cost = before + prompt.own_tokens() as f64 + missed + running + remote;
+        let cost = before + prompt.own_tokens() as f64 + missed + running;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let target = candidate.target.clone();
             best = Some((cost, Choice { target, unread, hit }));
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -23,6 +23,7 @@
 
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::dialect::Call;
+use crate::life;
 use crate::node::{Node, Wish};
 use crate::relay::Relay;
 use crate::reply::{Content, Reason, Refusal};
@@ -42,6 +43,9 @@
 /// Time after which a caller may come back if nothing is known yet.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(500);
 
+/// Time after which a caller may come to another router than one that ends.
+const LEAVING_RETURN: Duration = Duration::from_millis(50);
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 7] = [
     "connection",
@@ -85,6 +89,9 @@
         refusal
     };
     let admission = admit(node, &head, &call).map_err(refused)?;
+    if admission.route.kind.streams() && life::ending(node) {
+        return Err(refused(Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETURN)));
+    }
     let body = read(&admission.table, body).await.map_err(refused)?;
     let job = Rc::new(job(node, head, body, call, admission, arrived));
     run(node, &job).await.map_err(refused)
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -11,12 +11,14 @@
 //! - [`event`], [`relay`]: streams of events, and how one goes on elsewhere.
 //! - [`peer`]: reports between routers, and views taken over from a peer.
 //! - [`life`]: signals, drain and end.
+//! - [`flags`]: the figures that operators may set.
 //! - [`journal`], [`metrics`]: what operators see.
 
 pub mod attempt;
 pub mod dialect;
 pub mod event;
 pub mod exchange;
+pub mod flags;
 pub mod journal;
 pub mod life;
 pub mod metrics;
--- a/crates/path/src/life.rs
+++ b/crates/path/src/life.rs
@@ -21,6 +21,13 @@
 /// How often the end of a drain is looked for.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Whether the router ends too soon for a new stream.
+#[must_use]
+pub fn ending(node: &Node) -> bool {
+    let since = node.leaving();
+    since.is_some_and(|since| node.now() >= since + NOTICE)
+}
+
 /// Returns when kept connections should be closed.
 pub async fn closing(node: &Rc<Node>) {
     let mut leaving = node.watch_leaving();
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -15,7 +15,7 @@
 
 fn main() -> ExitCode {
     if std::env::args_os().nth(1).is_some_and(|it| it == PLATFORM) {
-        return finish(dunlinward_adapter::program::run().map_err(Into::into));
+        return platform();
     }
     let secret = std::env::var(flags::FLEET_KEY).ok();
     let flags = match flags::parse(std::env::args_os(), secret) {
@@ -25,6 +25,15 @@
     finish(run(flags))
 }
 
+/// Runs a router on the users' platform.
+fn platform() -> ExitCode {
+    let arguments = std::env::args_os().skip(1);
+    match dunlinward_path::flags::parse("dunlinward platform", arguments) {
+        Ok(flags) => finish(dunlinward_adapter::program::run(&flags).map_err(Into::into)),
+        Err(err) => err.exit(),
+    }
+}
+
 fn finish(result: Result<(), Box<dyn std::error::Error>>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
