--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -68,6 +68,8 @@
     pub rate: f64,
     /// Part of the room that the request may use, 0 to 1.
     pub room: f64,
+    /// Whether it has waited long enough to be read anew where its prefix is not.
+    pub may_miss: bool,
     /// Spreads ties.
     pub draw: u64,
 }
@@ -105,6 +107,9 @@
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
         let hit = prefix.is_none() || candidate.keeps || home == Some(candidate.target.tag());
+        if !hit && !ask.may_miss {
+            continue;
+        }
         let room = if hit { ask.room } else { ask.room * policy.miss_room };
         let slots = f64::from(candidate.target.slots) * policy.fill * room;
         if f64::from(candidate.load.running) + 1.0 > slots.max(1.0) {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -242,7 +242,9 @@
 fn tell_sent(node: &Rc<Node>, job: &Job, lease: &crate::node::Lease, sends: u32) {
     let line = node.journal.line("sent").with("id", job.id.as_ref());
     let line = line.with("target", lease.target.id.as_ref());
+    let line = line.with("route", job.route.name.as_ref());
     let line = line.with("hit", lease.hit).with("sends", sends);
+    let line = line.with("unread_tokens", lease.unread());
     let line = line.with_ms("waited_ms", node.now().saturating_sub(job.arrived));
     drop(node.views(line));
 }
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -36,7 +36,7 @@
 /// Standard time between reports in milliseconds; `docs/design/platform.md` has the trials.
 const REPORT_MS: f64 = 100.0;
 
-fn figures() -> [Figure; 11] {
+fn figures() -> [Figure; 12] {
     let policy = Policy::default();
     let patience = Patience::default();
     let figure = |flag, variable, help, least, most, standard| Figure {
@@ -56,6 +56,7 @@
         figure("plain-queue", "DUNLINWARD_PLAIN_QUEUE", "Requests at a plain target for each slot", 0.1, 10.0, policy.queue),
         figure("wait-first", "DUNLINWARD_WAIT_FIRST", "Part of the objective that a request waits", 0.0, 5.0, patience.first),
         figure("wait-returning", "DUNLINWARD_WAIT_RETURNING", "The same for a caller that was refused before", 0.0, 5.0, patience.returning),
+        figure("wait-miss", "DUNLINWARD_WAIT_MISS", "Part of the objective before a prefix may be read anew", 0.0, 5.0, patience.miss),
         figure("come-back", "DUNLINWARD_COME_BACK", "Part of the objective after which a refused caller may come back", 0.0, 5.0, patience.come_back),
         figure("over-share", "DUNLINWARD_OVER_SHARE", "Part of all room for requests beyond a share", 0.0, 1.0, patience.over_share),
         figure("report-ms", "DUNLINWARD_REPORT_MS", "Milliseconds between reports to peers", 10.0, 10_000.0, REPORT_MS),
@@ -112,6 +113,7 @@
         patience: Patience {
             first: value("wait-first"),
             returning: value("wait-returning"),
+            miss: value("wait-miss"),
             come_back: value("come-back"),
             over_share: value("over-share"),
         },
--- a/crates/path/src/journal.rs
+++ b/crates/path/src/journal.rs
@@ -17,6 +17,9 @@
 /// Longest text taken from outside in one field, in bytes.
 const LONGEST: usize = 200;
 
+/// Bytes of one write: what a pipe takes whole.
+const WRITE_BYTES: usize = 4_096;
+
 /// How often the buffer is written.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -100,7 +103,8 @@
         let mut buffer = self.buffer.borrow_mut();
         let mut done = 0;
         while done < buffer.bytes.len() {
-            match rustix::io::write(rustix::stdio::stdout(), &buffer.bytes[done..]) {
+            let end = whole_lines(&buffer.bytes, done);
+            match rustix::io::write(rustix::stdio::stdout(), &buffer.bytes[done..end]) {
                 Ok(0) | Err(rustix::io::Errno::AGAIN) => break,
                 Ok(count) => done += count,
                 Err(rustix::io::Errno::INTR) => {}
@@ -145,6 +149,14 @@
     }
 }
 
+/// Where to end a write that begins at `from`: whole lines only, as far as they fit, so
+/// that the system doesn't tear a line that another writer's could come into.
+fn whole_lines(bytes: &[u8], from: usize) -> usize {
+    let most = bytes.len().min(from + WRITE_BYTES);
+    let end = bytes[from..most].iter().rposition(|it| *it == b'\n');
+    end.map_or(most, |end| from + end + 1)
+}
+
 /// A duration in whole milliseconds.
 #[must_use]
 pub fn millis(time: Duration) -> u64 {
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -75,6 +75,8 @@
     pub first: f64,
     /// The same for a caller that was refused before.
     pub returning: f64,
+    /// Part of its objective after which a request may go where its prefix is not.
+    pub miss: f64,
     /// Part of the objective after which a refused caller may come back.
     pub come_back: f64,
     /// Part of all room that a request beyond its customer's share may use.
@@ -85,6 +87,7 @@
     fn default() -> Self {
         Self {
             first: 0.2,
+            miss: 0.1,
             returning: 0.6,
             come_back: 0.4,
             over_share: 0.6,
@@ -172,6 +175,12 @@
 }
 
 impl Lease {
+    /// Prompt tokens that the target has yet to read.
+    #[must_use]
+    pub fn unread(&self) -> u64 {
+        self.unread.get()
+    }
+
     /// The target has read the prompt.
     pub fn read(&self) {
         let unread = self.unread.take();
@@ -516,6 +525,7 @@
             prompt: wish.prompt.as_deref(),
             objective: wish.objective,
             rate,
+            may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
             room: if within { 1.0 } else { settings.patience.over_share },
             draw: wish.draw,
         };
