--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -35,9 +35,9 @@
     fn default() -> Self {
         Self {
             fill: 0.6,
-            reading: 0.7,
+            reading: 1.0,
             miss: 4.0,
-            miss_room: 0.5,
+            miss_room: 0.1,
             running: 60.0,
             queue: 2.0,
         }
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -3,7 +3,8 @@
 //! Customers share the engines' tokens by max-min over a sliding window: who
 //! asks for less than an even share gets it all, the others get the same. Each
 //! router adds up what was asked and granted at itself and tells its peers, so
-//! that the level is that of the fleet. A request within its customer's share
+//! that the level is that of the fleet. How much there is to share is observed:
+//! it is what was granted while more was asked for. A request within its customer's share
 //! goes before one beyond it; one beyond it runs only while targets have room.
 
 use std::collections::HashMap;
@@ -22,6 +23,9 @@
 /// How long a computed level is used.
 const LEVEL_TIME: Duration = Duration::from_millis(50);
 
+/// There is contention if more than this part of what was granted could not be.
+const CONTENTION: u64 = 10;
+
 /// Weight of a generated token against one that is read, from the platform's pages.
 const GENERATED_WEIGHT: u64 = 2;
 
@@ -31,6 +35,13 @@
     granted: u64,
 }
 
+impl Tokens {
+    fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.granted += other.granted;
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Account {
     parts: [Tokens; PARTS],
@@ -84,10 +95,10 @@
     CustomerTag(xxh64(customer.as_bytes(), 0) as u32)
 }
 
-/// Tokens for which a request is charged: read once, generated twice; shared parts are free.
+/// Tokens for which a request is charged: its whole prompt once, generated ones twice.
 #[must_use]
 pub fn cost(prompt: &Prompt) -> u64 {
-    prompt.own_tokens() + GENERATED_WEIGHT * prompt.answer_tokens
+    prompt.tokens + GENERATED_WEIGHT * prompt.answer_tokens
 }
 
 impl Shares {
@@ -142,19 +153,11 @@
         self.peers.insert(peer, PeerUse { at: now, customers });
     }
 
-    /// Whether a customer may have `tokens` more within its share of `tokens_per_second`.
-    pub fn within(
-        &mut self,
-        customer: CustomerTag,
-        tokens: u64,
-        tokens_per_second: f64,
-        now: Duration,
-    ) -> bool {
+    /// Whether a customer may have `tokens` more within its share.
+    pub fn within(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> bool {
         if self.level_at.is_none_or(|at| now.saturating_sub(at) >= LEVEL_TIME) {
             self.peers.retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
-            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a count of tokens")]
-            let capacity = (tokens_per_second * self.window.as_secs_f64()) as u64;
-            self.level = level(self.demands(now), capacity);
+            self.level = self.current_level(now);
             self.level_at = Some(now);
         }
         let Some(level) = self.level else {
@@ -163,6 +166,17 @@
         self.granted(customer, now) + tokens <= level
     }
 
+    /// What was granted to all is what targets could do while more was asked for.
+    fn current_level(&mut self, now: Duration) -> Option<u64> {
+        let all = self.all(now);
+        let granted: u64 = all.iter().map(|it| it.granted).sum();
+        let asked: u64 = all.iter().map(|it| it.asked).sum();
+        if asked <= granted + granted / CONTENTION {
+            return None;
+        }
+        level(all.into_iter().map(|it| it.asked).collect(), granted)
+    }
+
     /// Tokens that all routers granted to a customer within the window.
     pub fn granted(&mut self, customer: CustomerTag, now: Duration) -> u64 {
         let number = self.number(now);
@@ -171,16 +185,16 @@
         own + peers.map(|it| it.granted).sum::<u64>()
     }
 
-    fn demands(&mut self, now: Duration) -> Vec<u64> {
+    fn all(&mut self, now: Duration) -> Vec<Tokens> {
         let number = self.number(now);
-        let mut asked: HashMap<CustomerTag, u64> = HashMap::new();
+        let mut all: HashMap<CustomerTag, Tokens> = HashMap::new();
         for (tag, account) in &mut self.own {
-            *asked.entry(*tag).or_default() += account.sum(number).asked;
+            all.entry(*tag).or_default().add(account.sum(number));
         }
         for (tag, tokens) in self.peers.values().flat_map(|it| &it.customers) {
-            *asked.entry(*tag).or_default() += tokens.asked;
+            all.entry(*tag).or_default().add(*tokens);
         }
-        asked.into_values().collect()
+        all.into_values().collect()
     }
 }
 
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -89,7 +89,7 @@
         refusal
     };
     let admission = admit(node, &head, &call).map_err(refused)?;
-    if admission.route.kind.streams() && life::ending(node) {
+    if life::ending(node, admission.route.kind.streams()) {
         return Err(refused(Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETURN)));
     }
     let body = read(&admission.table, body).await.map_err(refused)?;
--- a/crates/path/src/life.rs
+++ b/crates/path/src/life.rs
@@ -18,14 +18,24 @@
 /// How much sooner than the platform's kill the process ends.
 const MARGIN: Duration = Duration::from_millis(300);
 
+/// How long before the platform's kill the last request is taken.
+const LAST_REQUEST: Duration = Duration::from_millis(1_800);
+
 /// How often the end of a drain is looked for.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Whether the router ends too soon for a new stream.
+/// Whether the router ends too soon for a new request.
 #[must_use]
-pub fn ending(node: &Node) -> bool {
-    let since = node.leaving();
-    since.is_some_and(|since| node.now() >= since + NOTICE)
+pub fn ending(node: &Node, streams: bool) -> bool {
+    let Some(since) = node.leaving() else {
+        return false;
+    };
+    let refuse = if streams {
+        NOTICE
+    } else {
+        node.settings.grace.saturating_sub(LAST_REQUEST)
+    };
+    node.now() >= since + refuse
 }
 
 /// Returns when kept connections should be closed.
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -87,9 +87,9 @@
     fn default() -> Self {
         Self {
             first: 0.2,
-            miss: 0.1,
+            miss: 0.18,
             returning: 0.6,
-            come_back: 0.4,
+            come_back: 0.8,
             over_share: 0.6,
         }
     }
@@ -488,8 +488,7 @@
         let Some(customer) = wish.customer else {
             return true;
         };
-        let rate = self.table.as_ref().map_or(0.0, |it| it.limits().tokens_per_second);
-        self.shares.within(customer, wish.cost, rate, now)
+        self.shares.within(customer, wish.cost, now)
     }
 
     fn choose(
