Tell peers which prefix was sent where

Cause: each router knew only its own sends, one in nine, so it took full prefixes for missing and home prefixes for present; each copy was read once for every router. Ruled out: cheaper misses (miss-room 0.25, 0.5; miss 1, 2: worse on both sites).

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::prefix::{self, Prefix, Prompt};
-use crate::target::Target;
+use crate::target::{Tag, Target};
 use crate::usage::Load;
 
 /// Figures by which targets are chosen.
@@ -53,7 +53,7 @@
     pub load: Load,
     /// Whether it is in the router's own failure domain.
     pub local: bool,
-    /// Whether this router sent it the request's prefix lately.
+    /// Whether it is taken to keep the request's prefix.
     pub keeps: bool,
 }
 
@@ -68,6 +68,8 @@
     pub rate: f64,
     /// Part of the room that the request may use, 0 to 1.
     pub room: f64,
+    /// How long it has waited.
+    pub waited: Duration,
     /// Whether it has waited long enough to be read anew where its prefix is not.
     pub may_miss: bool,
     /// Spreads ties.
@@ -102,30 +104,32 @@
     candidates: &[Candidate],
 ) -> Option<Choice> {
     let prefix = prompt.prefix();
-    let home = home(prefix, candidates);
-    let budget = ask.rate * ask.objective.as_secs_f64() * policy.reading;
+    let kept = candidates.iter().any(|it| it.keeps);
+    let home = if kept { None } else { home(prefix, candidates) };
+    let left = ask.objective.saturating_sub(ask.waited).as_secs_f64();
+    let budget = ask.rate * left * policy.reading;
+    let shared = prompt.shared_tokens();
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
-        let hit = prefix.is_none() || candidate.keeps || home == Some(candidate.target.tag());
-        if !hit && !ask.may_miss {
+        let hit = prefix.is_none() || candidate.keeps;
+        let anew = !hit && home != Some(candidate.target.tag());
+        if anew && !ask.may_miss {
             continue;
         }
-        let room = if hit { ask.room } else { ask.room * policy.miss_room };
+        let room = if anew { ask.room * policy.miss_room } else { ask.room };
         let slots = f64::from(candidate.target.slots) * policy.fill * room;
         if f64::from(candidate.load.running) + 1.0 > slots.max(1.0) {
             continue;
         }
-        let budget = budget * room;
-        let shared = prompt.shared_tokens();
         let unread = prompt.own_tokens() + if hit { 0 } else { shared };
         let before = candidate.load.unread as f64;
         // One that alone is larger than the budget may begin where little waits.
-        if before + unread as f64 > budget && before > budget * 0.1 {
+        if before + unread as f64 > budget * room && before > budget * room * 0.1 {
             continue;
         }
-        let missed = if hit { 0.0 } else { shared as f64 * policy.miss };
+        let missed = if anew { shared as f64 * policy.miss } else { 0.0 };
         let running = f64::from(candidate.load.running) * policy.running;
-        let cost = before + prompt.own_tokens() as f64 + missed + running;
+        let cost = before + unread as f64 + missed + running;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let target = candidate.target.clone();
             best = Some((cost, Choice { target, unread, hit }));
@@ -134,7 +138,8 @@
     best.map(|(_, choice)| choice)
 }
 
-fn home(prefix: Option<Prefix>, candidates: &[Candidate]) -> Option<crate::target::Tag> {
+/// Where a prefix is read that no target keeps.
+fn home(prefix: Option<Prefix>, candidates: &[Candidate]) -> Option<Tag> {
     let prefix = prefix?;
     let tags = candidates.iter().map(|it| it.target.tag());
     tags.max_by_key(|tag| prefix::weight(prefix, *tag))
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -1,13 +1,15 @@
 //! Prompt prefixes and the targets that keep them.
 //!
-//! An engine keeps what it has read of a prompt's shared parts. Each shared
-//! prefix has an order of targets by rendezvous hashing, the same at every
-//! router without a word between them; the first is its home. Besides, a router
-//! remembers to which targets it sent a prefix lately.
+//! An engine keeps what it has read of a prompt's shared parts until they have
+//! not been used for a while. Routers tell each other which prefix they sent
+//! where, so each knows the targets that keep one. A prefix that none keeps has
+//! a home by rendezvous hashing, the same at every router without a word
+//! between them, so that it is not read at two targets at once.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
 use crate::target::Tag;
@@ -76,10 +78,32 @@
     xxh64(&tag.0.to_le_bytes(), prefix.0)
 }
 
-/// Prefixes that this router sent to targets lately.
+/// A prefix that was sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Use {
+    /// Low half of the prefix's identity.
+    pub prefix: u32,
+    /// The target.
+    pub tag: Tag,
+}
+
+impl Use {
+    /// A use of a prefix at a target.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "a short name is the low half of the hash")]
+    pub fn new(prefix: Prefix, tag: Tag) -> Self {
+        Self {
+            prefix: prefix.0 as u32,
+            tag,
+        }
+    }
+}
+
+/// Prefixes that were sent to targets lately, by this router and its peers.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
-    uses: HashMap<(Prefix, Tag), Duration>,
+    uses: HashMap<Use, Duration>,
+    recent: VecDeque<(Duration, Use)>,
 }
 
 impl Memory {
@@ -89,25 +113,40 @@
         Self::default()
     }
 
-    /// Notes that a target has read a prefix.
+    /// Notes that this router sends a prefix to a target.
     pub fn note(&mut self, prefix: Prefix, tag: Tag, now: Duration) {
+        let used = Use::new(prefix, tag);
+        self.hear(used, now);
+        self.recent.push_back((now, used));
+    }
+
+    /// Notes what a peer sent.
+    pub fn hear(&mut self, used: Use, now: Duration) {
         if self.uses.len() >= MOST {
             self.uses.retain(|_, at| now.saturating_sub(*at) < KEPT);
         }
         if self.uses.len() < MOST {
-            self.uses.insert((prefix, tag), now);
+            self.uses.insert(used, now);
+        }
+    }
+
+    /// What this router sent within `time`, for its report.
+    pub fn recent(&mut self, time: Duration, now: Duration) -> Vec<Use> {
+        while self.recent.front().is_some_and(|(at, _)| now.saturating_sub(*at) > time) {
+            self.recent.pop_front();
         }
+        self.recent.iter().map(|(_, used)| *used).collect()
     }
 
     /// Whether a target is taken to keep a prefix.
     #[must_use]
     pub fn keeps(&self, prefix: Prefix, tag: Tag, now: Duration) -> bool {
-        let at = self.uses.get(&(prefix, tag));
+        let at = self.uses.get(&Use::new(prefix, tag));
         at.is_some_and(|at| now.saturating_sub(*at) < KEPT)
     }
 
     /// Forgets a target that has ended.
     pub fn forget(&mut self, tag: Tag) {
-        self.uses.retain(|(_, it), _| *it != tag);
+        self.uses.retain(|it, _| it.tag != tag);
     }
 }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::prefix::Use;
 use crate::target::Tag;
 use crate::usage::{Load, Peer};
 
@@ -50,6 +51,8 @@
     pub loads: Vec<TargetLoad>,
     /// Its customers.
     pub customers: Vec<CustomerUse>,
+    /// Prefixes that the sender sent to targets lately; each is told more than once.
+    pub uses: Vec<Use>,
     /// Other routers that the sender knows, now and then.
     pub peers: Vec<SocketAddr>,
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -524,6 +524,7 @@
             prompt: wish.prompt.as_deref(),
             objective: wish.objective,
             rate,
+            waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
             room: if within { 1.0 } else { settings.patience.over_share },
             draw: wish.draw,
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -28,6 +28,9 @@
 /// Largest view in bytes.
 const VIEW_BYTES: u64 = 32 * 1024 * 1024;
 
+/// How many reports tell of each prefix that was sent, as some are lost.
+const USES_TOLD: u32 = 3;
+
 /// A list of peers goes with every so many reports.
 const LIST_EVERY: u64 = 10;
 
@@ -141,6 +144,7 @@
             leaving: node.leaving().is_some(),
             loads,
             customers: state.shares.report(now),
+            uses: state.memory.recent(node.settings.report_interval * USES_TOLD, now),
             peers: if list { self.list(now) } else { Vec::new() },
         }
     }
@@ -189,6 +193,9 @@
             let loads = report.loads.iter().map(|it| (it.tag, it.load));
             state.usage.report(report.sender, loads, now);
             state.shares.hear(report.sender, &report.customers, now);
+            for used in &report.uses {
+                state.memory.hear(*used, now);
+            }
         }
         node.room_came();
         if self.worth_fetching(report, now) && !self.fetching.replace(true) {
