--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -35,7 +35,7 @@
     fn default() -> Self {
         Self {
             fill: 0.6,
-            reading: 1.0,
+            reading: 1.3,
             miss: 4.0,
             miss_room: 0.1,
             running: 60.0,
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::attempt::{self, Attempt, Job};
 use crate::event::Splitter;
 use crate::exchange;
+use crate::journal::millis;
 use crate::node::Node;
 
 /// Silence of a stream, in objectives, after which it goes on elsewhere if it may.
@@ -59,6 +60,7 @@
             sends,
             begun: false,
             ended: false,
+            pace: Pace::default(),
         };
         Self {
             phase: Phase::Idle(Box::new(flow)),
@@ -102,6 +104,25 @@
     sends: u32,
     begun: bool,
     ended: bool,
+    pace: Pace,
+}
+
+/// When events came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first: Option<Duration>,
+    last: Duration,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    fn event(&mut self, now: Duration) {
+        if self.first.is_some() {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last));
+        }
+        self.first.get_or_insert(now);
+        self.last = now;
+    }
 }
 
 /// What a target's body brings next.
@@ -121,6 +142,7 @@
                 Piece::Bytes(bytes) => {
                     self.first();
                     if let Some(whole) = self.splitter.push(bytes) {
+                        self.pace.event(self.node.now());
                         return Some(Ok(whole));
                     }
                 }
@@ -190,6 +212,9 @@
         let line = node.journal.line(event).with("id", self.job.id.as_ref());
         let line = line.with("reason", reason).with("sends", self.sends);
         let line = line.with("last_event", self.splitter.last());
+        let first = self.pace.first.map(|it| millis(it.saturating_sub(self.job.arrived)));
+        let line = line.with("first_ms", first);
+        let line = line.with_ms("longest_pause_ms", self.pace.longest_pause);
         drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
         node.metrics.add("streams_total", reason, 1);
     }
