--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -77,7 +77,10 @@
 
 fn trim(window: &mut Window, now: Duration, length: Duration) {
     for queue in [&mut window.requests, &mut window.repeats] {
-        while queue.front().is_some_and(|at| now.saturating_sub(*at) > length) {
+        while queue
+            .front()
+            .is_some_and(|at| now.saturating_sub(*at) > length)
+        {
             queue.pop_front();
         }
     }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -56,7 +56,11 @@
             return false;
         }
         let record = self.records.entry(tag).or_default();
-        record.failures += if outcome == Outcome::Unreachable { FAILURES } else { 1 };
+        record.failures += if outcome == Outcome::Unreachable {
+            FAILURES
+        } else {
+            1
+        };
         if record.failures < FAILURES || now < record.until {
             return false;
         }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -96,7 +96,10 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
 fn engine(
     policy: &Policy,
     ask: &Ask<'_>,
@@ -116,7 +119,11 @@
         if anew && !ask.may_miss {
             continue;
         }
-        let room = if anew { ask.room * policy.miss_room } else { ask.room };
+        let room = if anew {
+            ask.room * policy.miss_room
+        } else {
+            ask.room
+        };
         let slots = f64::from(candidate.target.slots) * policy.fill * room;
         if f64::from(candidate.load.running) + 1.0 > slots.max(1.0) {
             continue;
@@ -127,12 +134,23 @@
         if before + unread as f64 > budget * room && before > budget * room * 0.1 {
             continue;
         }
-        let missed = if anew { shared as f64 * policy.miss } else { 0.0 };
+        let missed = if anew {
+            shared as f64 * policy.miss
+        } else {
+            0.0
+        };
         let running = f64::from(candidate.load.running) * policy.running;
         let cost = before + unread as f64 + missed + running;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let target = candidate.target.clone();
-            best = Some((cost, Choice { target, unread, hit }));
+            best = Some((
+                cost,
+                Choice {
+                    target,
+                    unread,
+                    hit,
+                },
+            ));
         }
     }
     best.map(|(_, choice)| choice)
@@ -161,7 +179,15 @@
         });
         if better {
             let target = candidate.target.clone();
-            best = Some((cost, tie, Choice { target, unread: 0, hit: true }));
+            best = Some((
+                cost,
+                tie,
+                Choice {
+                    target,
+                    unread: 0,
+                    hit: true,
+                },
+            ));
         }
     }
     best.map(|(_, _, choice)| choice)
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -90,7 +90,10 @@
 impl Use {
     /// A use of a prefix at a target.
     #[must_use]
-    #[expect(clippy::cast_possible_truncation, reason = "a short name is the low half of the hash")]
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a short name is the low half of the hash"
+    )]
     pub fn new(prefix: Prefix, tag: Tag) -> Self {
         Self {
             prefix: prefix.0 as u32,
@@ -132,7 +135,11 @@
 
     /// What this router sent within `time`, for its report.
     pub fn recent(&mut self, time: Duration, now: Duration) -> Vec<Use> {
-        while self.recent.front().is_some_and(|(at, _)| now.saturating_sub(*at) > time) {
+        while self
+            .recent
+            .front()
+            .is_some_and(|(at, _)| now.saturating_sub(*at) > time)
+        {
             self.recent.pop_front();
         }
         self.recent.iter().map(|(_, used)| *used).collect()
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -4,7 +4,7 @@
 //! with one exception: entries lapse while the store is away and come back soon
 //! after it, so after an outage a missing target is kept for [`RETURN_TIME`].
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +35,7 @@
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
     read_at: Option<Duration>,
     keep_until: Duration,
+    replaced: HashSet<Tag>,
 }
 
 impl Registry {
@@ -55,7 +56,12 @@
         self.read_at = Some(as_of);
         let mut changes = Vec::new();
         let mut next = HashMap::with_capacity(list.len());
+        let listed: HashSet<Tag> = list.iter().map(Target::tag).collect();
+        self.replaced.retain(|tag| listed.contains(tag));
         for target in list {
+            if self.replaced.contains(&target.tag()) {
+                continue;
+            }
             let target = Arc::new(target);
             match self.targets.get(&target.tag()) {
                 None => changes.push(Change::Came(target.clone())),
@@ -83,8 +89,9 @@
         changes
     }
 
-    /// Forgets a target that another one has replaced at its address.
+    /// Forgets a target that another one has replaced at its address, also if it is still listed.
     pub fn forget(&mut self, tag: Tag) {
+        self.replaced.insert(tag);
         if self.targets.remove(&tag).is_some() {
             self.index();
         }
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -90,7 +90,10 @@
 
 /// The short name of a customer.
 #[must_use]
-#[expect(clippy::cast_possible_truncation, reason = "a short name is the low half of the hash")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a short name is the low half of the hash"
+)]
 pub fn tag(customer: &Arc<str>) -> CustomerTag {
     CustomerTag(xxh64(customer.as_bytes(), 0) as u32)
 }
@@ -135,10 +138,18 @@
     /// What this router reports.
     pub fn report(&mut self, now: Duration) -> Vec<CustomerUse> {
         let number = self.number(now);
-        let mut uses: Vec<_> = self.own.iter_mut().map(|(tag, account)| {
-            let sum = account.sum(number);
-            CustomerUse { tag: *tag, asked: sum.asked, granted: sum.granted }
-        }).collect();
+        let mut uses: Vec<_> = self
+            .own
+            .iter_mut()
+            .map(|(tag, account)| {
+                let sum = account.sum(number);
+                CustomerUse {
+                    tag: *tag,
+                    asked: sum.asked,
+                    granted: sum.granted,
+                }
+            })
+            .collect();
         uses.retain(|it| it.asked > 0 || it.granted > 0);
         uses
     }
@@ -146,7 +157,10 @@
     /// Takes a peer's report.
     pub fn hear(&mut self, peer: Peer, uses: &[CustomerUse], now: Duration) {
         let customers = uses.iter().map(|it| {
-            let tokens = Tokens { asked: it.asked, granted: it.granted };
+            let tokens = Tokens {
+                asked: it.asked,
+                granted: it.granted,
+            };
             (it.tag, tokens)
         });
         let customers = customers.collect();
@@ -155,8 +169,12 @@
 
     /// Whether a customer may have `tokens` more within its share.
     pub fn within(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> bool {
-        if self.level_at.is_none_or(|at| now.saturating_sub(at) >= LEVEL_TIME) {
-            self.peers.retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
+        if self
+            .level_at
+            .is_none_or(|at| now.saturating_sub(at) >= LEVEL_TIME)
+        {
+            self.peers
+                .retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
             self.level = self.current_level(now);
             self.level_at = Some(now);
         }
@@ -180,8 +198,14 @@
     /// Tokens that all routers granted to a customer within the window.
     pub fn granted(&mut self, customer: CustomerTag, now: Duration) -> u64 {
         let number = self.number(now);
-        let own = self.own.get_mut(&customer).map_or(0, |it| it.sum(number).granted);
-        let peers = self.peers.values().filter_map(|it| it.customers.get(&customer));
+        let own = self
+            .own
+            .get_mut(&customer)
+            .map_or(0, |it| it.sum(number).granted);
+        let peers = self
+            .peers
+            .values()
+            .filter_map(|it| it.customers.get(&customer));
         own + peers.map(|it| it.granted).sum::<u64>()
     }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -47,7 +47,10 @@
 impl Tag {
     /// The short name of an identity.
     #[must_use]
-    #[expect(clippy::cast_possible_truncation, reason = "a short name is the low half of the hash")]
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a short name is the low half of the hash"
+    )]
     pub fn new(id: &str) -> Self {
         Self(xxh64(id.as_bytes(), 0) as u32)
     }
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -91,7 +91,8 @@
 
     /// Drops peers that have been silent and adds up the others.
     pub fn sum(&mut self, now: Duration) {
-        self.peers.retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
+        self.peers
+            .retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
         self.total = self.own.clone();
         for report in self.peers.values() {
             for (tag, load) in &report.loads {
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -96,7 +96,12 @@
 impl Attempt {
     /// The answer was read to its end: keeps the connection.
     pub fn finish(self, node: &Node) {
-        let Self { lease, connection, keep, .. } = self;
+        let Self {
+            lease,
+            connection,
+            keep,
+            ..
+        } = self;
         let tag = lease.target.tag();
         drop(lease);
         node.pool.put(tag, connection, keep, node.now());
@@ -120,21 +125,32 @@
         Some(connection) => connection,
         None => connect(node, job, &lease).await?,
     };
-    let (response, connection) = exchange(node, job, &lease, connection, resume_after, limit).await?;
+    let (response, connection) =
+        exchange(node, job, &lease, connection, resume_after, limit).await?;
     let (head, body) = response.into_parts();
     let keep = pool::keep(&head.headers);
     check(node, job, &lease, &head)?;
-    Ok(Attempt { head, body, lease, connection, keep })
+    Ok(Attempt {
+        head,
+        body,
+        lease,
+        connection,
+        keep,
+    })
 }
 
 async fn connect(node: &Rc<Node>, job: &Job, lease: &Lease) -> Result<Connection, Failure> {
     let left = job.deadline.saturating_sub(node.now());
     let part = job.route.objective.mul_f64(CONNECT_PART).max(CONNECT_LEAST);
     let opened = pool::open(lease.target.address, part.min(left)).await;
-    node.metrics.add("connections_total", &lease.target.service, 1);
+    node.metrics
+        .add("connections_total", &lease.target.service, 1);
     opened.map_err(|error| {
         node.note(&lease.target, Outcome::Unreachable);
-        let line = node.journal.line("connect_failed").with("id", job.id.as_ref());
+        let line = node
+            .journal
+            .line("connect_failed")
+            .with("id", job.id.as_ref());
         let line = line.with("target", lease.target.id.as_ref());
         drop(line.with("error", error.to_string()));
         Failure::new(Verdict::NotSent, "connect_failed")
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -90,7 +90,9 @@
     };
     let admission = admit(node, &head, &call).map_err(refused)?;
     if life::ending(node, admission.route.kind.streams()) {
-        return Err(refused(Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETURN)));
+        return Err(refused(
+            Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETURN),
+        ));
     }
     let body = read(&admission.table, body).await.map_err(refused)?;
     let job = Rc::new(job(node, head, body, call, admission, arrived));
@@ -158,7 +160,12 @@
     admission: Admission,
     arrived: Duration,
 ) -> Job {
-    let Admission { table, route, customer, service } = admission;
+    let Admission {
+        table,
+        route,
+        customer,
+        service,
+    } = admission;
     let engine = table.service(&service).is_some_and(|it| it.engine);
     let left = call.left.unwrap_or(route.timeout);
     let returning = left + RETURNING_MARGIN < route.timeout;
@@ -195,7 +202,11 @@
         id: job.id.clone(),
         service: job.service.clone(),
         prompt: job.prompt.clone(),
-        customer: job.customer.as_ref().filter(|_| job.cost > 0).map(share::tag),
+        customer: job
+            .customer
+            .as_ref()
+            .filter(|_| job.cost > 0)
+            .map(share::tag),
         cost: job.cost,
         objective: job.route.objective,
         arrived: job.arrived,
@@ -251,14 +262,21 @@
 
 fn tell_failure(node: &Rc<Node>, job: &Job, target: &str, failure: Failure) {
     node.metrics.add("failures_total", failure.reason, 1);
-    let line = node.journal.line("attempt_failed").with("id", job.id.as_ref());
+    let line = node
+        .journal
+        .line("attempt_failed")
+        .with("id", job.id.as_ref());
     let line = line.with("target", target).with("reason", failure.reason);
     drop(line.with("verdict", format!("{:?}", failure.verdict)));
 }
 
 fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
     let patience = &node.settings.patience;
-    let part = if job.returning { patience.returning } else { patience.first };
+    let part = if job.returning {
+        patience.returning
+    } else {
+        patience.first
+    };
     let until = job.arrived + job.route.objective.mul_f64(part);
     until.min(job.deadline)
 }
@@ -327,7 +345,10 @@
     if job.route.kind.streams() && attempt.head.status.is_success() {
         let head = answer_head(&attempt.head, true);
         let relay = Relay::new(node.clone(), job.clone(), attempt, sends);
-        return Ok(Response::from_parts(head, Content::Relayed(Box::new(relay))));
+        return Ok(Response::from_parts(
+            head,
+            Content::Relayed(Box::new(relay)),
+        ));
     }
     whole(node, job, attempt, sends).await
 }
@@ -351,11 +372,17 @@
             });
         }
     };
-    let outcome = if attempt.head.status.is_server_error() { Outcome::Bad } else { Outcome::Good };
+    let outcome = if attempt.head.status.is_server_error() {
+        Outcome::Bad
+    } else {
+        Outcome::Good
+    };
     node.note(&attempt.lease.target, outcome);
     let head = answer_head(&attempt.head, false);
     let line = node.journal.line("answered").with("id", job.id.as_ref());
-    let line = line.with("status", head.status.as_u16()).with("sends", sends);
+    let line = line
+        .with("status", head.status.as_u16())
+        .with("sends", sends);
     drop(line.with_ms("after_ms", node.now().saturating_sub(job.arrived)));
     attempt.finish(node);
     Ok(Response::from_parts(head, Content::Whole(body)))
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -48,18 +48,102 @@
         standard,
     };
     [
-        figure("fill", "DUNLINWARD_FILL", "Part of an engine's slots that is used", 0.01, 1.0, policy.fill),
-        figure("reading", "DUNLINWARD_READING", "Part of the objective for reading prompts", 0.01, 2.0, policy.reading),
-        figure("miss", "DUNLINWARD_MISS", "Weight of a prefix that is read anew", 0.0, 100.0, policy.miss),
-        figure("miss-room", "DUNLINWARD_MISS_ROOM", "Part of a target's room that a prefix read anew may use", 0.0, 1.0, policy.miss_room),
-        figure("running", "DUNLINWARD_RUNNING", "Tokens by which a running request counts", 0.0, 10_000.0, policy.running),
-        figure("plain-queue", "DUNLINWARD_PLAIN_QUEUE", "Requests at a plain target for each slot", 0.1, 10.0, policy.queue),
-        figure("wait-first", "DUNLINWARD_WAIT_FIRST", "Part of the objective that a request waits", 0.0, 5.0, patience.first),
-        figure("wait-returning", "DUNLINWARD_WAIT_RETURNING", "The same for a caller that was refused before", 0.0, 5.0, patience.returning),
-        figure("wait-miss", "DUNLINWARD_WAIT_MISS", "Part of the objective before a prefix may be read anew", 0.0, 5.0, patience.miss),
-        figure("come-back", "DUNLINWARD_COME_BACK", "Part of the objective after which a refused caller may come back", 0.0, 5.0, patience.come_back),
-        figure("over-share", "DUNLINWARD_OVER_SHARE", "Part of all room for requests beyond a share", 0.0, 1.0, patience.over_share),
-        figure("report-ms", "DUNLINWARD_REPORT_MS", "Milliseconds between reports to peers", 10.0, 10_000.0, REPORT_MS),
+        figure(
+            "fill",
+            "DUNLINWARD_FILL",
+            "Part of an engine's slots that is used",
+            0.01,
+            1.0,
+            policy.fill,
+        ),
+        figure(
+            "reading",
+            "DUNLINWARD_READING",
+            "Part of the objective for reading prompts",
+            0.01,
+            2.0,
+            policy.reading,
+        ),
+        figure(
+            "miss",
+            "DUNLINWARD_MISS",
+            "Weight of a prefix that is read anew",
+            0.0,
+            100.0,
+            policy.miss,
+        ),
+        figure(
+            "miss-room",
+            "DUNLINWARD_MISS_ROOM",
+            "Part of a target's room that a prefix read anew may use",
+            0.0,
+            1.0,
+            policy.miss_room,
+        ),
+        figure(
+            "running",
+            "DUNLINWARD_RUNNING",
+            "Tokens by which a running request counts",
+            0.0,
+            10_000.0,
+            policy.running,
+        ),
+        figure(
+            "plain-queue",
+            "DUNLINWARD_PLAIN_QUEUE",
+            "Requests at a plain target for each slot",
+            0.1,
+            10.0,
+            policy.queue,
+        ),
+        figure(
+            "wait-first",
+            "DUNLINWARD_WAIT_FIRST",
+            "Part of the objective that a request waits",
+            0.0,
+            5.0,
+            patience.first,
+        ),
+        figure(
+            "wait-returning",
+            "DUNLINWARD_WAIT_RETURNING",
+            "The same for a caller that was refused before",
+            0.0,
+            5.0,
+            patience.returning,
+        ),
+        figure(
+            "wait-miss",
+            "DUNLINWARD_WAIT_MISS",
+            "Part of the objective before a prefix may be read anew",
+            0.0,
+            5.0,
+            patience.miss,
+        ),
+        figure(
+            "come-back",
+            "DUNLINWARD_COME_BACK",
+            "Part of the objective after which a refused caller may come back",
+            0.0,
+            5.0,
+            patience.come_back,
+        ),
+        figure(
+            "over-share",
+            "DUNLINWARD_OVER_SHARE",
+            "Part of all room for requests beyond a share",
+            0.0,
+            1.0,
+            patience.over_share,
+        ),
+        figure(
+            "report-ms",
+            "DUNLINWARD_REPORT_MS",
+            "Milliseconds between reports to peers",
+            10.0,
+            10_000.0,
+            REPORT_MS,
+        ),
     ]
 }
 
@@ -69,7 +153,10 @@
     let args = figures().map(|figure| {
         let Figure { least, most, .. } = figure;
         let parser = move |text: &str| number(text, least, most);
-        let help = format!("{} [{least} to {most}; default {}]", figure.help, figure.standard);
+        let help = format!(
+            "{} [{least} to {most}; default {}]",
+            figure.help, figure.standard
+        );
         Arg::new(figure.flag)
             .long(figure.flag)
             .env(figure.variable)
@@ -82,7 +169,9 @@
 }
 
 fn number(text: &str, least: f64, most: f64) -> Result<f64, String> {
-    let value: f64 = text.parse().map_err(|_| format!("{text} is not a number"))?;
+    let value: f64 = text
+        .parse()
+        .map_err(|_| format!("{text} is not a number"))?;
     if (least..=most).contains(&value) {
         return Ok(value);
     }
@@ -123,6 +212,11 @@
 
 fn value(figures: &[Figure], matches: &ArgMatches, flag: &str) -> f64 {
     let given = matches.get_one::<f64>(flag).copied();
-    let standard = figures.iter().find(|it| it.flag == flag).map(|it| it.standard);
-    given.or(standard).expect("every flag has a standard figure")
+    let standard = figures
+        .iter()
+        .find(|it| it.flag == flag)
+        .map(|it| it.standard);
+    given
+        .or(standard)
+        .expect("every flag has a standard figure")
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -188,7 +188,10 @@
             return;
         };
         if unread > 0 {
-            node.state.borrow_mut().usage.read(self.target.tag(), unread);
+            node.state
+                .borrow_mut()
+                .usage
+                .read(self.target.tag(), unread);
             node.room_came();
         }
     }
@@ -349,11 +352,18 @@
     /// Notes how an exchange with a target went.
     pub fn note(&self, target: &Target, outcome: Outcome) {
         let now = self.now();
-        let ejected = self.state.borrow_mut().health.note(target.tag(), outcome, now);
+        let ejected = self
+            .state
+            .borrow_mut()
+            .health
+            .note(target.tag(), outcome, now);
         if ejected {
             self.metrics.add("ejections_total", &target.service, 1);
             let line = self.journal.line("target_ejected");
-            drop(line.with("target", target.id.as_ref()).with("outcome", format!("{outcome:?}")));
+            drop(
+                line.with("target", target.id.as_ref())
+                    .with("outcome", format!("{outcome:?}")),
+            );
         }
     }
 
@@ -401,7 +411,11 @@
                 state.begin(&wish, &choice, now);
                 return Ok(self.lease(choice));
             }
-            state.queue.push(Waiter { wish, within, reply });
+            state.queue.push(Waiter {
+                wish,
+                within,
+                reply,
+            });
         }
         self.room.notify_one();
         let placed = tokio::time::timeout_at(self.instant(until), receiver).await;
@@ -474,7 +488,10 @@
     /// A line on what is known, for a request's story.
     pub(crate) fn views(&self, line: crate::journal::Line) -> crate::journal::Line {
         let state = self.state.borrow();
-        let age = state.registry.read_at().map(|it| millis(self.now().saturating_sub(it)));
+        let age = state
+            .registry
+            .read_at()
+            .map(|it| millis(self.now().saturating_sub(it)));
         let version = state.table.as_ref().map(|it| it.version());
         line.with("configuration", version)
             .with("targets_age_ms", age)
@@ -526,7 +543,11 @@
             rate,
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
-            room: if within { 1.0 } else { settings.patience.over_share },
+            room: if within {
+                1.0
+            } else {
+                settings.patience.over_share
+            },
             draw: wish.draw,
         };
         placement::choose(&settings.policy, &ask, &candidates)
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -104,7 +104,10 @@
         for address in peers.due(number) {
             // A report that is lost is replaced by the next.
             if let Err(error) = socket.try_send_to(&bytes, address) {
-                peers.node.metrics.add("reports_unsent_total", &error.kind().to_string(), 1);
+                peers
+                    .node
+                    .metrics
+                    .add("reports_unsent_total", &error.kind().to_string(), 1);
             }
         }
         peers.node.metrics.add("reports_total", "sent", 1);
@@ -144,16 +147,18 @@
             leaving: node.leaving().is_some(),
             loads,
             customers: state.shares.report(now),
-            uses: state.memory.recent(node.settings.report_interval * USES_TOLD, now),
+            uses: state
+                .memory
+                .recent(node.settings.report_interval * USES_TOLD, now),
             peers: if list { self.list(now) } else { Vec::new() },
         }
     }
 
     fn list(&self, now: Duration) -> Vec<SocketAddr> {
         let known = self.known.borrow();
-        let heard = known.iter().filter(|(_, it)| {
-            it.heard.is_some_and(|at| now.saturating_sub(at) < SILENT)
-        });
+        let heard = known
+            .iter()
+            .filter(|(_, it)| it.heard.is_some_and(|at| now.saturating_sub(at) < SILENT));
         heard.map(|(address, _)| *address).take(LIST_MOST).collect()
     }
 
@@ -163,7 +168,10 @@
         let mut known = self.known.borrow_mut();
         for seed in &self.node.settings.seeds {
             if *seed != own {
-                known.entry(*seed).or_insert(Known { heard: None, since: now });
+                known.entry(*seed).or_insert(Known {
+                    heard: None,
+                    since: now,
+                });
             }
         }
         known.retain(|_, it| now.saturating_sub(it.heard.unwrap_or(it.since)) < FORGOTTEN);
@@ -183,9 +191,18 @@
         let now = node.now();
         {
             let mut known = self.known.borrow_mut();
-            known.insert(report.address, Known { heard: Some(now), since: now });
+            known.insert(
+                report.address,
+                Known {
+                    heard: Some(now),
+                    since: now,
+                },
+            );
             for address in report.peers.iter().filter(|it| **it != own) {
-                known.entry(*address).or_insert(Known { heard: None, since: now });
+                known.entry(*address).or_insert(Known {
+                    heard: None,
+                    since: now,
+                });
             }
         }
         {
@@ -222,11 +239,17 @@
         Ok(Ok(view)) => take(node, view),
         Ok(Err(error)) => {
             let line = node.journal.line("view_not_fetched");
-            drop(line.with("peer", address.to_string()).with("error", error.to_string()));
+            drop(
+                line.with("peer", address.to_string())
+                    .with("error", error.to_string()),
+            );
         }
         Err(_) => {
             let line = node.journal.line("view_not_fetched");
-            drop(line.with("peer", address.to_string()).with("error", "timeout"));
+            drop(
+                line.with("peer", address.to_string())
+                    .with("error", "timeout"),
+            );
         }
     }
     peers.fetching.replace(false);
@@ -237,7 +260,9 @@
         node.take_configuration(configuration, "peer");
     }
     if let Some(targets) = view.targets {
-        let as_of = node.now().saturating_sub(Duration::from_millis(targets.age_ms));
+        let as_of = node
+            .now()
+            .saturating_sub(Duration::from_millis(targets.age_ms));
         node.take_targets(targets.list, as_of, "peer");
     }
 }
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -114,7 +114,9 @@
         connection.used = true;
         let until = now + keep;
         let mut idle = self.idle.borrow_mut();
-        idle.entry(tag).or_default().push(Idle { connection, until });
+        idle.entry(tag)
+            .or_default()
+            .push(Idle { connection, until });
     }
 
     /// Closes what is too old, and all connections to targets that `gone` names.
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -212,7 +212,10 @@
         let line = node.journal.line(event).with("id", self.job.id.as_ref());
         let line = line.with("reason", reason).with("sends", self.sends);
         let line = line.with("last_event", self.splitter.last());
-        let first = self.pace.first.map(|it| millis(it.saturating_sub(self.job.arrived)));
+        let first = self
+            .pace
+            .first
+            .map(|it| millis(it.saturating_sub(self.job.arrived)));
         let line = line.with("first_ms", first);
         let line = line.with_ms("longest_pause_ms", self.pace.longest_pause);
         drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
@@ -248,8 +251,12 @@
                 self.attempt = Some(attempt);
                 Ok(())
             }
-            Ok(_) => Err(Broken { reason: "not_resumed" }),
-            Err(failure) => Err(Broken { reason: failure.reason }),
+            Ok(_) => Err(Broken {
+                reason: "not_resumed",
+            }),
+            Err(failure) => Err(Broken {
+                reason: failure.reason,
+            }),
         }
     }
 }
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -126,7 +126,10 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self.reason, Reason::TooLarge | Reason::SlowBody | Reason::Malformed) {
+        if matches!(
+            self.reason,
+            Reason::TooLarge | Reason::SlowBody | Reason::Malformed
+        ) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -155,7 +158,9 @@
                 let bytes = std::mem::take(bytes);
                 Poll::Ready(Some(Ok(Frame::data(bytes))))
             }
-            Self::Relayed(relay) => relay.poll_bytes(context).map(|it| it.map(|it| it.map(Frame::data))),
+            Self::Relayed(relay) => relay
+                .poll_bytes(context)
+                .map(|it| it.map(|it| it.map(Frame::data))),
         }
     }
 
