--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -16,7 +16,7 @@
 const FIRST: Duration = Duration::from_millis(500);
 
 /// Longest time of ejection.
-const LONGEST: Duration = Duration::from_millis(4_000);
+const LONGEST: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -12,7 +12,7 @@
 
 /// How long a lapsed entry may take to come back after an outage of the store;
 /// the operators' letter says about two seconds.
-pub const RETURN_TIME: Duration = Duration::from_millis(2_000);
+pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
 /// A read that comes this much later than the one before follows an outage.
 pub const OUTAGE: Duration = Duration::from_millis(2_500);
@@ -50,7 +50,10 @@
         if self.read_at.is_some_and(|at| as_of < at) {
             return Vec::new();
         }
-        if self.read_at.is_some_and(|at| as_of - at > OUTAGE) {
+        if self
+            .read_at
+            .is_some_and(|at| as_of.saturating_sub(at) > OUTAGE)
+        {
             self.keep_until = as_of + RETURN_TIME;
         }
         self.read_at = Some(as_of);
--- a/crates/path/src/event.rs
+++ b/crates/path/src/event.rs
@@ -73,7 +73,7 @@
 }
 
 fn last_number(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
-    let number = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let number = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(number).ok()?.trim().parse().ok()
 }
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -296,8 +296,7 @@
         return false;
     }
     match failure.verdict {
-        Verdict::NotSent => true,
-        Verdict::Repeat => true,
+        Verdict::NotSent | Verdict::Repeat => true,
         Verdict::NotRun => node.may_repeat(&job.service),
         Verdict::Unknown => {
             let repeatable = matches!(job.route.kind, Kind::Idempotent | Kind::Resumable);
@@ -362,16 +361,14 @@
 ) -> Result<Response<Content>, Failure> {
     let limit = node.instant(answer_limit(node, job, sends.saturating_sub(1)));
     let reading = Limited::new(&mut attempt.body, WHOLE_ANSWER).collect();
-    let body = match tokio::time::timeout_at(limit, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) | Err(_) => {
-            node.note(&attempt.lease.target, Outcome::Bad);
-            return Err(Failure {
-                verdict: Verdict::Unknown,
-                reason: "cut_short",
-            });
-        }
+    let Ok(Ok(body)) = tokio::time::timeout_at(limit, reading).await else {
+        node.note(&attempt.lease.target, Outcome::Bad);
+        return Err(Failure {
+            verdict: Verdict::Unknown,
+            reason: "cut_short",
+        });
     };
+    let body = body.to_bytes();
     let outcome = if attempt.head.status.is_server_error() {
         Outcome::Bad
     } else {
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -24,9 +24,9 @@
     pub report_interval: Duration,
 }
 
+#[derive(Clone, Copy)]
 struct Figure {
     flag: &'static str,
-    variable: &'static str,
     help: &'static str,
     least: f64,
     most: f64,
@@ -36,121 +36,117 @@
 /// Standard time between reports in milliseconds; `docs/design/platform.md` has the trials.
 const REPORT_MS: f64 = 100.0;
 
-fn figures() -> [Figure; 12] {
-    let policy = Policy::default();
-    let patience = Patience::default();
-    let figure = |flag, variable, help, least, most, standard| Figure {
+fn figure(flag: &'static str, help: &'static str, most: f64, standard: f64) -> Figure {
+    Figure {
         flag,
-        variable,
         help,
-        least,
+        least: 0.0,
         most,
         standard,
-    };
+    }
+}
+
+fn policy_figures() -> [Figure; 6] {
+    let policy = Policy::default();
     [
         figure(
             "fill",
-            "DUNLINWARD_FILL",
             "Part of an engine's slots that is used",
-            0.01,
             1.0,
             policy.fill,
         ),
         figure(
             "reading",
-            "DUNLINWARD_READING",
             "Part of the objective for reading prompts",
-            0.01,
-            2.0,
+            5.0,
             policy.reading,
         ),
         figure(
             "miss",
-            "DUNLINWARD_MISS",
             "Weight of a prefix that is read anew",
-            0.0,
             100.0,
             policy.miss,
         ),
         figure(
             "miss-room",
-            "DUNLINWARD_MISS_ROOM",
-            "Part of a target's room that a prefix read anew may use",
-            0.0,
+            "Part of a target's room for a prefix read anew",
             1.0,
             policy.miss_room,
         ),
         figure(
             "running",
-            "DUNLINWARD_RUNNING",
             "Tokens by which a running request counts",
-            0.0,
             10_000.0,
             policy.running,
         ),
         figure(
             "plain-queue",
-            "DUNLINWARD_PLAIN_QUEUE",
             "Requests at a plain target for each slot",
-            0.1,
             10.0,
             policy.queue,
         ),
+    ]
+}
+
+fn patience_figures() -> [Figure; 5] {
+    let patience = Patience::default();
+    [
         figure(
             "wait-first",
-            "DUNLINWARD_WAIT_FIRST",
             "Part of the objective that a request waits",
-            0.0,
             5.0,
             patience.first,
         ),
         figure(
             "wait-returning",
-            "DUNLINWARD_WAIT_RETURNING",
-            "The same for a caller that was refused before",
-            0.0,
+            "The same for a caller that was refused",
             5.0,
             patience.returning,
         ),
         figure(
             "wait-miss",
-            "DUNLINWARD_WAIT_MISS",
-            "Part of the objective before a prefix may be read anew",
-            0.0,
+            "Part of the objective before a prefix is read anew",
             5.0,
             patience.miss,
         ),
         figure(
             "come-back",
-            "DUNLINWARD_COME_BACK",
-            "Part of the objective after which a refused caller may come back",
-            0.0,
+            "Part of the objective before a refused caller returns",
             5.0,
             patience.come_back,
         ),
         figure(
             "over-share",
-            "DUNLINWARD_OVER_SHARE",
             "Part of all room for requests beyond a share",
-            0.0,
             1.0,
             patience.over_share,
         ),
-        figure(
+    ]
+}
+
+fn figures() -> Vec<Figure> {
+    let interval = Figure {
+        least: 10.0,
+        ..figure(
             "report-ms",
-            "DUNLINWARD_REPORT_MS",
             "Milliseconds between reports to peers",
-            10.0,
             10_000.0,
             REPORT_MS,
-        ),
-    ]
+        )
+    };
+    let patience = patience_figures().into_iter().chain([interval]);
+    policy_figures().into_iter().chain(patience).collect()
+}
+
+/// The environment variable of a flag.
+fn variable(flag: &str) -> String {
+    format!("DUNLINWARD_{}", flag.replace('-', "_").to_uppercase())
 }
 
 /// The command line.
 #[must_use]
 pub fn command(name: &'static str) -> Command {
-    let args = figures().map(|figure| {
+    let args = figures().into_iter().map(|figure| {
         let Figure { least, most, .. } = figure;
         let parser = move |text: &str| number(text, least, most);
         let help = format!(
@@ -159,7 +155,7 @@
         );
         Arg::new(figure.flag)
             .long(figure.flag)
-            .env(figure.variable)
+            .env(variable(figure.flag))
             .value_parser(ValueParser::new(parser))
             .help(help)
     });
--- a/crates/path/src/journal.rs
+++ b/crates/path/src/journal.rs
@@ -27,7 +27,6 @@
 struct Buffer {
     bytes: Vec<u8>,
     dropped: u64,
-    blocked: bool,
 }
 
 /// The log of one process.
@@ -98,8 +97,8 @@
         Ok(())
     }
 
-    /// Writes what the reader takes now; true if nothing is left.
-    pub fn drain(&self) -> bool {
+    /// Writes what the reader takes now.
+    pub fn drain(&self) {
         let mut buffer = self.buffer.borrow_mut();
         let mut done = 0;
         while done < buffer.bytes.len() {
@@ -113,8 +112,6 @@
             }
         }
         buffer.bytes.drain(..done);
-        buffer.blocked = !buffer.bytes.is_empty();
-        !buffer.blocked
     }
 }
 
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -50,7 +50,7 @@
 const YOUNGER: Duration = Duration::from_millis(600);
 
 /// Time for a view to come over.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What a router knows, for a peer that can't ask the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -227,8 +227,8 @@
             return report.configuration > version;
         };
         let own = state.registry.read_at().map(|at| now.saturating_sub(at));
-        let stale = own.is_none_or(|age| age > STALE && theirs + YOUNGER < age);
-        report.configuration > version || stale
+        let outdated = own.is_none_or(|age| age > STALE && theirs + YOUNGER < age);
+        report.configuration > version || outdated
     }
 }
 
