Doubt old connections to silent domains; judge targets by a mean of failures

Ruled out: give-ups (spread over all targets at 18-26 s). Change: a domain all of whose routers are silent gets new connections only, which prove the way or leave the request unsent; ejection closes kept connections; a target silent for two objectives counts as failing; at most a third of a service is ejected for it.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -1,16 +1,26 @@
 //! Targets that fail and are left alone for a while.
 //!
-//! Judged by this router's own traffic only, so nothing is probed. Failures in a
-//! row eject a target for a time that doubles up to a limit; the first request
-//! after it is the trial. One success readmits.
+//! Judged by this router's own traffic only, so nothing is probed. Each outcome
+//! moves a mean of failures; a target whose mean is too high is ejected, for a
+//! time that doubles up to a limit while it keeps failing. The first request
+//! after it is the trial. A target that can't be reached is ejected at once.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::target::Tag;
 
-/// Failures in a row that eject a target.
-const FAILURES: u32 = 3;
+/// Weight of the newest outcome in the mean.
+const NEWEST: f64 = 0.25;
+
+/// Mean of failures at which a target is ejected: three in a row, or over half of many.
+const EJECTED: f64 = 0.55;
+
+/// Mean with which an ejected target is tried again: one more failure ejects it.
+const TRIAL: f64 = 0.5;
+
+/// Mean below which earlier ejections are forgotten.
+const SOUND: f64 = 0.1;
 
 /// First time of ejection.
 const FIRST: Duration = Duration::from_millis(500);
@@ -20,7 +30,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
-    failures: u32,
+    mean: f64,
     ejections: u32,
     until: Duration,
 }
@@ -51,20 +61,19 @@
 
     /// Notes an outcome; true if the target is ejected by it.
     pub fn note(&mut self, tag: Tag, outcome: Outcome, now: Duration) -> bool {
-        if outcome == Outcome::Good {
-            self.records.remove(&tag);
-            return false;
-        }
+        let failed = if outcome == Outcome::Good { 0.0 } else { 1.0 };
         let record = self.records.entry(tag).or_default();
-        record.failures += if outcome == Outcome::Unreachable {
-            FAILURES
-        } else {
-            1
-        };
-        if record.failures < FAILURES || now < record.until {
+        record.mean += (failed - record.mean) * NEWEST;
+        if outcome == Outcome::Unreachable {
+            record.mean = 1.0;
+        }
+        if record.mean < SOUND {
+            record.ejections = 0;
+        }
+        if outcome == Outcome::Good || record.mean < EJECTED || now < record.until {
             return false;
         }
-        record.failures = FAILURES - 1;
+        record.mean = TRIAL;
         let time = FIRST.saturating_mul(1 << record.ejections.min(4));
         record.ejections += 1;
         record.until = now + time.min(LONGEST);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`share`]: what each customer has used and may use.
 //! - [`budget`]: how often a request may be sent once more.
 //! - [`health`]: targets that fail and are left alone for a while.
+//! - [`reach`]: failure domains that may be cut off.
 //! - [`report`]: what routers tell each other.
 
 pub mod budget;
@@ -18,6 +19,7 @@
 pub mod health;
 pub mod placement;
 pub mod prefix;
+pub mod reach;
 pub mod registry;
 pub mod report;
 pub mod share;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -1,6 +1,7 @@
 //! What routers tell each other, several times a second, in one datagram.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +40,8 @@
     pub sender: Peer,
     /// Where the sender's datagrams are received.
     pub address: SocketAddr,
+    /// The sender's failure domain.
+    pub domain: Arc<str>,
     /// Grows with each report of this sender.
     pub number: u64,
     /// Version of the configuration in force at the sender; 0 for none.
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -24,6 +24,15 @@
 /// Shortest time for which it waits, as a lost packet is sent again only then.
 const CONNECT_LEAST: Duration = Duration::from_millis(150);
 
+/// Time within which an answer may cross the close of an idle connection.
+const CROSSED: Duration = Duration::from_millis(500);
+
+/// Objectives after which a target that has not begun to answer counts as failing.
+const SILENCE: f64 = 2.0;
+
+/// Shortest such time.
+const SILENCE_LEAST: Duration = Duration::from_millis(800);
+
 /// A request that has been read and may be sent.
 #[derive(Debug)]
 pub struct Job {
@@ -121,6 +130,9 @@
     limit: Instant,
 ) -> Result<Attempt, Failure> {
     let target = lease.target.clone();
+    if node.doubtful(&target) {
+        node.pool.close(target.tag());
+    }
     let connection = match node.pool.take(target.tag(), node.now()) {
         Some(connection) => connection,
         None => connect(node, job, &lease).await?,
@@ -166,8 +178,10 @@
     limit: Instant,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let request = request(node, job, lease, resume_after);
+    let begun = node.now();
     let sent = connection.sender.try_send_request(request);
-    let Ok(sent) = tokio::time::timeout_at(limit, sent).await else {
+    let sent = wait(node, job, lease, sent, limit).await;
+    let Some(sent) = sent else {
         node.note(&lease.target, Outcome::Bad);
         return Err(Failure::new(Verdict::Unknown, "no_answer"));
     };
@@ -177,7 +191,8 @@
             if error.take_message().is_some() {
                 return Err(Failure::new(Verdict::NotSent, "connection_closed"));
             }
-            if !connection.used {
+            // An idle connection that its target closed just then says nothing of its health.
+            if !connection.used || node.now() > begun + CROSSED {
                 node.note(&lease.target, Outcome::Bad);
             }
             Err(Failure::new(Verdict::Unknown, "broken_off"))
@@ -185,6 +200,33 @@
     }
 }
 
+/// Waits for an answer until `limit`; a target that is silent for long has failed already
+/// before that.
+async fn wait<T>(
+    node: &Rc<Node>,
+    job: &Job,
+    lease: &Lease,
+    answer: impl Future<Output = T>,
+    limit: Instant,
+) -> Option<T> {
+    let mut answer = std::pin::pin!(answer);
+    let silence = job.route.objective.mul_f64(SILENCE).max(SILENCE_LEAST);
+    let early = limit.min(Instant::now() + silence);
+    if let Ok(answer) = tokio::time::timeout_at(early, answer.as_mut()).await {
+        return Some(answer);
+    }
+    if early < limit {
+        node.note(&lease.target, Outcome::Bad);
+        let line = node
+            .journal
+            .line("target_silent")
+            .with("id", job.id.as_ref());
+        let line = line.with("target", lease.target.id.as_ref());
+        drop(line.with_ms("after_ms", silence));
+    }
+    tokio::time::timeout_at(limit, answer).await.ok()
+}
+
 fn request(
     node: &Rc<Node>,
     job: &Job,
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -20,6 +20,7 @@
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice, Policy};
 use dunlinward_dispatch::prefix::{Memory, Prompt};
+use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::registry::{Change, Registry};
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share::Shares;
@@ -37,6 +38,9 @@
 /// Shortest time between two passes over the queue.
 const FILL_PAUSE: Duration = Duration::from_millis(3);
 
+/// At most one in so many targets of a service is ejected for failures.
+const EJECTED_PART: usize = 3;
+
 /// What a router is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -137,6 +141,7 @@
     pub(crate) health: Health,
     pub(crate) budget: Budget,
     pub(crate) shares: Shares,
+    pub(crate) reach: Reach,
     queue: Vec<Waiter>,
     engines_seen: usize,
 }
@@ -225,6 +230,7 @@
             health: Health::new(),
             budget: Budget::new(settings.repeats),
             shares: Shares::new(settings.share_window),
+            reach: Reach::new(settings.report_interval),
             queue: Vec::new(),
             engines_seen: 0,
         };
@@ -349,15 +355,21 @@
         self.state.borrow_mut().registry.outage(now);
     }
 
+    /// Whether the way to a target may be cut, so that only a new connection proves it.
+    #[must_use]
+    pub fn doubtful(&self, target: &Target) -> bool {
+        self.state
+            .borrow()
+            .reach
+            .doubtful(&target.domain, self.now())
+    }
+
     /// Notes how an exchange with a target went.
     pub fn note(&self, target: &Target, outcome: Outcome) {
         let now = self.now();
-        let ejected = self
-            .state
-            .borrow_mut()
-            .health
-            .note(target.tag(), outcome, now);
+        let ejected = self.state.borrow_mut().note(target, outcome, now);
         if ejected {
+            self.pool.close(target.tag());
             self.metrics.add("ejections_total", &target.service, 1);
             let line = self.journal.line("target_ejected");
             drop(
@@ -501,6 +513,19 @@
 }
 
 impl State {
+    /// Notes an outcome; true if the target is ejected by it.
+    fn note(&mut self, target: &Target, outcome: Outcome, now: Duration) -> bool {
+        let targets = self.registry.of(&target.service);
+        let ejected = targets
+            .iter()
+            .filter(|it| self.health.ejected(it.tag(), now));
+        let enough = ejected.count() * EJECTED_PART >= targets.len();
+        if outcome == Outcome::Bad && enough {
+            return false;
+        }
+        self.health.note(target.tag(), outcome, now)
+    }
+
     fn within(&mut self, wish: &Wish, now: Duration) -> bool {
         let Some(customer) = wish.customer else {
             return true;
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -141,6 +141,7 @@
         Report {
             sender: node.peer,
             address: node.settings.link,
+            domain: node.settings.domain.clone(),
             number,
             configuration: state.table.as_ref().map_or(0, |it| it.version()),
             registry_age_ms: age.map(crate::journal::millis),
@@ -209,6 +210,11 @@
             let mut state = node.state.borrow_mut();
             let loads = report.loads.iter().map(|it| (it.tag, it.load));
             state.usage.report(report.sender, loads, now);
+            if report.leaving {
+                state.reach.leave(report.sender);
+            } else {
+                state.reach.hear(report.sender, &report.domain, now);
+            }
             state.shares.hear(report.sender, &report.customers, now);
             for used in &report.uses {
                 state.memory.hear(*used, now);
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -20,7 +20,7 @@
 use tokio::task::AbortHandle;
 
 /// How long a target may leave sent bytes unacknowledged before the connection is given up.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_200);
 
 /// How long an idle connection is kept if its target names no time: it closes
 /// idle connections within less than the second that it could name.
@@ -119,6 +119,11 @@
             .push(Idle { connection, until });
     }
 
+    /// Closes all idle connections to a target.
+    pub fn close(&self, tag: Tag) {
+        self.idle.borrow_mut().remove(&tag);
+    }
+
     /// Closes what is too old, and all connections to targets that `gone` names.
     pub fn trim(&self, now: Duration, gone: impl Fn(Tag) -> bool) {
         let mut idle = self.idle.borrow_mut();
