Take a prefix for kept as long as an engine's memory lasts

Change: the time is memory / tokens a second, from the configuration. Also callers wait 0.3 of the objective on return and come back after one objective.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -72,8 +72,15 @@
     pub name: Arc<str>,
     /// Connections that one target accepts from all callers.
     pub connections: u32,
-    /// Whether its targets are model engines.
-    pub engine: bool,
+    /// What its targets are like if they are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// A service's model engines.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Engine {
+    /// Tokens that one engine's memory holds.
+    pub memory_tokens: u64,
 }
 
 /// A customer.
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -14,8 +14,23 @@
 
 use crate::target::Tag;
 
-/// How long a target is taken to keep a prefix after its last use.
-const KEPT: Duration = Duration::from_secs(10);
+/// Shortest time for which a target is taken to keep a prefix after its last use.
+const KEPT_LEAST: Duration = Duration::from_secs(5);
+
+/// Longest such time, and that for which uses are remembered.
+const KEPT_MOST: Duration = Duration::from_mins(1);
+
+/// How long an engine keeps what is not used: the time in which as much is read as its
+/// memory holds.
+#[must_use]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+pub fn kept(memory_tokens: u64, tokens_per_second: f64) -> Duration {
+    let seconds = memory_tokens as f64 / tokens_per_second.max(1.0);
+    Duration::from_secs_f64(seconds.min(KEPT_MOST.as_secs_f64())).max(KEPT_LEAST)
+}
 
 /// Uses remembered at the most.
 const MOST: usize = 8_192;
@@ -126,7 +141,8 @@
     /// Notes what a peer sent.
     pub fn hear(&mut self, used: Use, now: Duration) {
         if self.uses.len() >= MOST {
-            self.uses.retain(|_, at| now.saturating_sub(*at) < KEPT);
+            self.uses
+                .retain(|_, at| now.saturating_sub(*at) < KEPT_MOST);
         }
         if self.uses.len() < MOST {
             self.uses.insert(used, now);
@@ -145,11 +161,11 @@
         self.recent.iter().map(|(_, used)| *used).collect()
     }
 
-    /// Whether a target is taken to keep a prefix.
+    /// Whether a target is taken to keep a prefix that was used within `kept`.
     #[must_use]
-    pub fn keeps(&self, prefix: Prefix, tag: Tag, now: Duration) -> bool {
+    pub fn keeps(&self, prefix: Prefix, tag: Tag, kept: Duration, now: Duration) -> bool {
         let at = self.uses.get(&Use::new(prefix, tag));
-        at.is_some_and(|at| now.saturating_sub(*at) < KEPT)
+        at.is_some_and(|at| now.saturating_sub(*at) < kept)
     }
 
     /// Forgets a target that has ended.
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -9,7 +9,7 @@
 };
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Policy};
-use dunlinward_dispatch::prefix::{Memory, Part, Prefix, Prompt, Use};
+use dunlinward_dispatch::prefix::{self, Memory, Part, Prefix, Prompt, Use};
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::registry::{Change, OUTAGE, RETURN_TIME, Registry};
 use dunlinward_dispatch::report::CustomerTag;
@@ -378,10 +378,12 @@
     assert_eq!(memory.recent(ms(300), ms(300)), [Use::new(prefix, tag)]);
     assert!(memory.recent(ms(300), ms(301)).is_empty());
     memory.hear(Use::new(prefix, tag), ms(9000));
-    assert!(memory.keeps(prefix, tag, ms(18_000)));
-    assert!(!memory.keeps(prefix, tag, ms(19_000)));
+    let kept = prefix::kept(570_000, 57_000.0);
+    assert_eq!(kept, ms(10_000));
+    assert!(memory.keeps(prefix, tag, kept, ms(18_000)));
+    assert!(!memory.keeps(prefix, tag, kept, ms(19_000)));
     memory.forget(tag);
-    assert!(!memory.keeps(prefix, tag, ms(9000)));
+    assert!(!memory.keeps(prefix, tag, kept, ms(9000)));
 }
 
 fn candidates(loads: &[(u32, u64)]) -> Vec<Candidate> {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use dunlinward_dispatch::configuration::{Kind, Route, Table};
 use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::prefix::Prompt;
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -166,7 +167,9 @@
         customer,
         service,
     } = admission;
-    let engine = table.service(&service).is_some_and(|it| it.engine);
+    let engine = table
+        .service(&service)
+        .is_some_and(|it| it.engine.is_some());
     let left = call.left.unwrap_or(route.timeout);
     let returning = left + RETURNING_MARGIN < route.timeout;
     let prompt = call.prompt.filter(|_| engine).map(Rc::new);
@@ -256,6 +259,8 @@
     let line = line.with("route", job.route.name.as_ref());
     let line = line.with("hit", lease.hit).with("sends", sends);
     let line = line.with("unread_tokens", lease.unread());
+    let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
+    let line = line.with("prefix", prefix.map(|it| format!("{:016x}", it.0)));
     let line = line.with_ms("waited_ms", node.now().saturating_sub(job.arrived));
     drop(node.views(line));
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -19,7 +19,7 @@
 use dunlinward_dispatch::configuration::{Configuration, Table};
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice, Policy};
-use dunlinward_dispatch::prefix::{Memory, Prompt};
+use dunlinward_dispatch::prefix::{self, Memory, Prompt};
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::registry::{Change, Registry};
 use dunlinward_dispatch::report::CustomerTag;
@@ -92,8 +92,8 @@
         Self {
             first: 0.2,
             miss: 0.18,
-            returning: 0.6,
-            come_back: 0.8,
+            returning: 0.3,
+            come_back: 1.0,
             over_share: 0.6,
         }
     }
@@ -541,7 +541,16 @@
         now: Duration,
     ) -> Option<Choice> {
         let prefix = wish.prompt.as_deref().and_then(Prompt::prefix);
-        let mut candidates = Vec::new();
+        let table = self.table.clone()?;
+        let engines = self.registry.of(&wish.service).len();
+        if wish.prompt.is_some() {
+            self.engines_seen = self.engines_seen.max(engines);
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
+        let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
+        let engine = table.service(&wish.service).and_then(|it| it.engine);
+        let kept = prefix::kept(engine.map_or(0, |it| it.memory_tokens), rate);
+        let mut candidates = Vec::with_capacity(engines);
         for target in self.registry.of(&wish.service) {
             let tag = target.tag();
             let usable = target.state == TargetState::Ready
@@ -552,16 +561,10 @@
                     target: target.clone(),
                     load: self.usage.total(tag),
                     local: target.domain == settings.domain,
-                    keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, now)),
+                    keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, kept, now)),
                 });
             }
         }
-        if wish.prompt.is_some() {
-            self.engines_seen = self.engines_seen.max(candidates.len());
-        }
-        let tokens_per_second = self.table.as_ref()?.limits().tokens_per_second;
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
-        let rate = tokens_per_second / self.engines_seen.max(1) as f64;
         let ask = Ask {
             prompt: wish.prompt.as_deref(),
             objective: wish.objective,
