Tell a request's story from logs; count and time by OpenTelemetry

dunlinctl story ID LOG... puts the lines of one request in order, with what its routers changed their mind about meanwhile. Histograms of queueing, first event, longest pause and whole answer by route.

--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -7,6 +7,7 @@
 pub mod drain;
 pub mod explain;
 pub mod status;
+pub mod story;
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -50,6 +51,7 @@
         .subcommand(apply::command())
         .subcommand(status::command())
         .subcommand(explain::command())
+        .subcommand(story::command())
         .subcommand(drain::command())
         .subcommand(completions::command())
 }
@@ -65,6 +67,7 @@
         Some(("apply", matches)) => apply::run(matches, out),
         Some(("status", matches)) => status::run(matches, out),
         Some(("explain", matches)) => explain::run(matches, out),
+        Some(("story", matches)) => story::run(matches, out),
         Some(("drain", matches)) => drain::run(matches, out),
         Some(("completions", matches)) => completions::run(matches, out),
         other => unreachable!("clap lets no other command pass: {other:?}"),
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -155,8 +155,7 @@
     let left = job.deadline.saturating_sub(node.now());
     let part = job.route.objective.mul_f64(CONNECT_PART).max(CONNECT_LEAST);
     let opened = pool::open(lease.target.address, part.min(left)).await;
-    node.metrics
-        .add("connections_total", &lease.target.service, 1);
+    node.metrics.add("connections", &lease.target.service, 1);
     opened.map_err(|error| {
         node.note(&lease.target, Outcome::Unreachable);
         let line = node
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -101,7 +101,7 @@
 }
 
 fn tell_refusal(node: &Rc<Node>, id: &Arc<str>, arrived: Duration, refusal: Refusal) {
-    node.metrics.add("refusals_total", refusal.reason.name(), 1);
+    node.metrics.add("refusals", refusal.reason.name(), 1);
     let line = node.journal.line("refused").with_text("id", id);
     let line = line.with("reason", refusal.reason.name());
     let line = line.with("status", refusal.reason.status().as_u16());
@@ -261,12 +261,14 @@
     let line = line.with("unread_tokens", lease.unread());
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
     let line = line.with("prefix", prefix.map(|it| format!("{:016x}", it.0)));
-    let line = line.with_ms("waited_ms", node.now().saturating_sub(job.arrived));
+    let waited = node.now().saturating_sub(job.arrived);
+    node.metrics.time("queued_seconds", &job.route.name, waited);
+    let line = line.with_ms("waited_ms", waited);
     drop(node.views(line));
 }
 
 fn tell_failure(node: &Rc<Node>, job: &Job, target: &str, failure: Failure) {
-    node.metrics.add("failures_total", failure.reason, 1);
+    node.metrics.add("failures", failure.reason, 1);
     let line = node
         .journal
         .line("attempt_failed")
@@ -386,6 +388,8 @@
         .with("status", head.status.as_u16())
         .with("sends", sends);
     drop(line.with_ms("after_ms", node.now().saturating_sub(job.arrived)));
+    let whole = node.now().saturating_sub(job.arrived);
+    node.metrics.time("answer_seconds", &job.route.name, whole);
     attempt.finish(node);
     Ok(Response::from_parts(head, Content::Whole(body)))
 }
--- a/crates/path/src/metrics.rs
+++ b/crates/path/src/metrics.rs
@@ -1,43 +1,92 @@
-//! Counters of a router, written as text on request.
+//! What a router counts and times.
+//!
+//! Instruments come from a meter of this router's own provider, so routers of
+//! one process do not mix. A family has one label, `of`, whose values are a few
+//! fixed words or names of services and routes, so their number is bounded.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::fmt::Write as _;
+use std::collections::HashMap;
+use std::time::Duration;
 
-/// Counters and gauges by name and one label.
-#[derive(Debug, Default)]
-pub struct Metrics {
-    counters: RefCell<BTreeMap<Name, u64>>,
-}
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Name {
-    family: &'static str,
-    label: String,
+/// Bounds of the histograms in seconds: from one step of an engine to a long deadline.
+const BOUNDS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// Counters and histograms.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Kept, as instruments stop when their provider is dropped.
+    _provider: SdkMeterProvider,
+    meter: Meter,
+    counters: RefCell<HashMap<&'static str, Counter<u64>>>,
+    times: RefCell<HashMap<&'static str, Histogram<f64>>>,
 }
 
 impl Metrics {
-    /// Adds to a counter.
+    /// Nothing counted yet.
+    ///
+    /// # Panics
+    ///
+    /// Never: a new registry takes any exporter.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .build()
+            .expect("a new registry takes any exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Self {
+            registry,
+            meter: provider.meter("dunlinward"),
+            _provider: provider,
+            counters: RefCell::default(),
+            times: RefCell::default(),
+        }
+    }
+
+    /// Adds to a counter; `family` ends in what it counts.
     pub fn add(&self, family: &'static str, label: &str, amount: u64) {
-        let name = Name {
-            family,
-            label: label.into(),
-        };
-        *self.counters.borrow_mut().entry(name).or_default() += amount;
+        let mut counters = self.counters.borrow_mut();
+        let counter = counters.entry(family).or_insert_with(|| {
+            let name = format!("dunlinward_{family}");
+            self.meter.u64_counter(name).build()
+        });
+        counter.add(amount, &[KeyValue::new("of", label.to_owned())]);
+    }
+
+    /// Adds a time to a histogram; `family` ends in `_seconds`.
+    pub fn time(&self, family: &'static str, label: &str, time: Duration) {
+        let mut times = self.times.borrow_mut();
+        let histogram = times.entry(family).or_insert_with(|| {
+            let name = format!("dunlinward_{family}");
+            let histogram = self.meter.f64_histogram(name);
+            histogram.with_boundaries(BOUNDS.to_vec()).build()
+        });
+        let label = KeyValue::new("of", label.to_owned());
+        histogram.record(time.as_secs_f64(), &[label]);
     }
 
-    /// All counters as text.
+    /// All that was counted, as text.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        let mut family = "";
-        for (name, value) in self.counters.borrow().iter() {
-            if name.family != family {
-                family = name.family;
-                let _ = writeln!(text, "# TYPE dunlinward_{family} counter");
-            }
-            let _ = writeln!(text, "dunlinward_{family}{{of=\"{}\"}} {value}", name.label);
-        }
-        text
+        let families = self.registry.gather();
+        let text = TextEncoder::new().encode_to_string(&families);
+        text.unwrap_or_else(|error| format!("# not written: {error}\n"))
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
     }
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -312,7 +312,7 @@
                 .with("before", before)
                 .with("source", source),
         );
-        self.metrics.add("configurations_total", source, 1);
+        self.metrics.add("configurations", source, 1);
         self.room_came();
     }
 
@@ -370,7 +370,7 @@
         let ejected = self.state.borrow_mut().note(target, outcome, now);
         if ejected {
             self.pool.close(target.tag());
-            self.metrics.add("ejections_total", &target.service, 1);
+            self.metrics.add("ejections", &target.service, 1);
             let line = self.journal.line("target_ejected");
             drop(
                 line.with("target", target.id.as_ref())
@@ -394,7 +394,7 @@
         let routers = state.usage.routers();
         let allowed = state.budget.take(service, routers, now);
         let label = if allowed { "taken" } else { "refused" };
-        self.metrics.add("repeats_total", label, 1);
+        self.metrics.add("repeats", label, 1);
         allowed
     }
 
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -107,10 +107,10 @@
                 peers
                     .node
                     .metrics
-                    .add("reports_unsent_total", &error.kind().to_string(), 1);
+                    .add("reports_unsent", &error.kind().to_string(), 1);
             }
         }
-        peers.node.metrics.add("reports_total", "sent", 1);
+        peers.node.metrics.add("reports", "sent", 1);
     }
 }
 
@@ -123,7 +123,7 @@
         let decoded = bincode::serde::decode_from_slice::<Report, _>(&buffer[..length], standard());
         match decoded {
             Ok((report, _)) => peers.hear(&report),
-            Err(_) => peers.node.metrics.add("reports_total", "malformed", 1),
+            Err(_) => peers.node.metrics.add("reports", "malformed", 1),
         }
     }
 }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -219,7 +219,16 @@
         let line = line.with("first_ms", first);
         let line = line.with_ms("longest_pause_ms", self.pace.longest_pause);
         drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
-        node.metrics.add("streams_total", reason, 1);
+        node.metrics.add("streams", reason, 1);
+        let route = &self.job.route.name;
+        if let Some(first) = self.pace.first {
+            let time = first.saturating_sub(self.job.arrived);
+            node.metrics.time("first_event_seconds", route, time);
+            node.metrics
+                .time("longest_pause_seconds", route, self.pace.longest_pause);
+        }
+        let whole = node.now().saturating_sub(self.job.arrived);
+        node.metrics.time("answer_seconds", route, whole);
     }
 
     /// Goes on at another target, or says why that can't be.
