--- a/crates/ctl/src/command/story.rs
+++ b/crates/ctl/src/command/story.rs
@@ -93,7 +93,10 @@
         let mut shown = format!("{:+9.3} s  {node}  {event}", self.at - begun);
         for (name, value) in &self.fields {
             if !LEADING.contains(&name.as_str()) && !value.is_null() {
-                shown.push_str(&format!("  {name}={value}"));
+                shown.push_str("  ");
+                shown.push_str(name);
+                shown.push('=');
+                shown.push_str(&value.to_string());
             }
         }
         shown
@@ -107,7 +110,7 @@
         return Vec::new();
     };
     let begun = first.at;
-    let ended = own().last().map_or(begun, |it| it.at);
+    let ended = own().next_back().map_or(begun, |it| it.at);
     let nodes: BTreeSet<_> = own().filter_map(|it| it.text("node")).collect();
     let targets: BTreeSet<_> = own().filter_map(|it| it.text("target")).collect();
     let explains = |line: &Line| {
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh64::xxh64;
+
 use crate::target::{State, Tag, Target};
 
 /// How long a lapsed entry may take to come back after an outage of the store;
@@ -36,6 +38,7 @@
     read_at: Option<Duration>,
     keep_until: Duration,
     replaced: HashSet<Tag>,
+    digest: u64,
 }
 
 impl Registry {
@@ -92,6 +95,19 @@
         changes
     }
 
+    /// A peer had the same list, true at `as_of`.
+    pub fn confirm(&mut self, digest: u64, as_of: Duration) {
+        if digest == self.digest && self.read_at.is_some_and(|at| as_of > at) {
+            self.read_at = Some(as_of);
+        }
+    }
+
+    /// A short sum of the list; equal lists have equal ones.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Forgets a target that another one has replaced at its address, also if it is still listed.
     pub fn forget(&mut self, tag: Tag) {
         self.replaced.insert(tag);
@@ -114,6 +130,12 @@
         for targets in self.by_service.values_mut() {
             targets.sort_by(|a, b| a.id.cmp(&b.id));
         }
+        let mut all: Vec<_> = self.targets.values().collect();
+        all.sort_by_key(|it| it.tag());
+        self.digest = all.into_iter().fold(0, |seed, it| {
+            let leaving = u64::from(it.state == State::Leaving);
+            xxh64(it.id.as_bytes(), seed ^ leaving)
+        });
     }
 
     /// Targets of a service, in the order of their identities.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -48,6 +48,8 @@
     pub configuration: u64,
     /// Age of the sender's list of targets in milliseconds, if it has one.
     pub registry_age_ms: Option<u64>,
+    /// Sum of the sender's list of targets.
+    pub registry_digest: u64,
     /// Whether the sender is about to end.
     pub leaving: bool,
     /// Its work.
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -466,3 +466,20 @@
     let full = candidates(&[(20, 0)]);
     assert!(placement::choose(&policy, &ask(None), &full).is_none());
 }
+
+#[test]
+fn a_peer_with_the_same_list_confirms_it_and_one_with_another_does_not() {
+    let mut registry = Registry::new();
+    registry.take(vec![target("a", 1), target("b", 2)], ms(0));
+    let mut other = Registry::new();
+    other.take(vec![target("b", 2), target("a", 1)], ms(0));
+    assert_eq!(registry.digest(), other.digest());
+    registry.confirm(other.digest(), ms(700));
+    assert_eq!(registry.read_at(), Some(ms(700)));
+    let mut leaving = target("b", 2);
+    leaving.state = State::Leaving;
+    other.take(vec![target("a", 1), leaving], ms(900));
+    assert_ne!(registry.digest(), other.digest());
+    registry.confirm(other.digest(), ms(900));
+    assert_eq!(registry.read_at(), Some(ms(700)));
+}
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -349,6 +349,13 @@
         state.health.forget(tag);
     }
 
+    /// Age of the list of targets, its own or confirmed by a peer.
+    #[must_use]
+    pub fn targets_age(&self) -> Option<Duration> {
+        let read_at = self.state.borrow().registry.read_at();
+        read_at.map(|at| self.now().saturating_sub(at))
+    }
+
     /// The store can't be read, so entries may lapse.
     pub fn store_away(&self) {
         let now = self.now();
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -43,11 +43,15 @@
 /// A router that has been silent for this long is forgotten, unless it is a seed.
 const FORGOTTEN: Duration = Duration::from_secs(30);
 
-/// A list of targets that is older than this is worth a peer's.
-const STALE: Duration = Duration::from_millis(1_800);
+/// A peer's list of targets that differs is fetched if it is younger by this much: more
+/// than the error of ages, which leave out the way of a report.
+const YOUNGER: Duration = Duration::from_millis(50);
 
-/// How much younger a peer's list must be.
-const YOUNGER: Duration = Duration::from_millis(600);
+/// Asks for the configuration.
+const WANT_CONFIGURATION: u8 = 1;
+
+/// Asks for the list of targets.
+const WANT_TARGETS: u8 = 2;
 
 /// Time for a view to come over.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -145,6 +149,7 @@
             number,
             configuration: state.table.as_ref().map_or(0, |it| it.version()),
             registry_age_ms: age.map(crate::journal::millis),
+            registry_digest: state.registry.digest(),
             leaving: node.leaving().is_some(),
             loads,
             customers: state.shares.report(now),
@@ -221,42 +226,50 @@
             }
         }
         node.room_came();
-        if self.worth_fetching(report, now) && !self.fetching.replace(true) {
-            tokio::task::spawn_local(fetch(self.clone(), report.address));
+        let wanted = self.wanted(report, now);
+        if wanted != 0 && !self.fetching.replace(true) {
+            tokio::task::spawn_local(fetch(self.clone(), report.address, wanted));
         }
     }
 
-    fn worth_fetching(&self, report: &Report, now: Duration) -> bool {
-        let state = self.node.state.borrow();
+    /// What a peer knows better; the age of an equal list is taken over at once.
+    fn wanted(&self, report: &Report, now: Duration) -> u8 {
+        let mut state = self.node.state.borrow_mut();
         let version = state.table.as_ref().map_or(0, |it| it.version());
-        let Some(theirs) = report.registry_age_ms.map(Duration::from_millis) else {
-            return report.configuration > version;
+        let mut wanted = 0;
+        if report.configuration > version {
+            wanted |= WANT_CONFIGURATION;
+        }
+        let Some(age) = report.registry_age_ms.map(Duration::from_millis) else {
+            return wanted;
         };
-        let own = state.registry.read_at().map(|at| now.saturating_sub(at));
-        let outdated = own.is_none_or(|age| age > STALE && theirs + YOUNGER < age);
-        report.configuration > version || outdated
+        let as_of = now.saturating_sub(age);
+        if report.registry_digest == state.registry.digest() {
+            state.registry.confirm(report.registry_digest, as_of);
+            return wanted;
+        }
+        let own = state.registry.read_at();
+        if own.is_none_or(|own| as_of > own + YOUNGER) {
+            wanted |= WANT_TARGETS;
+        }
+        wanted
     }
 }
 
-async fn fetch(peers: Rc<Peers>, address: SocketAddr) {
+async fn fetch(peers: Rc<Peers>, address: SocketAddr, wanted: u8) {
     let node = &peers.node;
-    let got = tokio::time::timeout(FETCH_TIMEOUT, read_view(address)).await;
-    match got {
-        Ok(Ok(view)) => take(node, view),
-        Ok(Err(error)) => {
-            let line = node.journal.line("view_not_fetched");
-            drop(
-                line.with("peer", address.to_string())
-                    .with("error", error.to_string()),
-            );
-        }
-        Err(_) => {
-            let line = node.journal.line("view_not_fetched");
-            drop(
-                line.with("peer", address.to_string())
-                    .with("error", "timeout"),
-            );
+    let got = tokio::time::timeout(FETCH_TIMEOUT, read_view(address, wanted)).await;
+    let error = match got {
+        Ok(Ok(view)) => {
+            take(node, view);
+            None
         }
+        Ok(Err(error)) => Some(error.to_string()),
+        Err(_) => Some("timeout".into()),
+    };
+    if let Some(error) = error {
+        let line = node.journal.line("view_not_fetched");
+        drop(line.with("peer", address.to_string()).with("error", error));
     }
     peers.fetching.replace(false);
 }
@@ -273,8 +286,9 @@
     }
 }
 
-async fn read_view(address: SocketAddr) -> std::io::Result<View> {
-    let stream = TcpStream::connect(address).await?;
+async fn read_view(address: SocketAddr, wanted: u8) -> std::io::Result<View> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_u8(wanted).await?;
     let mut bytes = Vec::new();
     stream.take(VIEW_BYTES).read_to_end(&mut bytes).await?;
     let decoded = bincode::serde::decode_from_slice::<View, _>(&bytes, standard());
@@ -288,8 +302,12 @@
         let Ok((mut stream, _)) = listener.accept().await else {
             continue;
         };
-        let view = view(&node);
+        let node = node.clone();
         tokio::task::spawn_local(async move {
+            let Ok(Ok(wanted)) = tokio::time::timeout(FETCH_TIMEOUT, stream.read_u8()).await else {
+                return;
+            };
+            let view = view(&node, wanted);
             if let Ok(bytes) = bincode::serde::encode_to_vec(&view, standard()) {
                 // The peer asks again if this fails.
                 drop(stream.write_all(&bytes).await);
@@ -299,15 +317,16 @@
     }
 }
 
-fn view(node: &Rc<Node>) -> View {
+fn view(node: &Rc<Node>, wanted: u8) -> View {
     let state = node.state.borrow();
     let now = node.now();
+    let configuration = state.table.as_ref().map(|it| it.configuration().clone());
     let targets = state.registry.read_at().map(|at| Targets {
         list: state.registry.all().map(|it| it.as_ref().clone()).collect(),
         age_ms: crate::journal::millis(now.saturating_sub(at)),
     });
     View {
-        configuration: state.table.as_ref().map(|it| it.configuration().clone()),
-        targets,
+        configuration: configuration.filter(|_| wanted & WANT_CONFIGURATION != 0),
+        targets: targets.filter(|_| wanted & WANT_TARGETS != 0),
     }
 }
