--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -97,7 +97,36 @@
     }
     let body = read(&admission.table, body).await.map_err(refused)?;
     let job = Rc::new(job(node, head, body, call, admission, arrived));
-    run(node, &job).await.map_err(refused)
+    let mut departure = Departure {
+        node: node.clone(),
+        job: job.clone(),
+        answered: false,
+    };
+    let answer = run(node, &job).await.map_err(refused);
+    departure.answered = true;
+    answer
+}
+
+/// Tells of a caller that leaves before the head of its answer.
+struct Departure {
+    node: Rc<Node>,
+    job: Rc<Job>,
+    answered: bool,
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let node = &self.node;
+        let line = node
+            .journal
+            .line("caller_left")
+            .with("id", self.job.id.as_ref());
+        drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
+        node.metrics.add("callers_left", &self.job.route.name, 1);
+    }
 }
 
 fn tell_refusal(node: &Rc<Node>, id: &Arc<str>, arrived: Duration, refusal: Refusal) {
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -125,6 +125,14 @@
     }
 }
 
+impl Drop for Flow {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.tell("caller_left", "caller_left");
+        }
+    }
+}
+
 /// What a target's body brings next.
 enum Piece {
     Bytes(Bytes),
@@ -153,6 +161,8 @@
                 }
                 Piece::Failed(reason) => {
                     if let Err(broken) = self.go_on(reason).await {
+                        self.ended = true;
+                        self.tell("broken_off", broken.reason);
                         return Some(Err(broken));
                     }
                 }
@@ -242,7 +252,6 @@
         }
         let expired = self.node.now() >= self.job.deadline;
         if expired || !self.may_go_on() || !self.node.may_repeat(&self.job.service) {
-            self.tell("broken_off", reason);
             return Err(Broken { reason });
         }
         self.tell("resumed", reason);
