Less room the further a customer is beyond its share; say how a customer stands

The log, which now names customer, use and level, shows 38 refusals within the share while one beyond it was sent 192 requests: it could use a fixed 0.6 of all room. Change: that part shrinks by level / use.

--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -5,7 +5,7 @@
 //! router adds up what was asked and granted at itself and tells its peers, so
 //! that the level is that of the fleet. How much there is to share is observed:
 //! it is what was granted while more was asked for. A request within its customer's share
-//! goes before one beyond it; one beyond it runs only while targets have room.
+//! goes before one beyond it; one beyond it may use less room the further beyond it is.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -78,6 +78,15 @@
     customers: HashMap<CustomerTag, Tokens>,
 }
 
+/// How a customer stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Tokens that all routers granted it within the window.
+    pub granted: u64,
+    /// Tokens that each customer may have; none while all get what they ask.
+    pub level: Option<u64>,
+}
+
 /// Accounts of all customers.
 #[derive(Clone, Debug)]
 pub struct Shares {
@@ -167,21 +176,31 @@
         self.peers.insert(peer, PeerUse { at: now, customers });
     }
 
-    /// Whether a customer may have `tokens` more within its share.
-    pub fn within(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> bool {
-        if self
-            .level_at
-            .is_none_or(|at| now.saturating_sub(at) >= LEVEL_TIME)
-        {
-            self.peers
-                .retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
-            self.level = self.current_level(now);
-            self.level_at = Some(now);
-        }
+    /// A customer's share against what it would have used with `tokens` more: 1 or more
+    /// within its share, less beyond it.
+    pub fn cover(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> f64 {
+        self.refresh(now);
         let Some(level) = self.level else {
-            return true;
+            return 1.0;
         };
-        self.granted(customer, now) + tokens <= level
+        let used = self.granted(customer, now) + tokens;
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "token counts are far below 2^52"
+        )]
+        let cover = level as f64 / used.max(1) as f64;
+        cover
+    }
+
+    fn refresh(&mut self, now: Duration) {
+        let fresh = |at: Duration| now.saturating_sub(at) < LEVEL_TIME;
+        if self.level_at.is_some_and(fresh) {
+            return;
+        }
+        self.peers
+            .retain(|_, it| now.saturating_sub(it.at) < PEER_TIMEOUT);
+        self.level = self.current_level(now);
+        self.level_at = Some(now);
     }
 
     /// What was granted to all is what targets could do while more was asked for.
@@ -195,6 +214,14 @@
         level(all.into_iter().map(|it| it.asked).collect(), granted)
     }
 
+    /// How a customer stands.
+    pub fn standing(&mut self, customer: CustomerTag, now: Duration) -> Standing {
+        Standing {
+            granted: self.granted(customer, now),
+            level: self.level,
+        }
+    }
+
     /// Tokens that all routers granted to a customer within the window.
     pub fn granted(&mut self, customer: CustomerTag, now: Duration) -> u64 {
         let number = self.number(now);
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -222,16 +222,17 @@
     let mut shares = Shares::new(ms(4000));
     shares.ask(small, 100, ms(0));
     shares.grant(small, 100, ms(0));
-    assert!(shares.within(large, 10_000, ms(0)));
+    assert!(shares.cover(large, 10_000, ms(0)) >= 1.0);
     let peer = dunlinward_dispatch::report::CustomerUse {
         tag: large,
         asked: 9000,
         granted: 900,
     };
     shares.hear(Peer(3), &[peer], ms(100));
-    assert!(!shares.within(large, 10, ms(100)));
-    assert!(shares.within(small, 10, ms(100)));
-    assert!(shares.within(large, 10, ms(6000)));
+    assert!(shares.cover(large, 10, ms(100)) < 1.0);
+    assert!(shares.cover(large, 910, ms(100)) < 0.6);
+    assert!(shares.cover(small, 10, ms(100)) >= 1.0);
+    assert!(shares.cover(large, 10, ms(6000)) >= 1.0);
 }
 
 #[test]
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -24,6 +24,7 @@
 
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::dialect::Call;
+use crate::journal::Line;
 use crate::life;
 use crate::node::{Node, Wish};
 use crate::relay::Relay;
@@ -86,7 +87,7 @@
     })?;
     let id = call.id.clone();
     let refused = |refusal: Refusal| {
-        tell_refusal(node, &id, arrived, refusal);
+        tell_refusal(node, &id, arrived, refusal, None);
         refusal
     };
     let admission = admit(node, &head, &call).map_err(refused)?;
@@ -102,8 +103,11 @@
         job: job.clone(),
         answered: false,
     };
-    let answer = run(node, &job).await.map_err(refused);
+    let answer = run(node, &job).await;
     departure.answered = true;
+    if let Err(refusal) = &answer {
+        tell_refusal(node, &job.id, arrived, *refusal, Some(&job));
+    }
     answer
 }
 
@@ -129,15 +133,41 @@
     }
 }
 
-fn tell_refusal(node: &Rc<Node>, id: &Arc<str>, arrived: Duration, refusal: Refusal) {
-    node.metrics.add("refusals", refusal.reason.name(), 1);
+fn tell_refusal(
+    node: &Rc<Node>,
+    id: &Arc<str>,
+    arrived: Duration,
+    refusal: Refusal,
+    job: Option<&Job>,
+) {
+    let reason = refusal.reason;
+    node.metrics.add("refusals", reason.name(), 1);
     let line = node.journal.line("refused").with_text("id", id);
-    let line = line.with("reason", refusal.reason.name());
-    let line = line.with("status", refusal.reason.status().as_u16());
-    let line = line.with_ms("after_ms", node.now().saturating_sub(arrived));
+    let line = line
+        .with("reason", reason.name())
+        .with("status", reason.status().as_u16());
+    let mut line = line.with_ms("after_ms", node.now().saturating_sub(arrived));
+    if let Some(job) = job {
+        line = about(node, job, line);
+    }
     drop(node.views(line));
 }
 
+/// Adds what a request is and how its customer stands.
+fn about(node: &Rc<Node>, job: &Job, line: Line) -> Line {
+    let line = line
+        .with("route", job.route.name.as_ref())
+        .with("customer", job.customer.as_deref())
+        .with("returning", job.returning);
+    let Some(customer) = job.customer.as_ref().filter(|_| job.cost > 0) else {
+        return line;
+    };
+    let standing = node.standing(share::tag(customer));
+    line.with("cost", job.cost)
+        .with("granted", standing.granted)
+        .with("level", standing.level)
+}
+
 struct Admission {
     table: Rc<Table>,
     route: Arc<Route>,
@@ -285,7 +315,7 @@
 fn tell_sent(node: &Rc<Node>, job: &Job, lease: &crate::node::Lease, sends: u32) {
     let line = node.journal.line("sent").with("id", job.id.as_ref());
     let line = line.with("target", lease.target.id.as_ref());
-    let line = line.with("route", job.route.name.as_ref());
+    let line = about(node, job, line);
     let line = line.with("hit", lease.hit).with("sends", sends);
     let line = line.with("unread_tokens", lease.unread());
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -23,7 +23,7 @@
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::registry::{Change, Registry};
 use dunlinward_dispatch::report::CustomerTag;
-use dunlinward_dispatch::share::Shares;
+use dunlinward_dispatch::share::{Shares, Standing};
 use dunlinward_dispatch::target::{State as TargetState, Tag, Target};
 use dunlinward_dispatch::usage::{Peer, Usage};
 use tokio::sync::{Notify, oneshot, watch};
@@ -128,7 +128,7 @@
 
 struct Waiter {
     wish: Wish,
-    within: bool,
+    cover: f64,
     reply: oneshot::Sender<Lease>,
 }
 
@@ -423,18 +423,14 @@
         {
             let now = self.now();
             let mut state = self.state.borrow_mut();
-            let within = state.within(&wish, now);
+            let cover = state.cover(&wish, now);
             if state.queue.is_empty()
-                && let Some(choice) = state.choose(&self.settings, &wish, within, now)
+                && let Some(choice) = state.choose(&self.settings, &wish, cover, now)
             {
                 state.begin(&wish, &choice, now);
                 return Ok(self.lease(choice));
             }
-            state.queue.push(Waiter {
-                wish,
-                within,
-                reply,
-            });
+            state.queue.push(Waiter { wish, cover, reply });
         }
         self.room.notify_one();
         let placed = tokio::time::timeout_at(self.instant(until), receiver).await;
@@ -471,11 +467,11 @@
             let mut queue = std::mem::take(&mut state.queue);
             queue.retain(|it| !it.reply.is_closed());
             for waiter in &mut queue {
-                waiter.within = state.within(&waiter.wish, now);
+                waiter.cover = state.cover(&waiter.wish, now);
             }
-            queue.sort_by_key(|it| (!it.within, !it.wish.returning, it.wish.arrived));
+            queue.sort_by_key(|it| (it.cover < 1.0, !it.wish.returning, it.wish.arrived));
             for waiter in queue {
-                let choice = state.choose(&self.settings, &waiter.wish, waiter.within, now);
+                let choice = state.choose(&self.settings, &waiter.wish, waiter.cover, now);
                 match choice {
                     Some(choice) => {
                         state.begin(&waiter.wish, &choice, now);
@@ -497,11 +493,11 @@
         self.state.borrow().queue.len()
     }
 
-    /// Whether a request is within its customer's share.
+    /// How a customer stands against the others.
     #[must_use]
-    pub fn within_share(&self, wish: &Wish) -> bool {
+    pub fn standing(&self, customer: CustomerTag) -> Standing {
         let now = self.now();
-        self.state.borrow_mut().within(wish, now)
+        self.state.borrow_mut().shares.standing(customer, now)
     }
 
     /// A line on what is known, for a request's story.
@@ -533,18 +529,19 @@
         self.health.note(target.tag(), outcome, now)
     }
 
-    fn within(&mut self, wish: &Wish, now: Duration) -> bool {
+    /// Share of the request's customer against its use; 1 or more within it.
+    fn cover(&mut self, wish: &Wish, now: Duration) -> f64 {
         let Some(customer) = wish.customer else {
-            return true;
+            return 1.0;
         };
-        self.shares.within(customer, wish.cost, now)
+        self.shares.cover(customer, wish.cost, now)
     }
 
     fn choose(
         &mut self,
         settings: &Settings,
         wish: &Wish,
-        within: bool,
+        cover: f64,
         now: Duration,
     ) -> Option<Choice> {
         let prefix = wish.prompt.as_deref().and_then(Prompt::prefix);
@@ -578,10 +575,10 @@
             rate,
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
-            room: if within {
-                1.0
+            room: if cover < 1.0 {
+                settings.patience.over_share * cover
             } else {
-                settings.patience.over_share
+                1.0
             },
             draw: wish.draw,
         };
