--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -57,7 +57,7 @@
     pub objective: Duration,
     /// How many targets a request may be sent to.
     pub attempts: u32,
-    /// Rank; 0 is the highest.
+    /// Rank; 0 is the highest. Not used yet: all routes of a service have had one rank so far.
     pub priority: u32,
     /// Whether no key is asked for.
     pub anonymous: bool,
@@ -70,7 +70,7 @@
 pub struct Service {
     /// Name of the service.
     pub name: Arc<str>,
-    /// Connections that one target accepts from all callers.
+    /// Connections that one target accepts from all callers. Not used yet: slots bind first.
     pub connections: u32,
     /// What its targets are like if they are model engines.
     pub engine: Option<Engine>,
@@ -99,7 +99,7 @@
     pub head_bytes: usize,
     /// Largest body of a request in bytes.
     pub body_bytes: usize,
-    /// Longest time for a head to come in.
+    /// Longest time for a head to come in. Not used yet: the idle limit ends slow heads.
     pub head_timeout: Duration,
     /// Longest time that a connection stays idle.
     pub idle_timeout: Duration,
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -94,7 +94,7 @@
             miss: 0.18,
             returning: 0.3,
             come_back: 1.0,
-            over_share: 0.6,
+            over_share: 0.8,
         }
     }
 }
@@ -576,7 +576,8 @@
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
             room: if cover < 1.0 {
-                settings.patience.over_share * cover
+                // Squared, as what is left at full targets goes to whoever asks most often.
+                settings.patience.over_share * cover * cover
             } else {
                 1.0
             },
