--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -15,7 +15,8 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dispatch;
-use crate::node::{Lease, Node};
+use crate::lease::Lease;
+use crate::node::Node;
 use crate::pool::{self, Connection};
 
 /// Part of its objective for which a request waits for a connection.
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use dunlinward_dispatch::configuration::{Kind, Route, Table};
 use dunlinward_dispatch::health::Outcome;
-use dunlinward_dispatch::prefix::Prompt;
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -24,11 +23,12 @@
 
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::dialect::Call;
-use crate::journal::Line;
 use crate::life;
-use crate::node::{Node, Wish};
+use crate::node::Node;
 use crate::relay::Relay;
 use crate::reply::{Content, Reason, Refusal};
+use crate::state::Wish;
+use crate::tell;
 
 /// Sends of one request beyond its route's attempts, where it has not run.
 const EXTRA_SENDS: u32 = 2;
@@ -87,7 +87,7 @@
     })?;
     let id = call.id.clone();
     let refused = |refusal: Refusal| {
-        tell_refusal(node, &id, arrived, refusal, None);
+        tell::refusal(node, &id, arrived, refusal, None);
         refusal
     };
     let admission = admit(node, &head, &call).map_err(refused)?;
@@ -98,7 +98,7 @@
     }
     let body = read(&admission.table, body).await.map_err(refused)?;
     let job = Rc::new(job(node, head, body, call, admission, arrived));
-    let mut departure = Departure {
+    let mut departure = tell::Departure {
         node: node.clone(),
         job: job.clone(),
         answered: false,
@@ -106,68 +106,11 @@
     let answer = run(node, &job).await;
     departure.answered = true;
     if let Err(refusal) = &answer {
-        tell_refusal(node, &job.id, arrived, *refusal, Some(&job));
+        tell::refusal(node, &job.id, arrived, *refusal, Some(&job));
     }
     answer
 }
 
-/// Tells of a caller that leaves before the head of its answer.
-struct Departure {
-    node: Rc<Node>,
-    job: Rc<Job>,
-    answered: bool,
-}
-
-impl Drop for Departure {
-    fn drop(&mut self) {
-        if self.answered {
-            return;
-        }
-        let node = &self.node;
-        let line = node
-            .journal
-            .line("caller_left")
-            .with("id", self.job.id.as_ref());
-        drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
-        node.metrics.add("callers_left", &self.job.route.name, 1);
-    }
-}
-
-fn tell_refusal(
-    node: &Rc<Node>,
-    id: &Arc<str>,
-    arrived: Duration,
-    refusal: Refusal,
-    job: Option<&Job>,
-) {
-    let reason = refusal.reason;
-    node.metrics.add("refusals", reason.name(), 1);
-    let line = node.journal.line("refused").with_text("id", id);
-    let line = line
-        .with("reason", reason.name())
-        .with("status", reason.status().as_u16());
-    let mut line = line.with_ms("after_ms", node.now().saturating_sub(arrived));
-    if let Some(job) = job {
-        line = about(node, job, line);
-    }
-    drop(node.views(line));
-}
-
-/// Adds what a request is and how its customer stands.
-fn about(node: &Rc<Node>, job: &Job, line: Line) -> Line {
-    let line = line
-        .with("route", job.route.name.as_ref())
-        .with("customer", job.customer.as_deref())
-        .with("returning", job.returning);
-    let Some(customer) = job.customer.as_ref().filter(|_| job.cost > 0) else {
-        return line;
-    };
-    let standing = node.standing(share::tag(customer));
-    line.with("cost", job.cost)
-        .with("granted", standing.granted)
-        .with("level", standing.level)
-}
-
 struct Admission {
     table: Rc<Table>,
     route: Arc<Route>,
@@ -289,7 +232,7 @@
         let lease = node.place(wish).await;
         let lease = lease.map_err(|refusal| with_return(node, job, refusal))?;
         let target = lease.target.clone();
-        tell_sent(node, job, &lease, sends);
+        tell::sent(node, job, &lease, sends);
         let limit = node.instant(answer_limit(node, job, sends));
         sends += 1;
         let outcome = attempt::send(node, job, lease, job.resume_after, limit).await;
@@ -304,7 +247,7 @@
         if failure.verdict == Verdict::NotSent {
             sends -= 1;
         }
-        tell_failure(node, job, &target.id, failure);
+        tell::failure(node, job, &target.id, failure);
         exclude = Some(target.tag());
         if !again(node, job, failure, sends, tries) {
             return Err(final_refusal(node, job, failure));
@@ -312,30 +255,6 @@
     }
 }
 
-fn tell_sent(node: &Rc<Node>, job: &Job, lease: &crate::node::Lease, sends: u32) {
-    let line = node.journal.line("sent").with("id", job.id.as_ref());
-    let line = line.with("target", lease.target.id.as_ref());
-    let line = about(node, job, line);
-    let line = line.with("hit", lease.hit).with("sends", sends);
-    let line = line.with("unread_tokens", lease.unread());
-    let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
-    let line = line.with("prefix", prefix.map(|it| format!("{:016x}", it.0)));
-    let waited = node.now().saturating_sub(job.arrived);
-    node.metrics.time("queued_seconds", &job.route.name, waited);
-    let line = line.with_ms("waited_ms", waited);
-    drop(node.views(line));
-}
-
-fn tell_failure(node: &Rc<Node>, job: &Job, target: &str, failure: Failure) {
-    node.metrics.add("failures", failure.reason, 1);
-    let line = node
-        .journal
-        .line("attempt_failed")
-        .with("id", job.id.as_ref());
-    let line = line.with("target", target).with("reason", failure.reason);
-    drop(line.with("verdict", format!("{:?}", failure.verdict)));
-}
-
 fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
     let patience = &node.settings.patience;
     let part = if job.returning {
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -11,7 +11,7 @@
 use clap::{Arg, ArgMatches, Command, Error};
 use dunlinward_dispatch::placement::Policy;
 
-use crate::node::Patience;
+use crate::settings::Patience;
 
 /// Figures of the data path.
 #[derive(Clone, Copy, Debug)]
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -4,9 +4,10 @@
 //! one [`node::Node`]. What crosses the wire is translated by a
 //! [`dialect::Dialect`]; what is decided, is decided in `dunlinward-dispatch`.
 //!
-//! - [`node`]: the state of a router and the queue of requests that wait.
+//! - [`node`]: a router; [`settings`], [`state`], [`queue`], [`lease`]: what it is told,
+//!   what it knows, requests that wait, places at targets.
 //! - [`server`]: callers' connections.
-//! - [`exchange`]: one request from its head to its answer.
+//! - [`exchange`]: one request from its head to its answer; [`tell`]: its log lines.
 //! - [`pool`], [`attempt`]: connections to targets, one attempt at a target.
 //! - [`event`], [`relay`]: streams of events, and how one goes on elsewhere.
 //! - [`peer`]: reports between routers, and views taken over from a peer.
@@ -20,11 +21,16 @@
 pub mod exchange;
 pub mod flags;
 pub mod journal;
+pub mod lease;
 pub mod life;
 pub mod metrics;
 pub mod node;
 pub mod peer;
 pub mod pool;
+pub mod queue;
 pub mod relay;
 pub mod reply;
 pub mod server;
+pub mod settings;
+pub mod state;
+pub mod tell;
--- /dev/null
+++ b/crates/path/src/settings.rs
@@ -0,0 +1,66 @@
+//! What a router is told, and the figures by which requests wait.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dunlinward_dispatch::budget::Bound;
+use dunlinward_dispatch::placement::Policy;
+
+/// What a router is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this router.
+    pub name: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether this router takes callers.
+    pub ready: SocketAddr,
+    /// Where peers send reports and fetch views; the same port at all routers.
+    pub link: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Routers to greet first.
+    pub seeds: Vec<SocketAddr>,
+    /// Bound on requests that are sent once more.
+    pub repeats: Bound,
+    /// Window over which customers' shares hold.
+    pub share_window: Duration,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Figures by which targets are chosen.
+    pub policy: Policy,
+    /// Figures by which requests wait.
+    pub patience: Patience,
+    /// Time between reports to peers.
+    pub report_interval: Duration,
+}
+
+/// How long requests wait and when refused callers may come back.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Part of its objective that a request waits.
+    pub first: f64,
+    /// The same for a caller that was refused before.
+    pub returning: f64,
+    /// Part of its objective after which a request may go where its prefix is not.
+    pub miss: f64,
+    /// Part of the objective after which a refused caller may come back.
+    pub come_back: f64,
+    /// Part of all room that a request beyond its customer's share may use.
+    pub over_share: f64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            first: 0.2,
+            miss: 0.18,
+            returning: 0.3,
+            come_back: 1.0,
+            over_share: 0.8,
+        }
+    }
+}
--- /dev/null
+++ b/crates/path/src/tell.rs
@@ -0,0 +1,101 @@
+//! What the log says of one request.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dunlinward_dispatch::prefix::Prompt;
+use dunlinward_dispatch::share;
+
+use crate::attempt::{Failure, Job};
+use crate::journal::Line;
+use crate::lease::Lease;
+use crate::node::Node;
+use crate::reply::Refusal;
+
+/// Tells of a caller that leaves before the head of its answer.
+pub struct Departure {
+    /// The router.
+    pub node: Rc<Node>,
+    /// The request.
+    pub job: Rc<Job>,
+    /// Whether it got an answer.
+    pub answered: bool,
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let node = &self.node;
+        let line = node
+            .journal
+            .line("caller_left")
+            .with("id", self.job.id.as_ref());
+        drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
+        node.metrics.add("callers_left", &self.job.route.name, 1);
+    }
+}
+
+/// A request was refused or given up.
+pub fn refusal(
+    node: &Rc<Node>,
+    id: &Arc<str>,
+    arrived: Duration,
+    refused: Refusal,
+    job: Option<&Job>,
+) {
+    let reason = refused.reason;
+    node.metrics.add("refusals", reason.name(), 1);
+    let line = node.journal.line("refused").with_text("id", id);
+    let line = line
+        .with("reason", reason.name())
+        .with("status", reason.status().as_u16());
+    let mut line = line.with_ms("after_ms", node.now().saturating_sub(arrived));
+    if let Some(job) = job {
+        line = about(node, job, line);
+    }
+    drop(node.views(line));
+}
+
+/// Adds what a request is and how its customer stands.
+fn about(node: &Rc<Node>, job: &Job, line: Line) -> Line {
+    let line = line
+        .with("route", job.route.name.as_ref())
+        .with("customer", job.customer.as_deref())
+        .with("returning", job.returning);
+    let Some(customer) = job.customer.as_ref().filter(|_| job.cost > 0) else {
+        return line;
+    };
+    let standing = node.standing(share::tag(customer));
+    line.with("cost", job.cost)
+        .with("granted", standing.granted)
+        .with("level", standing.level)
+}
+
+/// A request is sent to a target.
+pub fn sent(node: &Rc<Node>, job: &Job, lease: &Lease, sends: u32) {
+    let line = node.journal.line("sent").with("id", job.id.as_ref());
+    let line = line.with("target", lease.target.id.as_ref());
+    let line = about(node, job, line);
+    let line = line.with("hit", lease.hit).with("sends", sends);
+    let line = line.with("unread_tokens", lease.unread());
+    let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
+    let line = line.with("prefix", prefix.map(|it| format!("{:016x}", it.0)));
+    let waited = node.now().saturating_sub(job.arrived);
+    node.metrics.time("queued_seconds", &job.route.name, waited);
+    let line = line.with_ms("waited_ms", waited);
+    drop(node.views(line));
+}
+
+/// An attempt brought no answer.
+pub fn failure(node: &Rc<Node>, job: &Job, target: &str, failed: Failure) {
+    node.metrics.add("failures", failed.reason, 1);
+    let line = node
+        .journal
+        .line("attempt_failed")
+        .with("id", job.id.as_ref());
+    let line = line.with("target", target).with("reason", failed.reason);
+    drop(line.with("verdict", format!("{:?}", failed.verdict)));
+}
