--- /dev/null
+++ b/crates/dispatch/src/cell.rs
@@ -0,0 +1,86 @@
+//! Cells: the targets of a service, cut into groups that one router can oversee.
+//!
+//! A service with many targets is cut into cells of about equal size by rendezvous
+//! hashing, so that every router cuts alike without a word between them and a
+//! target that comes or ends moves few others. A prompt's prefix has its home in
+//! one cell, and a second one for when the first has no room. The requests of a
+//! cell are placed by one router, its owner (see [`crate::member`]).
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh64::xxh64;
+
+use crate::prefix::Prefix;
+use crate::target::Tag;
+
+/// Targets of a cell, about. A cell of this size is overseen within 1 % of a core at
+/// 140 requests a second (`docs/design/cells.md`).
+pub const TARGETS: usize = 16;
+
+/// Short name of a service in messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServiceTag(pub u32);
+
+impl ServiceTag {
+    /// The short name of a service.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a short name is the low half of the hash"
+    )]
+    pub fn new(service: &str) -> Self {
+        Self(xxh64(service.as_bytes(), 0) as u32)
+    }
+}
+
+/// Identity of a cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Cell {
+    /// Its service.
+    pub service: ServiceTag,
+    /// Its number within the service.
+    pub index: u16,
+}
+
+/// How many cells a service has.
+#[must_use]
+pub fn count(targets: usize, per_cell: usize) -> u16 {
+    let per_cell = per_cell.max(1);
+    let cells = (targets + per_cell / 2) / per_cell;
+    u16::try_from(cells).unwrap_or(u16::MAX).max(1)
+}
+
+/// The cell of a target.
+#[must_use]
+pub fn index(tag: Tag, count: u16) -> u16 {
+    let weight = |cell: &u16| xxh64(&tag.0.to_le_bytes(), u64::from(*cell));
+    (0..count).max_by_key(weight).unwrap_or_default()
+}
+
+/// Cells of a prefix in the order in which they are asked; a larger cell is home to more.
+#[must_use]
+pub fn homes(prefix: Prefix, sizes: &[usize]) -> [Option<u16>; 2] {
+    let mut best: [Option<(f64, u16)>; 2] = [None; 2];
+    for (index, size) in (0u16..).zip(sizes) {
+        if *size == 0 {
+            continue;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
+        let score = score(xxh64(&index.to_le_bytes(), prefix.0), *size as f64);
+        let entry = Some((score, index));
+        if best[0].is_none_or(|(first, _)| score > first) {
+            best = [entry, best[0]];
+        } else if best[1].is_none_or(|(second, _)| score > second) {
+            best[1] = entry;
+        }
+    }
+    best.map(|it| it.map(|(_, index)| index))
+}
+
+/// Score of a weighted rendezvous: the largest is chosen, in proportion to the weights.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "53 bits of the hash suffice")]
+pub fn score(hash: u64, weight: f64) -> f64 {
+    const STEPS: f64 = (1u64 << 53) as f64;
+    let unit = ((hash >> 11) as f64 + 0.5) / STEPS;
+    weight / -unit.ln()
+}
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::target::Tag;
 
 /// Weight of the newest outcome in the mean.
@@ -36,7 +38,7 @@
 }
 
 /// What happened to an exchange with a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// It answered as it should.
     Good,
@@ -80,6 +82,12 @@
         true
     }
 
+    /// Targets that are left alone now.
+    pub fn all_ejected(&self, now: Duration) -> impl Iterator<Item = Tag> {
+        let ejected = self.records.iter().filter(move |(_, it)| now < it.until);
+        ejected.map(|(tag, _)| *tag)
+    }
+
     /// Whether a target is left alone now.
     #[must_use]
     pub fn ejected(&self, tag: Tag, now: Duration) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`configuration`]: routes, services, customers and limits in force.
 //! - [`target`], [`registry`]: the targets that are known, and which may get work.
+//! - [`cell`], [`member`]: groups of targets, and the router that places requests there.
 //! - [`usage`]: work at each target, this router's and its peers'.
 //! - [`prefix`], [`placement`]: which target runs a request.
 //! - [`share`]: what each customer has used and may use.
@@ -15,8 +16,10 @@
 //! - [`report`]: what routers tell each other.
 
 pub mod budget;
+pub mod cell;
 pub mod configuration;
 pub mod health;
+pub mod member;
 pub mod placement;
 pub mod prefix;
 pub mod reach;
--- /dev/null
+++ b/crates/dispatch/src/member.rs
@@ -0,0 +1,205 @@
+//! Routers that are alive, and which of them owns a cell.
+//!
+//! Every router greets a few others in turn; who was heard lately is alive. The
+//! owner of a cell is chosen by rendezvous hashing over the routers alive, with
+//! their processors' shares as weights, so routers mostly agree without a word. They
+//! need not: an owner that was not meant places requests as well, and what it does
+//! not know of is refused by the target as not run. A router that leaves requests
+//! unanswered is passed over for a while, longer each time. One that has just come
+//! is passed over until the others have had time to hear of it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh64::xxh64;
+
+use crate::cell::{self, Cell};
+use crate::usage::Peer;
+
+/// Shortest silence after which a router counts as ended.
+const SILENT_LEAST: Duration = Duration::from_millis(2_500);
+
+/// Greetings of one router that must be missing before it counts as ended.
+const GREETINGS: u32 = 4;
+
+/// Time for which a router that has just been heard of owns nothing.
+const SETTLING: Duration = Duration::from_millis(1_500);
+
+/// Requests in a row that a router leaves unanswered before it is passed over.
+const MISSES: u32 = 2;
+
+/// First time for which a router is passed over.
+const PASSED_FIRST: Duration = Duration::from_millis(500);
+
+/// Doublings of that time at the most.
+const DOUBLINGS: u32 = 4;
+
+/// What a router says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Card {
+    /// Where it takes messages.
+    pub address: SocketAddr,
+    /// Identity of its start.
+    pub peer: Peer,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Thousandths of a core that it has.
+    pub millicores: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    card: Card,
+    heard: Duration,
+    since: Duration,
+    leaving: bool,
+    misses: u32,
+    passes: u32,
+    passed_until: Duration,
+}
+
+/// Routers that are known.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: Card,
+    leaving: bool,
+    fanout: usize,
+    interval: Duration,
+    known: HashMap<SocketAddr, Record>,
+}
+
+impl Members {
+    /// Only this router; each greets `fanout` others every `interval`.
+    #[must_use]
+    pub fn new(own: Card, fanout: usize, interval: Duration) -> Self {
+        Self {
+            own,
+            leaving: false,
+            fanout: fanout.max(1),
+            interval,
+            known: HashMap::new(),
+        }
+    }
+
+    /// This router itself.
+    #[must_use]
+    pub fn own(&self) -> &Card {
+        &self.own
+    }
+
+    /// This router is about to end: it owns nothing any more.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// A router was heard; true if it was not known.
+    pub fn hear(&mut self, card: &Card, leaving: bool, now: Duration) -> bool {
+        let known = self.known.get_mut(&card.address);
+        if let Some(record) = known.filter(|it| it.card.peer == card.peer) {
+            record.heard = now;
+            record.leaving |= leaving;
+            return false;
+        }
+        let record = Record {
+            card: card.clone(),
+            heard: now,
+            since: now,
+            leaving,
+            misses: 0,
+            passes: 0,
+            passed_until: Duration::ZERO,
+        };
+        self.known.insert(card.address, record);
+        true
+    }
+
+    /// Drops routers that have been silent for too long and returns them.
+    pub fn prune(&mut self, now: Duration) -> Vec<Card> {
+        let silent = self.silence();
+        let ended = |it: &Record| now.saturating_sub(it.heard) >= silent;
+        let cards = self.known.values().filter(|it| ended(it));
+        let cards = cards.map(|it| it.card.clone()).collect();
+        self.known.retain(|_, it| !ended(it));
+        cards
+    }
+
+    /// Silence after which a router counts as ended: each is greeted in turn, so it grows
+    /// with their number.
+    fn silence(&self) -> Duration {
+        let rounds = self.known.len().div_ceil(self.fanout);
+        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+        let turn = self.interval.saturating_mul(rounds);
+        turn.saturating_mul(GREETINGS).max(SILENT_LEAST)
+    }
+
+    /// Other routers that are alive.
+    pub fn others(&self) -> impl Iterator<Item = &Card> {
+        self.known.values().map(|it| &it.card)
+    }
+
+    /// The failure domain of a router that is alive.
+    #[must_use]
+    pub fn domain(&self, address: SocketAddr) -> Option<Arc<str>> {
+        let record = self.known.get(&address)?;
+        Some(record.card.domain.clone())
+    }
+
+    /// Whether a router is known.
+    #[must_use]
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.known.contains_key(&address)
+    }
+
+    /// Routers alive, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.known.len() + 1
+    }
+
+    /// The router that places the requests of a cell.
+    #[must_use]
+    pub fn owner(&self, cell: Cell, now: Duration) -> SocketAddr {
+        let settled = |it: &Record| now.saturating_sub(it.since) >= SETTLING;
+        let able = |it: &&Record| !it.leaving && now >= it.passed_until;
+        let any = self.known.values().any(settled);
+        let others = self.known.values().filter(able);
+        let others = others.filter(|it| !any || settled(it));
+        let own = (!self.leaving).then_some(&self.own);
+        let cards = others.map(|it| &it.card).chain(own);
+        let best = cards.max_by(|a, b| score(a, cell).total_cmp(&score(b, cell)));
+        best.map_or(self.own.address, |it| it.address)
+    }
+
+    /// A router left a request unanswered; true if it is passed over from now on.
+    pub fn missed(&mut self, address: SocketAddr, now: Duration) -> bool {
+        let Some(record) = self.known.get_mut(&address) else {
+            return false;
+        };
+        record.misses += 1;
+        if record.misses < MISSES || now < record.passed_until {
+            return false;
+        }
+        record.misses = 0;
+        let time = PASSED_FIRST.saturating_mul(1 << record.passes.min(DOUBLINGS));
+        record.passes += 1;
+        record.passed_until = now + time;
+        true
+    }
+
+    /// A router answered a request.
+    pub fn answered(&mut self, address: SocketAddr) {
+        if let Some(record) = self.known.get_mut(&address) {
+            record.misses = 0;
+            record.passes = 0;
+        }
+    }
+}
+
+fn score(card: &Card, cell: Cell) -> f64 {
+    let seed = u64::from(cell.service.0) << 16 | u64::from(cell.index);
+    let hash = xxh64(&card.peer.0.to_le_bytes(), seed);
+    cell::score(hash, f64::from(card.millicores.max(1)))
+}
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -40,7 +40,7 @@
 pub struct Prefix(pub u64);
 
 /// One part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Identity of the part, as the caller names it.
     pub id: u64,
@@ -49,7 +49,7 @@
 }
 
 /// A prompt as a request describes it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
     /// Tokens in all.
     pub tokens: u64,
@@ -73,6 +73,24 @@
         self.tokens.saturating_sub(self.shared_tokens())
     }
 
+    /// The same with all shared parts as one, as short as it can be told to a peer.
+    #[must_use]
+    pub fn joined(&self) -> Self {
+        let shared = self.prefix().map(|prefix| Part {
+            id: prefix.0,
+            tokens: self.shared_tokens(),
+        });
+        let own = Part {
+            id: 0,
+            tokens: self.own_tokens(),
+        };
+        Self {
+            tokens: self.tokens,
+            answer_tokens: self.answer_tokens,
+            parts: shared.into_iter().chain([own]).collect(),
+        }
+    }
+
     /// The prefix of all shared parts, if there is one.
     #[must_use]
     pub fn prefix(&self) -> Option<Prefix> {
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -12,6 +12,7 @@
 
 use xxhash_rust::xxh64::xxh64;
 
+use crate::cell::{self, Cell, ServiceTag};
 use crate::target::{State, Tag, Target};
 
 /// How long a lapsed entry may take to come back after an outage of the store;
@@ -34,21 +35,45 @@
 }
 
 /// Known targets and the age of that knowledge.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Registry {
+    cell_targets: usize,
     targets: HashMap<Tag, Arc<Target>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
+    cells: HashMap<ServiceTag, Vec<Vec<Arc<Target>>>>,
     read_at: Option<Duration>,
     keep_until: Duration,
     replaced: HashSet<Tag>,
     digest: u64,
 }
 
+impl Default for Registry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Registry {
     /// An empty registry.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            cell_targets: cell::TARGETS,
+            targets: HashMap::new(),
+            by_service: HashMap::new(),
+            cells: HashMap::new(),
+            read_at: None,
+            keep_until: Duration::ZERO,
+            replaced: HashSet::new(),
+            digest: 0,
+        }
+    }
+
+    /// Sets how many targets a cell has, about.
+    #[must_use]
+    pub fn with_cell_targets(mut self, targets: usize) -> Self {
+        self.cell_targets = targets;
+        self
     }
 
     /// Takes a whole list that was true at `as_of`; an older list than the known one is ignored.
@@ -128,6 +153,7 @@
         for targets in self.by_service.values_mut() {
             targets.sort_by(|a, b| a.id.cmp(&b.id));
         }
+        self.cells = self.cut();
         let mut all: Vec<_> = self.targets.values().collect();
         all.sort_by_key(|it| it.tag());
         self.digest = all.into_iter().fold(0, |seed, it| {
@@ -136,6 +162,61 @@
         });
     }
 
+    /// Cuts each service into cells.
+    fn cut(&self) -> HashMap<ServiceTag, Vec<Vec<Arc<Target>>>> {
+        let services = self.by_service.iter();
+        let cut = services.map(|(service, targets)| {
+            let count = cell::count(targets.len(), self.cell_targets);
+            let mut cells = vec![Vec::new(); usize::from(count)];
+            for target in targets {
+                let index = cell::index(target.tag(), count);
+                cells[usize::from(index)].push(target.clone());
+            }
+            (ServiceTag::new(service), cells)
+        });
+        cut.collect()
+    }
+
+    /// The cells of a service.
+    #[must_use]
+    pub fn cells(&self, service: ServiceTag) -> &[Vec<Arc<Target>>] {
+        self.cells.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Targets of a cell, in the order of their identities.
+    #[must_use]
+    pub fn of_cell(&self, cell: Cell) -> &[Arc<Target>] {
+        let cells = self.cells(cell.service);
+        cells
+            .get(usize::from(cell.index))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// All cells that have targets.
+    pub fn all_cells(&self) -> impl Iterator<Item = (Cell, &[Arc<Target>])> {
+        self.cells.iter().flat_map(|(service, cells)| {
+            let numbered = (0u16..).zip(cells).filter(|(_, it)| !it.is_empty());
+            numbered.map(|(index, targets)| {
+                let cell = Cell {
+                    service: *service,
+                    index,
+                };
+                (cell, targets.as_slice())
+            })
+        })
+    }
+
+    /// The cell of a target.
+    #[must_use]
+    pub fn cell_of(&self, target: &Target) -> Cell {
+        let service = ServiceTag::new(&target.service);
+        let count = u16::try_from(self.cells(service).len()).unwrap_or(u16::MAX);
+        Cell {
+            service,
+            index: cell::index(target.tag(), count),
+        }
+    }
+
     /// Targets of a service, in the order of their identities.
     #[must_use]
     pub fn of(&self, service: &str) -> &[Arc<Target>] {
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -1,11 +1,19 @@
-//! What routers tell each other, several times a second, in one datagram.
+//! What routers tell each other, each message in one datagram.
+//!
+//! A lost message is made good by a later one: an unanswered request for a place is
+//! repeated, what a router has at targets is told whole several times a second, and
+//! greetings go on for as long as the router runs.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::prefix::Use;
+use crate::cell::Cell;
+use crate::health::Outcome;
+use crate::member::Card;
+use crate::prefix::{Prompt, Use};
+use crate::share::Standing;
 use crate::target::Tag;
 use crate::usage::{Load, Peer};
 
@@ -14,7 +22,7 @@
 pub struct CustomerTag(pub u32);
 
 /// A target's load in a report.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// The target.
     pub tag: Tag,
@@ -23,7 +31,7 @@
 }
 
 /// A customer's tokens in a report.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerUse {
     /// The customer.
     pub tag: CustomerTag,
@@ -33,31 +41,129 @@
     pub granted: u64,
 }
 
-/// A report.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Report {
+/// A greeting.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Greeting {
     /// Who sends.
-    pub sender: Peer,
-    /// Where the sender's datagrams are received.
-    pub address: SocketAddr,
-    /// The sender's failure domain.
-    pub domain: Arc<str>,
-    /// Grows with each report of this sender.
-    pub number: u64,
+    pub card: Card,
+    /// Whether the sender is about to end.
+    pub leaving: bool,
     /// Version of the configuration in force at the sender; 0 for none.
     pub configuration: u64,
     /// Age of the sender's list of targets in milliseconds, if it has one.
     pub registry_age_ms: Option<u64>,
     /// Sum of the sender's list of targets.
     pub registry_digest: u64,
-    /// Whether the sender is about to end.
-    pub leaving: bool,
+    /// Other routers that the sender knows, now and then.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// A request for a place at a target of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Number of the request at the router that asks.
+    pub number: u64,
+    /// The cell.
+    pub cell: Cell,
+    /// Its prompt, if it is for a model engine.
+    pub prompt: Option<Prompt>,
+    /// Its customer.
+    pub customer: Option<CustomerTag>,
+    /// Tokens for which its customer is charged.
+    pub cost: u64,
+    /// Time to the first event that users expect.
+    pub objective: Duration,
+    /// How long it has waited since it arrived.
+    pub waited: Duration,
+    /// How long it will wait from now on.
+    pub patience: Duration,
+    /// Whether its caller was refused before.
+    pub returning: bool,
+    /// Whether the tokens it asks for have been counted before.
+    pub counted: bool,
+    /// Targets that have failed it or the router that asks.
+    pub avoid: Vec<Tag>,
+}
+
+/// A place at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Number of the request at the router that asked.
+    pub number: u64,
+    /// The target.
+    pub tag: Tag,
+    /// Tokens that the target has to read.
+    pub unread: u64,
+    /// Whether its prefix is taken to be there.
+    pub hit: bool,
+    /// How its customer stands.
+    pub standing: Option<Standing>,
+}
+
+/// There is no place yet; the request waits at the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wait {
+    /// Number of the request at the router that asked.
+    pub number: u64,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// How its customer stands.
+    pub standing: Option<Standing>,
+}
+
+/// A place was given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Return {
+    /// The target.
+    pub tag: Tag,
+    /// Prompt tokens that the target had yet to read.
+    pub unread: u64,
+    /// How the exchange went, if anything is known of it.
+    pub outcome: Option<Outcome>,
+}
+
+/// What the sender has at the targets of the receiver's cells.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
     /// Its work.
     pub loads: Vec<TargetLoad>,
-    /// Its customers.
-    pub customers: Vec<CustomerUse>,
-    /// Prefixes that the sender sent to targets lately; each is told more than once.
+    /// Prefixes that it sent to targets lately, for an owner that is new.
     pub uses: Vec<Use>,
-    /// Other routers that the sender knows, now and then.
-    pub peers: Vec<SocketAddr>,
+    /// Customers' tokens at the sender's own cells, for owners of the same service.
+    pub customers: Vec<CustomerUse>,
+}
+
+/// A message's content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// The sender is alive.
+    Greeting(Greeting),
+    /// A place is asked for.
+    Ask(Ask),
+    /// A place is given.
+    Grant(Grant),
+    /// A request waits.
+    Wait(Wait),
+    /// A request no longer waits.
+    Withdraw(u64),
+    /// A prompt has been read at a target.
+    Read {
+        /// The target.
+        tag: Tag,
+        /// Tokens that it has read.
+        unread: u64,
+    },
+    /// A place is given back.
+    Return(Return),
+    /// What the sender has at targets.
+    Work(Work),
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Identity of the sender's start.
+    pub sender: Peer,
+    /// What it says.
+    pub content: Content,
 }
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
 use crate::prefix::Prompt;
@@ -79,7 +80,7 @@
 }
 
 /// How a customer stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
     /// Tokens that all routers granted it within the window.
     pub granted: u64,
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -27,6 +27,11 @@
         self.running += other.running;
         self.unread += other.unread;
     }
+
+    fn take(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.unread = self.unread.saturating_sub(other.unread);
+    }
 }
 
 /// Identity of a router's start, drawn at random.
@@ -82,11 +87,62 @@
         }
     }
 
+    /// A place at a target was given to a peer.
+    pub fn begin_for(&mut self, peer: Peer, tag: Tag, unread: u64, now: Duration) {
+        let load = Load { running: 1, unread };
+        let report = self.peers.entry(peer).or_default();
+        report.at = now;
+        report.loads.entry(tag).or_default().add(load);
+        self.total.entry(tag).or_default().add(load);
+    }
+
+    /// A peer's prompt has been read.
+    pub fn read_for(&mut self, peer: Peer, tag: Tag, unread: u64) {
+        self.take_for(peer, tag, Load { running: 0, unread });
+    }
+
+    /// A peer's request has ended.
+    pub fn end_for(&mut self, peer: Peer, tag: Tag, unread: u64) {
+        self.take_for(peer, tag, Load { running: 1, unread });
+    }
+
+    /// Takes no more than the peer has, as its whole report may have come in between.
+    fn take_for(&mut self, peer: Peer, tag: Tag, load: Load) {
+        let report = self.peers.get_mut(&peer);
+        let Some(held) = report.and_then(|it| it.loads.get_mut(&tag)) else {
+            return;
+        };
+        let taken = Load {
+            running: held.running.min(load.running),
+            unread: held.unread.min(load.unread),
+        };
+        held.take(taken);
+        if let Some(total) = self.total.get_mut(&tag) {
+            total.take(taken);
+        }
+    }
+
     /// Takes a peer's report.
     pub fn report(&mut self, peer: Peer, loads: impl Iterator<Item = (Tag, Load)>, now: Duration) {
-        let loads = loads.collect();
-        self.peers.insert(peer, Report { at: now, loads });
-        self.sum(now);
+        let loads: HashMap<Tag, Load> = loads.collect();
+        let before = self.peers.insert(peer, Report { at: now, loads });
+        let before = before.into_iter().flat_map(|it| it.loads);
+        for (tag, load) in before {
+            if let Some(total) = self.total.get_mut(&tag) {
+                total.take(load);
+            }
+        }
+        for (tag, load) in &self.peers[&peer].loads {
+            self.total.entry(*tag).or_default().add(*load);
+        }
+    }
+
+    /// Drops peers that have been silent, if any, and adds up the others.
+    pub fn prune(&mut self, now: Duration) {
+        let silent = |it: &Report| now.saturating_sub(it.at) >= PEER_TIMEOUT;
+        if self.peers.values().any(silent) {
+            self.sum(now);
+        }
     }
 
     /// Drops peers that have been silent and adds up the others.
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -1,163 +1,283 @@
-//! What the decisions of the data path cost, by the size of the fleet.
+//! What the decisions of the data path and the words between routers cost, by the
+//! size of the fleet.
 //!
-//! Prints, for each size, the bytes of one report and what all reports of a
-//! router add up to, and the processor time to take a report in and to choose a
-//! target. Figures are of this machine, one thread, after a warm-up.
+//! Prints, for each size, the bytes of each message, what a router sends a second
+//! with headers left out, and the processor time of a request at the owner of its
+//! cell. Figures are of this machine, one thread, after a warm-up.
 
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bincode::config::standard;
-use dunlinward_dispatch::placement::{self, Ask, Candidate, Policy};
-use dunlinward_dispatch::prefix::{Memory, Part, Prefix, Prompt, Use};
-use dunlinward_dispatch::report::{CustomerTag, CustomerUse, Report, TargetLoad};
-use dunlinward_dispatch::share::Shares;
+use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
+use dunlinward_dispatch::member::{Card, Members};
+use dunlinward_dispatch::placement::{self, Ask as Wanted, Candidate, Policy};
+use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::registry::Registry;
+use dunlinward_dispatch::report::{
+    Ask, Content, CustomerTag, CustomerUse, Grant, Greeting, Message, Return, TargetLoad, Work,
+};
+use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::{State, Tag, Target};
-use dunlinward_dispatch::usage::{Load, Peer, Usage};
+use dunlinward_dispatch::usage::{Load, Peer};
+use dunlinward_path::gossip::FANOUT;
 
 /// Rounds of each measurement.
 const ROUNDS: u32 = 2_000;
 
-/// Time between reports in seconds.
-const INTERVAL: f64 = 0.1;
+/// Greeting rounds a second, as the standard settings have it.
+const GREETINGS: f64 = 10.0;
+
+/// Reports of work a second to each owner.
+const REPORTS: f64 = 1.0 / 0.3;
 
 struct Size {
     routers: u32,
     targets: u32,
     customers: u32,
     /// Requests a second at one router.
-    requests: u32,
+    requests: f64,
 }
 
 const SIZES: [Size; 3] = [
     Size {
         routers: 9,
-        targets: 12,
+        targets: 9,
         customers: 16,
-        requests: 13,
+        requests: 13.0,
     },
     Size {
         routers: 59,
-        targets: 143,
+        targets: 140,
         customers: 30,
-        requests: 21,
+        requests: 21.0,
     },
     Size {
         routers: 350,
         targets: 600,
         customers: 350,
-        requests: 18,
+        requests: 17.7,
     },
 ];
 
 fn main() {
-    println!("routers targets customers  report B  KB/s out  take us  choose us");
+    println!(
+        "routers targets cells  greet  ask grant read return work  fellow  KB/s out  owner us  place us  cut us"
+    );
     for size in SIZES {
-        let report = report(&size);
-        let bytes = bincode::serde::encode_to_vec(&report, standard()).expect("a report encodes");
-        let peers = f64::from(size.routers - 1);
-        let length = f64::from(u32::try_from(bytes.len()).expect("a report is short"));
-        let out = length * peers / INTERVAL / 1_024.0;
+        let bytes = Bytes::new(&size);
         println!(
-            "{:7} {:7} {:9} {:9} {:9.1} {:8.1} {:10.1}",
+            "{:7} {:7} {:5} {:6} {:4} {:5} {:4} {:6} {:4} {:7} {:9.1} {:9.1} {:9.1} {:7.0}",
             size.routers,
             size.targets,
-            size.customers,
-            bytes.len(),
-            out,
-            take(&size, &bytes),
-            choose(&size),
+            cells(&size),
+            bytes.greeting,
+            bytes.ask,
+            bytes.grant,
+            bytes.read,
+            bytes.returned,
+            bytes.work,
+            bytes.fellow,
+            bytes.out(&size),
+            owner(&size),
+            place(&size),
+            cut(&size),
         );
     }
 }
 
-/// A report of a router under load: two seconds of requests under way.
-fn report(size: &Size) -> Report {
-    let busy = (size.requests * 2).min(size.targets);
-    let loads = (0..busy).map(|number| TargetLoad {
-        tag: tag(number),
+fn cells(size: &Size) -> u16 {
+    cell::count(count(size.targets), cell::TARGETS)
+}
+
+fn count(number: u32) -> usize {
+    usize::try_from(number).expect("a few hundred")
+}
+
+/// Bytes of each message.
+struct Bytes {
+    greeting: usize,
+    ask: usize,
+    grant: usize,
+    read: usize,
+    returned: usize,
+    /// A router's report to one owner.
+    work: usize,
+    /// One owner's report of customers to another.
+    fellow: usize,
+}
+
+impl Bytes {
+    fn new(size: &Size) -> Self {
+        let tag = Tag::new("i-1");
+        let standing = Some(Standing {
+            granted: 2_000_000,
+            level: Some(1_500_000),
+        });
+        let returned = Return {
+            tag,
+            unread: 0,
+            outcome: None,
+        };
+        Self {
+            greeting: length(Content::Greeting(greeting())),
+            ask: length(Content::Ask(ask())),
+            grant: length(Content::Grant(Grant {
+                number: 70_000,
+                tag,
+                unread: 17_000,
+                hit: true,
+                standing,
+            })),
+            read: length(Content::Read {
+                tag,
+                unread: 17_000,
+            }),
+            returned: length(Content::Return(returned)),
+            work: length(Content::Work(work(size))),
+            fellow: length(Content::Work(fellow(size))),
+        }
+    }
+
+    /// Kilobytes a second that a router sends: greetings, its requests' words and reports,
+    /// and its part of what owners send.
+    fn out(&self, size: &Size) -> f64 {
+        let bytes = |it: usize| f64::from(u32::try_from(it).expect("a datagram"));
+        let fanout = bytes(FANOUT.min(count(size.routers - 1)));
+        let greetings = GREETINGS * fanout * bytes(self.greeting);
+        let words = bytes(self.ask + self.grant + self.read + self.returned);
+        let requests = size.requests * words;
+        let cells = f64::from(cells(size));
+        let reports = REPORTS * cells * bytes(self.work);
+        let fellows = REPORTS * cells * (cells - 1.0) * bytes(self.fellow);
+        let fellows = fellows / f64::from(size.routers);
+        (greetings + requests + reports + fellows) / 1_024.0
+    }
+}
+
+fn length(content: Content) -> usize {
+    let message = Message {
+        sender: Peer(u64::MAX / 3),
+        content,
+    };
+    let bytes = bincode::serde::encode_to_vec(&message, standard());
+    bytes.expect("a message encodes").len()
+}
+
+fn card(number: u32) -> Card {
+    let [_, _, high, low] = number.to_be_bytes();
+    Card {
+        address: ([10, 1, high, low], 7400).into(),
+        peer: Peer(u64::from(number) * 0x9e37_79b9),
+        domain: "hall-a".into(),
+        millicores: 250,
+    }
+}
+
+fn greeting() -> Greeting {
+    Greeting {
+        card: card(1),
+        leaving: false,
+        configuration: 50,
+        registry_age_ms: Some(700),
+        registry_digest: u64::MAX / 3,
+        peers: Vec::new(),
+    }
+}
+
+fn prompt() -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        tokens: 17_000,
+        answer_tokens: 120,
+        parts: vec![part(u64::MAX / 5, 13_300), part(0, 3_700)],
+    }
+}
+
+fn ask() -> Ask {
+    Ask {
+        number: 70_000,
+        cell: a_cell(),
+        prompt: Some(prompt()),
+        customer: Some(CustomerTag(u32::MAX / 3)),
+        cost: 17_240,
+        objective: Duration::from_millis(800),
+        waited: Duration::from_micros(300),
+        patience: Duration::from_millis(160),
+        returning: false,
+        counted: false,
+        avoid: Vec::new(),
+    }
+}
+
+fn a_cell() -> Cell {
+    Cell {
+        service: ServiceTag::new("pool"),
+        index: 0,
+    }
+}
+
+/// A router's report to one owner: its requests of a second, spread over the cells.
+fn work(size: &Size) -> Work {
+    let cells = f64::from(cells(size));
+    let loads = (0u32..).take_while(|it| f64::from(*it) < size.requests / cells);
+    let loads = loads.map(|number| TargetLoad {
+        tag: Tag::new(&format!("i-{number}")),
         load: Load {
-            running: 1 + number % 4,
+            running: 1,
             unread: 4_000,
         },
     });
-    let customers = (0..size.customers.min(size.requests * 4)).map(|number| CustomerUse {
+    Work {
+        loads: loads.collect(),
+        ..Work::default()
+    }
+}
+
+/// What one owner tells another: customers with requests in its cell.
+fn fellow(size: &Size) -> Work {
+    let customers = (0..size.customers).map(|number| CustomerUse {
         tag: CustomerTag(number.wrapping_mul(2_654_435_761)),
         asked: 20_000,
         granted: 18_000,
     });
-    let uses =
-        (0..size.requests * 3 / 10).map(|number| Use::new(Prefix(u64::from(number)), tag(number)));
-    Report {
-        sender: Peer(1),
-        address: ([10, 1, 0, 1], 7400).into(),
-        domain: "hall-a".into(),
-        number: 100_000,
-        configuration: 50,
-        registry_age_ms: Some(700),
-        registry_digest: u64::MAX / 3,
-        leaving: false,
-        loads: loads.collect(),
+    Work {
         customers: customers.collect(),
-        uses: uses.collect(),
-        peers: Vec::new(),
+        ..Work::default()
     }
 }
 
-fn tag(number: u32) -> Tag {
-    Tag::new(&format!("i-{number}"))
+fn targets(size: &Size) -> Vec<Target> {
+    let targets = (0..size.targets).map(|number| Target {
+        id: format!("i-{number}").into(),
+        service: "pool".into(),
+        address: ([10, 1, 0, 1], 80).into(),
+        domain: "hall-a".into(),
+        slots: 64,
+        state: State::Ready,
+    });
+    targets.collect()
 }
 
-/// Microseconds to take in one report of each peer, a report.
-fn take(size: &Size, bytes: &[u8]) -> f64 {
-    let (mut usage, mut shares, mut memory) = (
-        Usage::new(),
-        Shares::new(Duration::from_secs(4)),
-        Memory::new(),
-    );
-    let begun = Instant::now();
-    for round in 0..ROUNDS {
-        let now = Duration::from_micros(u64::from(round) * 100);
-        let decoded = bincode::serde::decode_from_slice::<Report, _>(bytes, standard());
-        let (report, _) = decoded.expect("a report decodes");
-        let sender = Peer(u64::from(round % (size.routers - 1)));
-        let loads = report.loads.iter().map(|it| (it.tag, it.load));
-        usage.report(sender, loads, now);
-        shares.hear(sender, &report.customers, now);
-        for used in &report.uses {
-            memory.hear(*used, now);
-        }
+/// Microseconds to find the owner of a cell.
+fn owner(size: &Size) -> f64 {
+    let mut members = Members::new(card(0), FANOUT, Duration::from_millis(100));
+    for number in 1..size.routers {
+        members.hear(&card(number), false, Duration::ZERO);
     }
-    micros(begun)
+    let now = Duration::from_secs(5);
+    time(|| members.owner(black_box(a_cell()), now))
 }
 
-/// Microseconds to choose a target for a request.
-fn choose(size: &Size) -> f64 {
-    let prompt = Prompt {
-        tokens: 17_000,
-        answer_tokens: 120,
-        parts: vec![
-            Part {
-                id: 1,
-                tokens: 13_300,
-            },
-            Part {
-                id: 2,
-                tokens: 3_700,
-            },
-        ],
-    };
-    let candidates: Vec<_> = (0..size.targets)
-        .map(|number| Candidate {
-            target: Arc::new(Target {
-                id: format!("i-{number}").into(),
-                service: "pool".into(),
-                address: ([10, 1, 0, 1], 80).into(),
-                domain: "hall-a".into(),
-                slots: 64,
-                state: State::Ready,
-            }),
+/// Microseconds to choose a target of a cell for a request.
+fn place(size: &Size) -> f64 {
+    let prompt = prompt();
+    let targets = targets(size);
+    let cell = targets.into_iter().take(cell::TARGETS).zip(0u32..);
+    let candidates: Vec<_> = cell
+        .map(|(target, number)| Candidate {
+            target: Arc::new(target),
             load: Load {
                 running: number % 30,
                 unread: u64::from(number % 7) * 1_000,
@@ -166,7 +286,7 @@
             keeps: number % 9 == 0,
         })
         .collect();
-    let ask = Ask {
+    let wanted = Wanted {
         prompt: Some(&prompt),
         objective: Duration::from_millis(800),
         rate: 32_000.0,
@@ -175,17 +295,26 @@
         may_miss: false,
         draw: 1,
     };
+    let policy = Policy::default();
+    time(|| placement::choose(&policy, &wanted, black_box(&candidates)))
+}
+
+/// Microseconds to take a new list of targets and cut it into cells.
+fn cut(size: &Size) -> f64 {
+    let targets = targets(size);
+    let mut registry = Registry::new();
+    let mut now = Duration::ZERO;
+    time(|| {
+        now += Duration::from_millis(1);
+        registry.take(targets.clone(), now)
+    })
+}
+
+fn time<T>(mut run: impl FnMut() -> T) -> f64 {
+    black_box(run());
     let begun = Instant::now();
     for _ in 0..ROUNDS {
-        black_box(placement::choose(
-            &Policy::default(),
-            &ask,
-            black_box(&candidates),
-        ));
+        black_box(run());
     }
-    micros(begun)
-}
-
-fn micros(begun: Instant) -> f64 {
     begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -158,7 +158,7 @@
     let opened = pool::open(lease.target.address, part.min(left)).await;
     node.metrics.add("connections", &lease.target.service, 1);
     opened.map_err(|error| {
-        node.note(&lease.target, Outcome::Unreachable);
+        lease.note(Outcome::Unreachable);
         let line = node
             .journal
             .line("connect_failed")
@@ -182,7 +182,7 @@
     let sent = connection.sender.try_send_request(request);
     let sent = wait(node, job, lease, sent, limit).await;
     let Some(sent) = sent else {
-        node.note(&lease.target, Outcome::Bad);
+        lease.note(Outcome::Bad);
         return Err(Failure::new(Verdict::Unknown, "no_answer"));
     };
     match sent {
@@ -193,7 +193,7 @@
             }
             // An idle connection that its target closed just then says nothing of its health.
             if !connection.used || node.now() > begun + CROSSED {
-                node.note(&lease.target, Outcome::Bad);
+                lease.note(Outcome::Bad);
             }
             Err(Failure::new(Verdict::Unknown, "broken_off"))
         }
@@ -216,7 +216,7 @@
         return Some(answer);
     }
     if early < limit {
-        node.note(&lease.target, Outcome::Bad);
+        lease.note(Outcome::Bad);
         let line = node
             .journal
             .line("target_silent")
@@ -260,7 +260,7 @@
         return Err(Failure::new(Verdict::NotRun, "turned_away"));
     }
     if !answer.genuine || answer.id.is_none() {
-        node.note(&lease.target, Outcome::Bad);
+        lease.note(Outcome::Bad);
         return Err(Failure::new(Verdict::Unknown, "not_genuine"));
     }
     Ok(())
--- /dev/null
+++ b/crates/path/src/courier.rs
@@ -0,0 +1,64 @@
+//! Sends messages to other routers.
+//!
+//! A message is one datagram and is sent without waiting. One that can't be sent is
+//! counted and forgotten: every message is made good by a later one.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bincode::config::standard;
+use dunlinward_dispatch::report::{Content, Message};
+use tokio::net::UdpSocket;
+
+use crate::node::Node;
+
+/// The way to other routers; none before the router is started.
+#[derive(Debug, Default)]
+pub struct Courier {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+}
+
+impl Courier {
+    /// Takes the socket by which messages leave.
+    pub fn open(&self, socket: Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+}
+
+impl Node {
+    /// Sends a message to a router.
+    pub fn send(&self, address: SocketAddr, content: Content) {
+        self.send_all(&[address], content);
+    }
+
+    /// Sends a message to several routers.
+    pub fn send_all(&self, addresses: &[SocketAddr], content: Content) {
+        let Some(socket) = self.courier.socket.borrow().clone() else {
+            return;
+        };
+        let message = Message {
+            sender: self.peer,
+            content,
+        };
+        let bytes = match bincode::serde::encode_to_vec(&message, standard()) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let line = self.journal.line("message_not_encoded");
+                drop(line.with("error", error.to_string()));
+                return;
+            }
+        };
+        for address in addresses {
+            match socket.try_send_to(&bytes, *address) {
+                Ok(_) => self.metrics.add("messages", "sent", 1),
+                Err(error) => {
+                    let kind = error.kind().to_string();
+                    self.metrics.add("messages_unsent", &kind, 1);
+                }
+            }
+        }
+        let length = u64::try_from(bytes.len() * addresses.len()).unwrap_or_default();
+        self.metrics.add("message_bytes", "sent", length);
+    }
+}
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use dunlinward_dispatch::configuration::{Kind, Route, Table};
 use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::prefix::{Prefix, Prompt};
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -174,17 +175,11 @@
         .is_some_and(|it| it.engine.is_some());
     let left = call.left.unwrap_or(route.timeout);
     let returning = left + RETURNING_MARGIN < route.timeout;
-    let prompt = call.prompt.filter(|_| engine).map(Rc::new);
+    let prompt = call.prompt.filter(|_| engine);
+    let prompt = prompt.map(|it| Rc::new(it.joined()));
     let cost = prompt.as_deref().map_or(0, share::cost);
     let now = node.now();
-    let mut state = node.state.borrow_mut();
-    state.budget.request(&service, now);
-    if let Some(customer) = &customer
-        && !returning
-        && cost > 0
-    {
-        state.shares.ask(share::tag(customer), cost, now);
-    }
+    node.state.borrow_mut().budget.request(&service, now);
     Job {
         id: call.id,
         head,
@@ -201,11 +196,18 @@
     }
 }
 
-/// What a request asks of the queue.
-pub(crate) fn wish(node: &Rc<Node>, job: &Job, exclude: Option<Tag>, until: Duration) -> Wish {
+/// What a request asks for.
+pub(crate) fn wish(node: &Rc<Node>, job: &Job, failed: Option<Tag>, until: Duration) -> Wish {
+    let draw = node.draw();
+    let now = node.now();
+    let state = node.state.borrow();
+    let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
+    let cell = state.home(&job.service, prefix.unwrap_or(Prefix(draw)));
+    let mut avoid = state.avoided(cell, now);
+    avoid.extend(failed);
     Wish {
-        id: job.id.clone(),
-        service: job.service.clone(),
+        cell,
+        domain: node.settings.domain.clone(),
         prompt: job.prompt.clone(),
         customer: job
             .customer
@@ -216,9 +218,11 @@
         objective: job.route.objective,
         arrived: job.arrived,
         returning: job.returning,
-        exclude,
+        counted: failed.is_some(),
+        avoid,
         until,
-        draw: node.draw(),
+        alone: false,
+        draw,
     }
 }
 
@@ -347,7 +351,7 @@
     let limit = node.instant(answer_limit(node, job, sends.saturating_sub(1)));
     let reading = Limited::new(&mut attempt.body, WHOLE_ANSWER).collect();
     let Ok(Ok(body)) = tokio::time::timeout_at(limit, reading).await else {
-        node.note(&attempt.lease.target, Outcome::Bad);
+        attempt.lease.note(Outcome::Bad);
         return Err(Failure {
             verdict: Verdict::Unknown,
             reason: "cut_short",
@@ -359,7 +363,7 @@
     } else {
         Outcome::Good
     };
-    node.note(&attempt.lease.target, outcome);
+    attempt.lease.note(outcome);
     let head = answer_head(&attempt.head, false);
     let line = node.journal.line("answered").with("id", job.id.as_ref());
     let line = line
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -9,6 +9,7 @@
 
 use clap::builder::ValueParser;
 use clap::{Arg, ArgMatches, Command, Error};
+use dunlinward_dispatch::cell;
 use dunlinward_dispatch::placement::Policy;
 
 use crate::settings::Patience;
@@ -20,8 +21,10 @@
     pub policy: Policy,
     /// Figures by which requests wait.
     pub patience: Patience,
-    /// Time between reports to peers.
+    /// Time between greetings to peers.
     pub report_interval: Duration,
+    /// Targets of a cell, about.
+    pub cell_targets: usize,
 }
 
 #[derive(Clone, Copy)]
@@ -129,12 +132,22 @@
         least: 10.0,
         ..figure(
             "report-ms",
-            "Milliseconds between reports to peers",
+            "Milliseconds between greetings to peers",
             10_000.0,
             REPORT_MS,
         )
     };
-    let patience = patience_figures().into_iter().chain([interval]);
+    #[expect(clippy::cast_precision_loss, reason = "a few dozen")]
+    let cell = Figure {
+        least: 1.0,
+        ..figure(
+            "cell-targets",
+            "Targets whose requests one router places, about",
+            1_000.0,
+            cell::TARGETS as f64,
+        )
+    };
+    let patience = patience_figures().into_iter().chain([interval, cell]);
     policy_figures().into_iter().chain(patience).collect()
 }
 
@@ -203,9 +216,20 @@
             over_share: value("over-share"),
         },
         report_interval: Duration::from_secs_f64(value("report-ms") / 1_000.0),
+        cell_targets: whole(value("cell-targets")),
     })
 }
 
+/// A figure of which only the whole part counts.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the flag's range is small and positive"
+)]
+fn whole(value: f64) -> usize {
+    value.round() as usize
+}
+
 fn value(figures: &[Figure], matches: &ArgMatches, flag: &str) -> f64 {
     let given = matches.get_one::<f64>(flag).copied();
     let standard = figures
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -10,22 +10,28 @@
 //! - [`exchange`]: one request from its head to its answer; [`tell`]: its log lines.
 //! - [`pool`], [`attempt`]: connections to targets, one attempt at a target.
 //! - [`event`], [`relay`]: streams of events, and how one goes on elsewhere.
-//! - [`peer`]: reports between routers, and views taken over from a peer.
+//! - [`place`], [`owner`]: a place asked of the router that owns a cell, and given there.
+//! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
+//! - [`courier`], [`inbox`]: messages between routers.
 //! - [`life`]: signals, drain and end.
 //! - [`flags`]: the figures that operators may set.
 //! - [`journal`], [`metrics`]: what operators see.
 
 pub mod attempt;
+pub mod courier;
 pub mod dialect;
 pub mod event;
 pub mod exchange;
 pub mod flags;
+pub mod gossip;
+pub mod inbox;
 pub mod journal;
 pub mod lease;
 pub mod life;
 pub mod metrics;
 pub mod node;
-pub mod peer;
+pub mod owner;
+pub mod place;
 pub mod pool;
 pub mod queue;
 pub mod relay;
@@ -34,3 +40,4 @@
 pub mod settings;
 pub mod state;
 pub mod tell;
+pub mod view;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -18,12 +18,19 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::courier::Courier;
 use crate::dialect::Dialect;
+use crate::gossip::Gossip;
 use crate::journal::{Journal, Line, millis};
 use crate::metrics::Metrics;
+use crate::place::Pending;
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::state::State;
+use crate::view::Fetching;
+
+/// Source of a view that this router has read from the store itself.
+pub const STORE: &str = "store";
 
 /// A router.
 pub struct Node {
@@ -39,6 +46,10 @@
     pub pool: Pool,
     /// Identity of this start.
     pub peer: Peer,
+    pub(crate) courier: Courier,
+    pub(crate) gossip: Gossip,
+    pub(crate) fetching: Fetching,
+    pub(crate) pending: Pending,
     pub(crate) state: RefCell<State>,
     begun: Instant,
     pub(crate) room: Notify,
@@ -53,13 +64,18 @@
     #[must_use]
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Rc<Self> {
         let journal = Journal::new(&settings.name);
-        let state = State::new(&settings);
+        let peer = Peer(rand::random());
+        let state = State::new(&settings, peer);
         Rc::new(Self {
             dialect,
             journal,
             metrics: Metrics::default(),
             pool: Pool::new(),
-            peer: Peer(rand::random()),
+            peer,
+            courier: Courier::default(),
+            gossip: Gossip::default(),
+            fetching: Fetching::default(),
+            pending: Pending::default(),
             state: RefCell::new(state),
             begun: Instant::now(),
             room: Notify::new(),
@@ -105,6 +121,8 @@
     pub fn leave(&self) {
         let now = self.now();
         self.leaving.send_replace(Some(now));
+        self.state.borrow_mut().members.leave();
+        self.gossip.greet_all();
     }
 
     pub(crate) fn watch_leaving(&self) -> watch::Receiver<Option<Duration>> {
@@ -153,6 +171,9 @@
             let line = line.with("service", target.service.as_ref());
             drop(line.with("source", source).with_ms("age_ms", age));
         }
+        if source == STORE {
+            self.gossip.greet_all();
+        }
         if !changes.is_empty() {
             self.pool.trim(self.now(), |tag| self.gone(tag));
             self.room_came();
@@ -164,9 +185,7 @@
     }
 
     fn forget(&self, tag: Tag) {
-        let mut state = self.state.borrow_mut();
-        state.memory.forget(tag);
-        state.health.forget(tag);
+        self.state.borrow_mut().forget(tag);
     }
 
     /// How many targets are known.
@@ -218,7 +237,7 @@
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let routers = state.usage.routers();
+        let routers = state.members.count();
         let allowed = state.budget.take(service, routers, now);
         let label = if allowed { "taken" } else { "refused" };
         self.metrics.add("repeats", label, 1);
@@ -249,7 +268,7 @@
         let version = state.table.as_ref().map(|it| it.version());
         line.with("configuration", version)
             .with("targets_age_ms", age)
-            .with("routers", state.usage.routers())
+            .with("routers", state.members.count())
             .with("waiting", state.queue.len())
     }
 }
--- /dev/null
+++ b/crates/path/src/owner.rs
@@ -0,0 +1,203 @@
+//! What a router does for the cells that it owns.
+//!
+//! It counts the work of all routers at the targets, places their requests or lets
+//! them wait in its queue, and hears how exchanges went. Each router tells it several
+//! times a second the whole of what it has there, so lost messages don't add up and
+//! a router that has just become the owner knows within a moment what it needs.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dunlinward_dispatch::cell::ServiceTag;
+use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::prefix::Use;
+use dunlinward_dispatch::report::{Ask, Content, Return, TargetLoad, Work};
+use dunlinward_dispatch::target::Tag;
+use dunlinward_dispatch::usage::Peer;
+
+use crate::node::Node;
+use crate::queue::Asker;
+use crate::state::Wish;
+
+/// How often a router tells owners what it has at their targets.
+const WORK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// How far back a new owner is told which prefixes were sent where.
+const USES_TOLD: Duration = Duration::from_secs(20);
+
+/// Prefixes that a new owner is told of at the most: a few kilobytes.
+const USES_MOST: usize = 400;
+
+/// A router asks for a place.
+pub fn ask(node: &Rc<Node>, peer: Peer, address: SocketAddr, ask: Ask) {
+    let now = node.now();
+    let asker = Asker {
+        peer,
+        address,
+        number: ask.number,
+    };
+    let answer = {
+        let mut state = node.state.borrow_mut();
+        let domain = state.members.domain(address);
+        let wish = Wish {
+            cell: ask.cell,
+            domain: domain.unwrap_or_else(|| node.settings.domain.clone()),
+            prompt: ask.prompt.map(Rc::new),
+            customer: ask.customer,
+            cost: ask.cost,
+            objective: ask.objective,
+            arrived: now.saturating_sub(ask.waited),
+            returning: ask.returning,
+            counted: ask.counted,
+            avoid: ask.avoid,
+            until: now + ask.patience,
+            alone: false,
+            draw: node.draw(),
+        };
+        state.answer(&node.settings, asker, wish, now)
+    };
+    node.send(address, answer);
+    node.room_came();
+}
+
+/// A router's request no longer waits.
+pub fn withdraw(node: &Rc<Node>, peer: Peer, number: u64) {
+    let mut state = node.state.borrow_mut();
+    state.queue.retain(|it| !it.origin.is(peer, number));
+}
+
+/// A target has read a router's prompt.
+pub fn read(node: &Rc<Node>, peer: Peer, tag: Tag, unread: u64) {
+    node.state.borrow_mut().usage.read_for(peer, tag, unread);
+    node.room_came();
+}
+
+/// A router gives a place back.
+pub fn returned(node: &Rc<Node>, peer: Peer, returned: Return) {
+    let tag = returned.tag;
+    node.state
+        .borrow_mut()
+        .usage
+        .end_for(peer, tag, returned.unread);
+    if let Some(outcome) = returned.outcome {
+        node.note_reported(tag, outcome);
+    }
+    node.room_came();
+}
+
+/// A router tells what it has at the targets of this one's cells.
+pub fn work(node: &Rc<Node>, peer: Peer, work: &Work) {
+    let now = node.now();
+    {
+        let mut state = node.state.borrow_mut();
+        let loads = work.loads.iter().map(|it| (it.tag, it.load));
+        state.usage.report(peer, loads, now);
+        for used in &work.uses {
+            state.memory.hear(*used, now);
+        }
+        if !work.customers.is_empty() {
+            state.shares.hear(peer, &work.customers, now);
+        }
+    }
+    node.room_came();
+}
+
+impl Node {
+    /// Notes how another router's exchange with a target went. A router that can't reach a
+    /// target may itself be cut off, so that counts as any other failure.
+    fn note_reported(&self, tag: Tag, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Good => Outcome::Good,
+            Outcome::Bad | Outcome::Unreachable => Outcome::Bad,
+        };
+        let now = self.now();
+        let target = self.state.borrow().registry.get(tag).cloned();
+        let Some(target) = target else {
+            return;
+        };
+        let ejected = self.state.borrow_mut().note_reported(&target, outcome, now);
+        if ejected {
+            self.metrics.add("ejections", &target.service, 1);
+            let line = self.journal.line("target_ejected");
+            let line = line.with("target", target.id.as_ref());
+            drop(line.with("outcome", "Bad").with("source", "routers"));
+        }
+    }
+}
+
+/// Tells owners what this router has at their targets, for as long as it runs.
+pub async fn report_work(node: Rc<Node>) {
+    let mut timer = tokio::time::interval(WORK_INTERVAL);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut told = Told::default();
+    loop {
+        timer.tick().await;
+        node.state.borrow_mut().prune(node.now());
+        for (address, work) in told.next(&node) {
+            node.send(address, Content::Work(work));
+        }
+    }
+}
+
+/// What owners have been told.
+#[derive(Default)]
+struct Told {
+    /// Owner of each cell at the last report.
+    owners: HashMap<dunlinward_dispatch::cell::Cell, SocketAddr>,
+    /// Owners whose last report said that something is at their targets.
+    busy: HashSet<SocketAddr>,
+}
+
+impl Told {
+    /// The reports that are due now.
+    fn next(&mut self, node: &Rc<Node>) -> HashMap<SocketAddr, Work> {
+        let now = node.now();
+        let own = node.settings.link;
+        let mut state = node.state.borrow_mut();
+        let state = &mut *state;
+        let mut reports: HashMap<SocketAddr, Work> = HashMap::new();
+        let mut owners: HashMap<ServiceTag, HashSet<SocketAddr>> = HashMap::new();
+        let recent = state.memory.recent(USES_TOLD, now);
+        for (cell, targets) in state.registry.all_cells() {
+            let owner = state.members.owner(cell, now);
+            let before = self.owners.insert(cell, owner);
+            owners.entry(cell.service).or_default().insert(owner);
+            if owner == own {
+                continue;
+            }
+            let tags: HashSet<_> = targets.iter().map(|it| it.tag()).collect();
+            let loads = tags.iter().map(|tag| TargetLoad {
+                tag: *tag,
+                load: state.usage.own(*tag),
+            });
+            let loads = loads.filter(|it| it.load.running > 0);
+            let loads: Vec<_> = loads.collect();
+            if !loads.is_empty() {
+                reports.entry(owner).or_default().loads.extend(loads);
+            }
+            if before != Some(owner) {
+                let uses = recent.iter().filter(|it| tags.contains(&it.tag));
+                let uses: HashSet<Use> = uses.copied().collect();
+                let uses = uses.into_iter().take(USES_MOST);
+                reports.entry(owner).or_default().uses.extend(uses);
+            }
+        }
+        let customers = state.shares.report(now);
+        let fellows = owners.values().filter(|it| it.contains(&own)).flatten();
+        for fellow in fellows.filter(|it| **it != own && !customers.is_empty()) {
+            reports
+                .entry(*fellow)
+                .or_default()
+                .customers
+                .clone_from(&customers);
+        }
+        for owner in std::mem::take(&mut self.busy) {
+            reports.entry(owner).or_default();
+        }
+        let busy = reports.iter().filter(|(_, it)| !it.loads.is_empty());
+        self.busy = busy.map(|(owner, _)| *owner).collect();
+        reports
+    }
+}
--- /dev/null
+++ b/crates/path/src/place.rs
@@ -0,0 +1,268 @@
+//! Finds a request a place at a target.
+//!
+//! The owner of a cell places its requests, as it alone knows all that its targets
+//! have to do. A request is put to the owner in one datagram; the answer is a place,
+//! or that the request waits there. While it waits it is put again from time to
+//! time, so that a lost answer is made good. An owner that doesn't answer is passed
+//! over, and the next one is asked; when that one is silent too, this router places
+//! the request itself, with the part of the room that is its own if all routers did so.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dunlinward_dispatch::report::{Ask, Content, Grant, Return, Wait};
+use dunlinward_dispatch::share::Standing;
+use tokio::sync::mpsc;
+
+use crate::lease::{Lease, Place};
+use crate::node::Node;
+use crate::reply::{Reason, Refusal};
+use crate::state::Wish;
+
+/// Part of its objective within which a request must be answered by an owner.
+const ANSWER_PART: f64 = 0.1;
+
+/// Shortest such time: some round trips between failure domains.
+const ANSWER_LEAST: Duration = Duration::from_millis(12);
+
+/// Longest such time: more is worth losing to a busy owner than to one that is gone.
+const ANSWER_MOST: Duration = Duration::from_millis(30);
+
+/// Times that one owner is asked before the next one is.
+const TRIES: u32 = 2;
+
+/// Owners that are asked before a router places a request itself.
+const OWNERS: u32 = 2;
+
+/// How often a request that waits is put to its owner again.
+const RENEWAL: Duration = Duration::from_millis(100);
+
+/// What an owner answers.
+#[derive(Clone, Copy, Debug)]
+pub enum Answer {
+    /// A place.
+    Grant(Grant),
+    /// The request waits.
+    Wait(Wait),
+}
+
+/// Requests that have been put to owners.
+#[derive(Debug, Default)]
+pub struct Pending {
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
+}
+
+/// How asking an owner ended.
+enum Asked {
+    Placed(Lease),
+    GivenUp(Option<Wait>),
+    Unanswered,
+}
+
+impl Node {
+    /// Finds a target for a request, now or until it is given up.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if there is no room in time.
+    pub async fn place(self: &Rc<Self>, mut wish: Wish) -> Result<Lease, Refusal> {
+        for _ in 0..OWNERS {
+            let owner = self.owner(&wish);
+            if owner == self.settings.link {
+                return self.place_here(wish).await;
+            }
+            match self.ask(owner, &wish).await {
+                Asked::Placed(lease) => return Ok(lease),
+                Asked::GivenUp(wait) => return Err(refusal(wait).with_owner(owner)),
+                Asked::Unanswered => {}
+            }
+            wish.counted = true;
+        }
+        self.metrics.add("placed_alone", "unanswered", 1);
+        wish.alone = true;
+        self.place_here(wish).await
+    }
+
+    fn owner(&self, wish: &Wish) -> SocketAddr {
+        let state = self.state.borrow();
+        state.members.owner(wish.cell, self.now())
+    }
+
+    async fn ask(self: &Rc<Self>, owner: SocketAddr, wish: &Wish) -> Asked {
+        let mut question = Question::new(self, owner);
+        let time = wish.objective.mul_f64(ANSWER_PART);
+        let time = time.clamp(ANSWER_LEAST, ANSWER_MOST);
+        let mut silent = 0;
+        let mut waits = None;
+        loop {
+            question.put(wish);
+            match question.listen(time, wish.until).await {
+                Some(Answer::Grant(grant)) => return question.accept(wish, grant),
+                Some(Answer::Wait(wait)) => {
+                    silent = 0;
+                    waits = Some(wait);
+                    let next = question.listen(RENEWAL, wish.until).await;
+                    if let Some(Answer::Grant(grant)) = next {
+                        return question.accept(wish, grant);
+                    }
+                }
+                None => silent += 1,
+            }
+            if self.now() >= wish.until {
+                return Asked::GivenUp(waits);
+            }
+            if silent > 0 {
+                let passed = self.missed(owner);
+                if passed || silent >= TRIES {
+                    return Asked::Unanswered;
+                }
+            }
+        }
+    }
+
+    fn missed(&self, owner: SocketAddr) -> bool {
+        self.metrics.add("owner_misses", "unanswered", 1);
+        let passed = self.state.borrow_mut().members.missed(owner, self.now());
+        if passed {
+            let line = self.journal.line("owner_passed_over");
+            drop(line.with("peer", owner.to_string()));
+        }
+        passed
+    }
+
+    /// Takes an owner's answer; a place that nobody waits for is given back.
+    pub(crate) fn answer(&self, from: SocketAddr, number: u64, answer: Answer) {
+        self.state.borrow_mut().members.answered(from);
+        let waiting = self.pending.waiting.borrow().get(&number).cloned();
+        let taken = waiting.is_some_and(|it| it.send(answer).is_ok());
+        if !taken {
+            self.give_back(from, answer);
+        }
+    }
+
+    fn give_back(&self, owner: SocketAddr, answer: Answer) {
+        if let Answer::Grant(grant) = answer {
+            let returned = Return {
+                tag: grant.tag,
+                unread: grant.unread,
+                outcome: None,
+            };
+            self.send(owner, Content::Return(returned));
+        }
+    }
+}
+
+fn refusal(wait: Option<Wait>) -> Refusal {
+    let standing = wait.and_then(|it| it.standing);
+    Refusal::new(reason(standing)).with_standing(standing)
+}
+
+/// Why a request that found no room is refused.
+#[must_use]
+pub fn reason(standing: Option<Standing>) -> Reason {
+    let beyond = standing.is_some_and(|it| it.level.is_some_and(|level| it.granted >= level));
+    if beyond {
+        Reason::OverShare
+    } else {
+        Reason::Busy
+    }
+}
+
+/// A request that has been put to an owner. Dropping it withdraws the request and gives
+/// back a place that came too late.
+struct Question<'a> {
+    node: &'a Rc<Node>,
+    owner: SocketAddr,
+    number: u64,
+    answers: mpsc::UnboundedReceiver<Answer>,
+    accepted: bool,
+}
+
+impl<'a> Question<'a> {
+    fn new(node: &'a Rc<Node>, owner: SocketAddr) -> Self {
+        let pending = &node.pending;
+        let number = pending.next.get();
+        pending.next.set(number + 1);
+        let (sender, answers) = mpsc::unbounded_channel();
+        pending.waiting.borrow_mut().insert(number, sender);
+        Self {
+            node,
+            owner,
+            number,
+            answers,
+            accepted: false,
+        }
+    }
+
+    fn put(&self, wish: &Wish) {
+        let now = self.node.now();
+        let ask = Ask {
+            number: self.number,
+            cell: wish.cell,
+            prompt: wish.prompt.as_deref().cloned(),
+            customer: wish.customer,
+            cost: wish.cost,
+            objective: wish.objective,
+            waited: now.saturating_sub(wish.arrived),
+            patience: wish.until.saturating_sub(now),
+            returning: wish.returning,
+            counted: wish.counted,
+            avoid: wish.avoid.clone(),
+        };
+        self.node.send(self.owner, Content::Ask(ask));
+    }
+
+    async fn listen(&mut self, time: Duration, until: Duration) -> Option<Answer> {
+        let limit = until.min(self.node.now() + time);
+        let answer = self.answers.recv();
+        let limit = self.node.instant(limit);
+        tokio::time::timeout_at(limit, answer).await.ok().flatten()
+    }
+
+    fn accept(mut self, wish: &Wish, grant: Grant) -> Asked {
+        self.accepted = true;
+        let target = {
+            let mut state = self.node.state.borrow_mut();
+            let target = state.registry.get(grant.tag).cloned();
+            if target.is_some() {
+                state.take_place(wish, &grant, self.node.now());
+            }
+            target
+        };
+        let Some(target) = target else {
+            // The lists of targets differ for the time of a greeting.
+            self.node.metrics.add("places_unknown", "target", 1);
+            self.node.give_back(self.owner, Answer::Grant(grant));
+            return Asked::Unanswered;
+        };
+        let place = Place {
+            target,
+            cell: wish.cell,
+            unread: grant.unread,
+            hit: grant.hit,
+            owner: self.owner,
+            standing: grant.standing,
+        };
+        Asked::Placed(Lease::new(self.node, place))
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.node.pending.waiting.borrow_mut().remove(&self.number);
+        while let Ok(answer) = self.answers.try_recv() {
+            // A second copy of the place that was accepted is no other place.
+            if !self.accepted {
+                self.node.give_back(self.owner, answer);
+                self.accepted = true;
+            }
+        }
+        if !self.accepted {
+            self.node.send(self.owner, Content::Withdraw(self.number));
+        }
+    }
+}
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -1,52 +1,104 @@
-//! The queue of requests that wait.
+//! The queue of requests that wait at the owner of their cell.
 //!
 //! A request that finds no room waits here, not at a target: what was sent can't
 //! be put in another order or taken back. Whenever room may have come (a request
-//! ended, a prompt was read, a peer reported, the views changed) the queue is
+//! ended, a prompt was read, a router reported, the views changed) the queue is
 //! gone through in order: customers within their share first, then callers that
 //! were refused before, then by arrival.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use dunlinward_dispatch::report::Content;
+use dunlinward_dispatch::usage::Peer;
 use tokio::sync::oneshot;
 
 use crate::lease::Lease;
 use crate::node::Node;
-use crate::reply::{Reason, Refusal};
-use crate::state::{Waiter, Wish};
+use crate::place;
+use crate::reply::Refusal;
+use crate::state::Wish;
 
 /// Shortest time between two passes over the queue.
 const FILL_PAUSE: Duration = Duration::from_millis(3);
 
+/// Where a request that waits came from.
+#[derive(Debug)]
+pub(crate) enum Origin {
+    /// This router's own callers.
+    Here(oneshot::Sender<Lease>),
+    /// Another router.
+    Peer(Asker),
+}
+
+/// A request of another router.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asker {
+    pub(crate) peer: Peer,
+    pub(crate) address: SocketAddr,
+    /// Number of the request at that router.
+    pub(crate) number: u64,
+}
+
+impl Origin {
+    /// Whether it is a certain request of another router.
+    pub(crate) fn is(&self, peer: Peer, number: u64) -> bool {
+        matches!(self, Self::Peer(it) if it.peer == peer && it.number == number)
+    }
+}
+
+/// A request that waits for room.
+pub(crate) struct Waiter {
+    pub(crate) wish: Wish,
+    pub(crate) cover: f64,
+    pub(crate) origin: Origin,
+}
+
+impl Waiter {
+    /// Whether nobody waits for it any more.
+    fn given_up(&self, now: Duration) -> bool {
+        match &self.origin {
+            Origin::Here(reply) => reply.is_closed(),
+            Origin::Peer(_) => now >= self.wish.until,
+        }
+    }
+}
+
 impl Node {
-    /// Finds a target for a request, now or until it is given up.
-    ///
-    /// # Errors
-    ///
-    /// A refusal if there is no room in time.
-    pub async fn place(self: &Rc<Self>, wish: Wish) -> Result<Lease, Refusal> {
+    /// Places a request of this router's callers by what this router knows.
+    pub(crate) async fn place_here(self: &Rc<Self>, wish: Wish) -> Result<Lease, Refusal> {
         let until = wish.until;
+        let customer = wish.customer;
         let (reply, receiver) = oneshot::channel();
         {
             let now = self.now();
             let mut state = self.state.borrow_mut();
+            state.count(&wish, now);
             let cover = state.cover(&wish, now);
-            if state.queue.is_empty()
+            if !state.waits(&wish)
                 && let Some(choice) = state.choose(&self.settings, &wish, cover, now)
             {
-                state.begin(&wish, &choice, now);
-                return Ok(Lease::new(self, choice));
+                let place = state.begin(&wish, choice, self.settings.link, now);
+                drop(state);
+                return Ok(Lease::new(self, place));
             }
-            state.queue.push(Waiter { wish, cover, reply });
+            let origin = Origin::Here(reply);
+            state.queue.push(Waiter {
+                wish,
+                cover,
+                origin,
+            });
         }
         self.room.notify_one();
         let placed = tokio::time::timeout_at(self.instant(until), receiver).await;
-        match placed {
-            Ok(Ok(lease)) => Ok(lease),
-            // The queue gives up a request by dropping its sender.
-            Ok(Err(_)) | Err(_) => Err(Refusal::new(Reason::Busy)),
+        if let Ok(Ok(lease)) = placed {
+            return Ok(lease);
         }
+        // Its time is over, or the queue has given it up by dropping its sender.
+        let standing = customer.map(|it| self.standing(it));
+        let refusal = Refusal::new(place::reason(standing));
+        Err(refusal.with_standing(standing))
     }
 
     /// Serves the queue for as long as the router runs.
@@ -61,28 +113,38 @@
     fn fill(self: &Rc<Self>) {
         let now = self.now();
         let mut placed = Vec::new();
+        let mut granted = Vec::new();
         {
             let mut state = self.state.borrow_mut();
             let mut queue = std::mem::take(&mut state.queue);
-            queue.retain(|it| !it.reply.is_closed());
+            queue.retain(|it| !it.given_up(now));
             for waiter in &mut queue {
                 waiter.cover = state.cover(&waiter.wish, now);
             }
             queue.sort_by_key(|it| (it.cover < 1.0, !it.wish.returning, it.wish.arrived));
             for waiter in queue {
                 let choice = state.choose(&self.settings, &waiter.wish, waiter.cover, now);
-                match choice {
-                    Some(choice) => {
-                        state.begin(&waiter.wish, &choice, now);
-                        placed.push((waiter, choice));
-                    }
-                    None => state.queue.push(waiter),
+                match (choice, waiter) {
+                    (None, waiter) => state.queue.push(waiter),
+                    (Some(choice), Waiter { wish, origin, .. }) => match origin {
+                        Origin::Here(reply) => {
+                            let place = state.begin(&wish, choice, self.settings.link, now);
+                            placed.push((reply, place));
+                        }
+                        Origin::Peer(asker) => {
+                            let grant = state.begin_for(asker, &wish, &choice, now);
+                            granted.push((asker.address, grant));
+                        }
+                    },
                 }
             }
         }
-        for (waiter, choice) in placed {
+        for (reply, place) in placed {
             // If the caller has left, the lease comes back and is dropped.
-            drop(waiter.reply.send(Lease::new(self, choice)));
+            drop(reply.send(Lease::new(self, place)));
+        }
+        for (address, grant) in granted {
+            self.send(address, Content::Grant(grant));
         }
     }
 }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -211,7 +211,7 @@
     fn finish(&mut self) {
         self.ended = true;
         if let Some(attempt) = self.attempt.take() {
-            self.node.note(&attempt.lease.target, Outcome::Good);
+            attempt.lease.note(Outcome::Good);
             attempt.finish(&self.node);
         }
         self.tell("answered", "complete");
@@ -244,12 +244,12 @@
     /// Goes on at another target, or says why that can't be.
     async fn go_on(&mut self, reason: &'static str) -> Result<(), Broken> {
         drop(self.splitter.take_rest());
-        let failed = self.attempt.take().map(|it| it.lease.target.clone());
-        if let Some(target) = &failed
-            && reason != "expired"
-        {
-            self.node.note(target, Outcome::Bad);
-        }
+        let failed = self.attempt.take().map(|it| {
+            if reason != "expired" {
+                it.lease.note(Outcome::Bad);
+            }
+            it.lease.target.clone()
+        });
         let expired = self.node.now() >= self.job.deadline;
         if expired || !self.may_go_on() || !self.node.may_repeat(&self.job.service) {
             return Err(Broken { reason });
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -1,10 +1,12 @@
 //! Answers to callers, and the router's own refusals.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use dunlinward_dispatch::share::Standing;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -95,6 +97,10 @@
     pub reason: Reason,
     /// Time after which there may be room.
     pub retry_after: Option<Duration>,
+    /// How the request's customer stood, as whoever refused it knew.
+    pub standing: Option<Standing>,
+    /// The router that had no room, if it is another one.
+    pub owner: Option<SocketAddr>,
 }
 
 impl Refusal {
@@ -104,9 +110,25 @@
         Self {
             reason,
             retry_after: None,
+            standing: None,
+            owner: None,
         }
     }
 
+    /// Sets how the request's customer stood.
+    #[must_use]
+    pub fn with_standing(mut self, standing: Option<Standing>) -> Self {
+        self.standing = standing;
+        self
+    }
+
+    /// Sets the router that had no room.
+    #[must_use]
+    pub fn with_owner(mut self, owner: SocketAddr) -> Self {
+        self.owner = Some(owner);
+        self
+    }
+
     /// Sets the time to come back.
     #[must_use]
     pub fn with_retry_after(mut self, time: Duration) -> Self {
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -34,8 +34,12 @@
     pub policy: Policy,
     /// Figures by which requests wait.
     pub patience: Patience,
-    /// Time between reports to peers.
+    /// Time between greetings to peers.
     pub report_interval: Duration,
+    /// Thousandths of a core that this router has.
+    pub millicores: u32,
+    /// Targets of a cell, about.
+    pub cell_targets: usize,
 }
 
 /// How long requests wait and when refused callers may come back.
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -2,36 +2,44 @@
 //!
 //! No call here wakes a task or drops a lease, so the state is never borrowed twice.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dunlinward_dispatch::budget::Budget;
+use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::health::{Health, Outcome};
+use dunlinward_dispatch::member::{Card, Members};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
-use dunlinward_dispatch::prefix::{self, Memory, Prompt};
+use dunlinward_dispatch::prefix::{self, Memory, Prefix, Prompt, Use};
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::registry::Registry;
-use dunlinward_dispatch::report::CustomerTag;
-use dunlinward_dispatch::share::Shares;
+use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Wait};
+use dunlinward_dispatch::share::{Shares, Standing};
 use dunlinward_dispatch::target::{State as TargetState, Tag, Target};
-use dunlinward_dispatch::usage::Usage;
-use tokio::sync::oneshot;
+use dunlinward_dispatch::usage::{Peer, Usage};
 
-use crate::lease::Lease;
+use crate::gossip;
+use crate::lease::Place;
+use crate::queue::{Asker, Origin, Waiter};
 use crate::settings::Settings;
 
+/// How long an answer is kept for a router that did not get it: longer than it asks.
+const GRANT_KEPT: Duration = Duration::from_secs(1);
+
 /// At most one in so many targets of a service is ejected for failures.
 const EJECTED_PART: usize = 3;
 
 /// A request that looks for a target.
 #[derive(Clone, Debug)]
 pub struct Wish {
-    /// Identity of the request, for the log.
-    pub id: Arc<str>,
-    /// The service that is to run it.
-    pub service: Arc<str>,
+    /// The cell whose targets may run it.
+    pub cell: Cell,
+    /// Failure domain of the router whose caller it is.
+    pub domain: Arc<str>,
     /// Its prompt.
     pub prompt: Option<Rc<Prompt>>,
     /// Its customer, if it has one.
@@ -44,21 +52,18 @@
     pub arrived: Duration,
     /// Whether its caller was refused before.
     pub returning: bool,
-    /// A target that has failed it.
-    pub exclude: Option<Tag>,
+    /// Whether the tokens it asks for have been counted before.
+    pub counted: bool,
+    /// Targets that have failed it, or its router lately.
+    pub avoid: Vec<Tag>,
     /// When it is given up.
     pub until: Duration,
+    /// Whether no owner answers, so that each router keeps to its own part of the room.
+    pub alone: bool,
     /// Spreads ties.
     pub draw: u64,
 }
 
-/// A request that waits for room.
-pub(crate) struct Waiter {
-    pub(crate) wish: Wish,
-    pub(crate) cover: f64,
-    pub(crate) reply: oneshot::Sender<Lease>,
-}
-
 /// Everything that changes.
 pub(crate) struct State {
     pub(crate) table: Option<Rc<Table>>,
@@ -69,38 +74,147 @@
     pub(crate) budget: Budget,
     pub(crate) shares: Shares,
     pub(crate) reach: Reach,
+    pub(crate) members: Members,
     pub(crate) queue: Vec<Waiter>,
+    /// Failures that all routers report of the targets of this router's cells.
+    reported: Health,
+    /// Places given to other routers lately, for those that did not get the answer.
+    granted: HashMap<(Peer, u64), (Duration, Grant)>,
     engines_seen: usize,
 }
 
 impl State {
     /// Nothing known yet.
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub(crate) fn new(settings: &Settings, peer: Peer) -> Self {
         Self {
             table: None,
-            registry: Registry::new(),
+            registry: Registry::new().with_cell_targets(settings.cell_targets),
             usage: Usage::new(),
             memory: Memory::new(),
             health: Health::new(),
             budget: Budget::new(settings.repeats),
             shares: Shares::new(settings.share_window),
             reach: Reach::new(settings.report_interval),
+            members: Members::new(
+                Card {
+                    address: settings.link,
+                    peer,
+                    domain: settings.domain.clone(),
+                    millicores: settings.millicores,
+                },
+                gossip::FANOUT,
+                settings.report_interval,
+            ),
             queue: Vec::new(),
+            reported: Health::new(),
+            granted: HashMap::new(),
             engines_seen: 0,
         }
     }
 
+    /// Forgets routers that have been silent, and answers that are no longer asked for.
+    pub(crate) fn prune(&mut self, now: Duration) {
+        self.usage.prune(now);
+        self.granted
+            .retain(|_, (at, _)| now.saturating_sub(*at) < GRANT_KEPT);
+    }
+
+    /// A target has ended.
+    pub(crate) fn forget(&mut self, tag: Tag) {
+        self.memory.forget(tag);
+        self.health.forget(tag);
+        self.reported.forget(tag);
+    }
+
     /// Notes an outcome; true if the target is ejected by it.
     pub(crate) fn note(&mut self, target: &Target, outcome: Outcome, now: Duration) -> bool {
         let targets = self.registry.of(&target.service);
-        let ejected = targets
-            .iter()
-            .filter(|it| self.health.ejected(it.tag(), now));
-        let enough = ejected.count() * EJECTED_PART >= targets.len();
-        if outcome == Outcome::Bad && enough {
-            return false;
+        note(&mut self.health, targets, target, outcome, now)
+    }
+
+    /// Notes an outcome of another router; true if the target is ejected by it.
+    pub(crate) fn note_reported(
+        &mut self,
+        target: &Target,
+        outcome: Outcome,
+        now: Duration,
+    ) -> bool {
+        let cell = self.registry.cell_of(target);
+        let targets = self.registry.of_cell(cell);
+        note(&mut self.reported, targets, target, outcome, now)
+    }
+
+    /// Targets of a cell that this router leaves alone.
+    pub(crate) fn avoided(&self, cell: Cell, now: Duration) -> Vec<Tag> {
+        let targets = self.registry.of_cell(cell);
+        let tags = targets.iter().map(|it| it.tag());
+        tags.filter(|it| self.health.ejected(*it, now)).collect()
+    }
+
+    /// The cell that is home to a prefix, or to a request without one.
+    pub(crate) fn home(&self, service: &str, prefix: Prefix) -> Cell {
+        let service = ServiceTag::new(service);
+        let sizes: Vec<_> = self.registry.cells(service).iter().map(Vec::len).collect();
+        let [first, _] = cell::homes(prefix, &sizes);
+        Cell {
+            service,
+            index: first.unwrap_or_default(),
+        }
+    }
+
+    /// Counts what a request asks for, once.
+    pub(crate) fn count(&mut self, wish: &Wish, now: Duration) {
+        if let Some(customer) = wish.customer
+            && !wish.counted
+            && !wish.returning
+        {
+            self.shares.ask(customer, wish.cost, now);
+        }
+    }
+
+    /// Whether others wait for the same targets.
+    pub(crate) fn waits(&self, wish: &Wish) -> bool {
+        self.queue.iter().any(|it| it.wish.cell == wish.cell)
+    }
+
+    /// Answers another router's request: with a place, or that it waits.
+    pub(crate) fn answer(
+        &mut self,
+        settings: &Settings,
+        asker: Asker,
+        wish: Wish,
+        now: Duration,
+    ) -> Content {
+        let Asker { peer, number, .. } = asker;
+        if let Some((_, grant)) = self.granted.get(&(peer, number)) {
+            return Content::Grant(*grant);
+        }
+        let known = self.queue.iter().any(|it| it.origin.is(peer, number));
+        if !known {
+            self.count(&wish, now);
+            let cover = self.cover(&wish, now);
+            if !self.waits(&wish)
+                && let Some(choice) = self.choose(settings, &wish, cover, now)
+            {
+                return Content::Grant(self.begin_for(asker, &wish, &choice, now));
+            }
+            let customer = wish.customer;
+            self.queue.push(Waiter {
+                wish,
+                cover,
+                origin: Origin::Peer(asker),
+            });
+            return self.wait(number, customer, now);
         }
-        self.health.note(target.tag(), outcome, now)
+        self.wait(number, wish.customer, now)
+    }
+
+    fn wait(&mut self, number: u64, customer: Option<CustomerTag>, now: Duration) -> Content {
+        Content::Wait(Wait {
+            number,
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            standing: customer.map(|it| self.shares.standing(it, now)),
+        })
     }
 
     /// Share of the request's customer against its use; 1 or more within it.
@@ -120,25 +234,27 @@
     ) -> Option<Choice> {
         let prefix = wish.prompt.as_deref().and_then(Prompt::prefix);
         let table = self.table.clone()?;
-        let engines = self.registry.of(&wish.service).len();
+        let targets = self.registry.of_cell(wish.cell);
+        let service = targets.first().map(|it| it.service.clone())?;
+        let engines = self.registry.of(&service).len();
         if wish.prompt.is_some() {
             self.engines_seen = self.engines_seen.max(engines);
         }
         #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
         let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
-        let engine = table.service(&wish.service).and_then(|it| it.engine);
+        let engine = table.service(&service).and_then(|it| it.engine);
         let kept = prefix::kept(engine.map_or(0, |it| it.memory_tokens), rate);
-        let mut candidates = Vec::with_capacity(engines);
-        for target in self.registry.of(&wish.service) {
+        let mut candidates = Vec::with_capacity(targets.len());
+        for target in targets {
             let tag = target.tag();
             let usable = target.state == TargetState::Ready
-                && !self.health.ejected(tag, now)
-                && wish.exclude != Some(tag);
+                && !self.reported.ejected(tag, now)
+                && !wish.avoid.contains(&tag);
             if usable {
                 candidates.push(Candidate {
                     target: target.clone(),
                     load: self.usage.total(tag),
-                    local: target.domain == settings.domain,
+                    local: target.domain == wish.domain,
                     keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, kept, now)),
                 });
             }
@@ -149,25 +265,105 @@
             rate,
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
-            room: if cover < 1.0 {
-                // Squared, as what is left at full targets goes to whoever asks most often.
-                settings.patience.over_share * cover * cover
-            } else {
-                1.0
-            },
+            room: self.room(settings, wish, cover),
             draw: wish.draw,
         };
         placement::choose(&settings.policy, &ask, &candidates)
     }
 
-    pub(crate) fn begin(&mut self, wish: &Wish, choice: &Choice, now: Duration) {
+    /// Part of all room that a request may use.
+    fn room(&self, settings: &Settings, wish: &Wish, cover: f64) -> f64 {
+        let share = if cover < 1.0 {
+            // Squared, as what is left at full targets goes to whoever asks most often.
+            settings.patience.over_share * cover * cover
+        } else {
+            1.0
+        };
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred routers")]
+        let routers = if wish.alone {
+            self.members.count() as f64
+        } else {
+            1.0
+        };
+        share / routers
+    }
+
+    /// Gives a place to a request of this router's callers.
+    pub(crate) fn begin(
+        &mut self,
+        wish: &Wish,
+        choice: Choice,
+        own: SocketAddr,
+        now: Duration,
+    ) -> Place {
         let tag = choice.target.tag();
         self.usage.begin(tag, choice.unread);
         if let Some(prefix) = wish.prompt.as_deref().and_then(Prompt::prefix) {
             self.memory.note(prefix, tag, now);
         }
-        if let Some(customer) = wish.customer {
-            self.shares.grant(customer, wish.cost, now);
+        let standing = self.grant(wish, now);
+        Place {
+            target: choice.target,
+            cell: wish.cell,
+            unread: choice.unread,
+            hit: choice.hit,
+            owner: own,
+            standing,
         }
     }
+
+    /// Gives a place to another router's request.
+    pub(crate) fn begin_for(
+        &mut self,
+        asker: Asker,
+        wish: &Wish,
+        choice: &Choice,
+        now: Duration,
+    ) -> Grant {
+        let Asker { peer, number, .. } = asker;
+        let tag = choice.target.tag();
+        self.usage.begin_for(peer, tag, choice.unread, now);
+        if let Some(prefix) = wish.prompt.as_deref().and_then(Prompt::prefix) {
+            self.memory.hear(Use::new(prefix, tag), now);
+        }
+        let standing = self.grant(wish, now);
+        let grant = Grant {
+            number,
+            tag,
+            unread: choice.unread,
+            hit: choice.hit,
+            standing,
+        };
+        self.granted.insert((peer, number), (now, grant));
+        grant
+    }
+
+    fn grant(&mut self, wish: &Wish, now: Duration) -> Option<Standing> {
+        let customer = wish.customer?;
+        self.shares.grant(customer, wish.cost, now);
+        Some(self.shares.standing(customer, now))
+    }
+
+    /// Takes a place that another router gave.
+    pub(crate) fn take_place(&mut self, wish: &Wish, grant: &Grant, now: Duration) {
+        self.usage.begin(grant.tag, grant.unread);
+        if let Some(prefix) = wish.prompt.as_deref().and_then(Prompt::prefix) {
+            self.memory.note(prefix, grant.tag, now);
+        }
+    }
+}
+
+fn note(
+    health: &mut Health,
+    targets: &[Arc<Target>],
+    target: &Target,
+    outcome: Outcome,
+    now: Duration,
+) -> bool {
+    let ejected = targets.iter().filter(|it| health.ejected(it.tag(), now));
+    let enough = ejected.count() * EJECTED_PART >= targets.len();
+    if outcome == Outcome::Bad && enough {
+        return false;
+    }
+    health.note(target.tag(), outcome, now)
 }
--- a/crates/path/src/tell.rs
+++ b/crates/path/src/tell.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::prefix::Prompt;
-use dunlinward_dispatch::share;
+use dunlinward_dispatch::share::Standing;
 
 use crate::attempt::{Failure, Job};
 use crate::journal::Line;
@@ -54,21 +54,21 @@
         .with("status", reason.status().as_u16());
     let mut line = line.with_ms("after_ms", node.now().saturating_sub(arrived));
     if let Some(job) = job {
-        line = about(node, job, line);
+        line = about(job, refused.standing, line);
     }
+    let line = line.with("owner", refused.owner.map(|it| it.to_string()));
     drop(node.views(line));
 }
 
 /// Adds what a request is and how its customer stands.
-fn about(node: &Rc<Node>, job: &Job, line: Line) -> Line {
+fn about(job: &Job, standing: Option<Standing>, line: Line) -> Line {
     let line = line
         .with("route", job.route.name.as_ref())
         .with("customer", job.customer.as_deref())
         .with("returning", job.returning);
-    let Some(customer) = job.customer.as_ref().filter(|_| job.cost > 0) else {
+    let Some(standing) = standing else {
         return line;
     };
-    let standing = node.standing(share::tag(customer));
     line.with("cost", job.cost)
         .with("granted", standing.granted)
         .with("level", standing.level)
@@ -78,7 +78,8 @@
 pub fn sent(node: &Rc<Node>, job: &Job, lease: &Lease, sends: u32) {
     let line = node.journal.line("sent").with("id", job.id.as_ref());
     let line = line.with("target", lease.target.id.as_ref());
-    let line = about(node, job, line);
+    let line = about(job, lease.standing, line);
+    let line = line.with("owner", lease.owner.to_string());
     let line = line.with("hit", lease.hit).with("sends", sends);
     let line = line.with("unread_tokens", lease.unread());
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
