--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -68,6 +68,8 @@
     pub rate: f64,
     /// Part of the room that the request may use, 0 to 1.
     pub room: f64,
+    /// Times the standard part of that room where its prefix is read anew.
+    pub miss_scale: f64,
     /// How long it has waited.
     pub waited: Duration,
     /// Whether it has waited long enough to be read anew where its prefix is not.
@@ -120,7 +122,7 @@
             continue;
         }
         let room = if anew {
-            ask.room * policy.miss_room
+            ask.room * (policy.miss_room * ask.miss_scale).min(1.0)
         } else {
             ask.room
         };
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -406,6 +406,7 @@
         objective: ms(1000),
         rate: 10_000.0,
         room: 1.0,
+        miss_scale: 1.0,
         waited: ms(0),
         may_miss: false,
         draw: 3,
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -291,6 +291,7 @@
         objective: Duration::from_millis(800),
         rate: 32_000.0,
         room: 1.0,
+        miss_scale: 1.0,
         waited: Duration::ZERO,
         may_miss: false,
         draw: 1,
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -266,6 +266,9 @@
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
             room: self.room(settings, wish, cover),
+            // Who has had little of its share is not bound to the targets that keep its
+            // prefix, where others may have taken all room.
+            miss_scale: cover.max(1.0),
             draw: wish.draw,
         };
         placement::choose(&settings.policy, &ask, &candidates)
