A caller that comes back after a refusal asks once more

Asked was counted once for a request that was refused and came back, so asked stayed within a tenth of granted while a third of requests were refused. Ruled out: a lower threshold (waiting requests alone are 2 % of a window's). Change: each try of a caller counts as asked; only what an owner is told again by a router is not.

--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -166,7 +166,6 @@
     pub(crate) fn count(&mut self, wish: &Wish, now: Duration) {
         if let Some(customer) = wish.customer
             && !wish.counted
-            && !wish.returning
         {
             self.shares.ask(customer, wish.cost, now);
         }
