What a router keeps after its own outage is not told to peers

Ruled out: an older list taken over a younger one (as_of grew all the while). Change: a router tells only what the store listed; the sum of the list is over that; a list of a peer that saw no outage ends what is kept; the first list of a start is not taken as one that saw no outage.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -4,7 +4,8 @@
 //! with one exception: entries lapse while the store is away and come back soon
 //! after it, so after an outage a missing target is kept for [`RETURN_TIME`]. An
 //! outage is a gap between lists, whoever read them: while a peer can read, entries
-//! do not lapse for want of the store.
+//! do not lapse for want of the store. What is kept so is this router's own guess: it
+//! is not told to peers, and a list of a peer that saw no outage ends it.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -43,6 +44,10 @@
     cells: HashMap<ServiceTag, Vec<Vec<Arc<Target>>>>,
     read_at: Option<Duration>,
     keep_until: Duration,
+    /// From when on a list tells surely what has ended.
+    settled_from: Duration,
+    /// Targets that are kept though the newest list lacks them.
+    kept: HashSet<Tag>,
     replaced: HashSet<Tag>,
     digest: u64,
 }
@@ -64,6 +69,8 @@
             cells: HashMap::new(),
             read_at: None,
             keep_until: Duration::ZERO,
+            settled_from: Duration::ZERO,
+            kept: HashSet::new(),
             replaced: HashSet::new(),
             digest: 0,
         }
@@ -81,13 +88,30 @@
         if self.read_at.is_some_and(|at| as_of < at) {
             return Vec::new();
         }
-        if self
-            .read_at
-            .is_some_and(|at| as_of.saturating_sub(at) > OUTAGE)
-        {
+        let gap = self.read_at.map(|at| as_of.saturating_sub(at));
+        if gap.is_some_and(|it| it > OUTAGE) {
             self.keep_until = as_of + RETURN_TIME;
         }
+        if gap.is_none_or(|it| it > OUTAGE) {
+            // A router that has just started can't know of an outage before.
+            self.settled_from = as_of + RETURN_TIME;
+        }
+        self.replace(list, as_of)
+    }
+
+    /// Takes the list of a peer that saw no outage: what is missing there has ended.
+    pub fn take_settled(&mut self, list: Vec<Target>, as_of: Duration) -> Vec<Change> {
+        if self.read_at.is_some_and(|at| as_of < at) {
+            return Vec::new();
+        }
+        self.keep_until = Duration::ZERO;
+        self.settled_from = Duration::ZERO;
+        self.replace(list, as_of)
+    }
+
+    fn replace(&mut self, list: Vec<Target>, as_of: Duration) -> Vec<Change> {
         self.read_at = Some(as_of);
+        self.kept.clear();
         let mut changes = Vec::new();
         let mut next = HashMap::with_capacity(list.len());
         let listed: HashSet<Tag> = list.iter().map(Target::tag).collect();
@@ -114,6 +138,7 @@
             let replaced = next.values().any(|it| it.address == old.address);
             if keep && !replaced {
                 next.insert(*tag, old.clone());
+                self.kept.insert(*tag);
             } else {
                 changes.push(Change::Ended(old.clone()));
             }
@@ -154,9 +179,9 @@
             targets.sort_by(|a, b| a.id.cmp(&b.id));
         }
         self.cells = self.cut();
-        let mut all: Vec<_> = self.targets.values().collect();
-        all.sort_by_key(|it| it.tag());
-        self.digest = all.into_iter().fold(0, |seed, it| {
+        let mut listed: Vec<_> = self.listed().collect();
+        listed.sort_by_key(|it| it.tag());
+        self.digest = listed.into_iter().fold(0, |seed, it| {
             let leaving = u64::from(it.state == State::Leaving);
             xxh64(it.id.as_bytes(), seed ^ leaving)
         });
@@ -223,6 +248,19 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Targets of the newest list, without those that are kept for a while.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let targets = self.targets.iter();
+        let listed = targets.filter(|(tag, _)| !self.kept.contains(tag));
+        listed.map(|(_, target)| target)
+    }
+
+    /// Whether no outage of late leaves it open which targets have ended.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.read_at.is_some_and(|at| at >= self.settled_from)
+    }
+
     /// All targets.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.targets.values()
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -117,6 +117,39 @@
     assert_eq!(registry.of("pool").len(), 1);
 }
 
+/// Fleet day fresh-cbbf: a failure domain that had been cut off came back and told all
+/// others of targets that had ended meanwhile.
+#[test]
+fn what_a_router_keeps_after_its_own_outage_is_not_told_and_ends_by_a_settled_list() {
+    let (mut cut, mut other) = (Registry::new(), Registry::new());
+    for registry in [&mut cut, &mut other] {
+        registry.take(vec![target("a", 1), target("b", 2)], ms(0));
+    }
+    other.take(vec![target("a", 1)], ms(1500));
+    other.take(vec![target("a", 1)], ms(3000));
+    let back = OUTAGE + ms(1500);
+    cut.take(vec![target("a", 1)], back);
+    assert_eq!((cut.of("pool").len(), cut.settled()), (2, false));
+    let told: Vec<_> = cut.listed().map(|it| it.as_ref().clone()).collect();
+    assert_eq!(told, [target("a", 1)]);
+    assert_eq!(cut.digest(), other.digest());
+    assert!(other.take(told, back).is_empty());
+    assert!(other.settled());
+    let ended = cut.take_settled(vec![target("a", 1)], back + ms(100));
+    assert_eq!(ended, [Change::Ended(Arc::new(target("b", 2)))]);
+    assert!(cut.settled());
+}
+
+#[test]
+fn the_first_list_of_a_router_settles_nothing() {
+    let mut registry = Registry::new();
+    assert!(!registry.settled());
+    registry.take(vec![target("a", 1)], ms(500));
+    assert!(!registry.settled());
+    registry.take(vec![target("a", 1)], ms(500) + RETURN_TIME);
+    assert!(registry.settled());
+}
+
 #[test]
 fn a_lapsed_target_whose_address_is_taken_has_ended() {
     let mut registry = Registry::new();
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -32,6 +32,17 @@
 /// Source of a view that this router has read from the store itself.
 pub const STORE: &str = "store";
 
+/// A list of all targets.
+#[derive(Clone, Debug)]
+pub struct List {
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// When it was true.
+    pub as_of: Duration,
+    /// Whether what it lacks has surely ended: it is of a router that saw no outage.
+    pub settled: bool,
+}
+
 /// A router.
 pub struct Node {
     /// What it was told.
@@ -154,9 +165,10 @@
         self.room_came();
     }
 
-    /// Takes the list of targets that was true at `as_of`.
-    pub fn take_targets(&self, list: Vec<Target>, as_of: Duration, source: &str) {
-        let changes = self.state.borrow_mut().registry.take(list, as_of);
+    /// Takes a list of targets.
+    pub fn take_targets(&self, list: List, source: &str) {
+        let as_of = list.as_of;
+        let changes = self.state.borrow_mut().take_list(list);
         for change in &changes {
             let (event, target) = match change {
                 Change::Came(target) => ("target_came", target),
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -16,7 +16,7 @@
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Memory, Prefix, Prompt, Use};
 use dunlinward_dispatch::reach::Reach;
-use dunlinward_dispatch::registry::Registry;
+use dunlinward_dispatch::registry::{Change, Registry};
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Wait};
 use dunlinward_dispatch::share::{Shares, Standing};
 use dunlinward_dispatch::target::{State as TargetState, Tag, Target};
@@ -24,6 +24,7 @@
 
 use crate::gossip;
 use crate::lease::Place;
+use crate::node::List;
 use crate::queue::{Asker, Origin, Waiter};
 use crate::settings::Settings;
 
@@ -119,6 +120,15 @@
             .retain(|_, (at, _)| now.saturating_sub(*at) < GRANT_KEPT);
     }
 
+    /// Takes a list of targets.
+    pub(crate) fn take_list(&mut self, list: List) -> Vec<Change> {
+        if list.settled {
+            self.registry.take_settled(list.targets, list.as_of)
+        } else {
+            self.registry.take(list.targets, list.as_of)
+        }
+    }
+
     /// A target has ended.
     pub(crate) fn forget(&mut self, tag: Tag) {
         self.memory.forget(tag);
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::journal::millis;
-use crate::node::Node;
+use crate::node::{List, Node};
 
 /// Largest view in bytes.
 const LARGEST: u64 = 32 * 1024 * 1024;
@@ -66,6 +66,8 @@
 struct Targets {
     list: Vec<Target>,
     age_ms: u64,
+    /// Whether the sender saw no outage that leaves it open which targets have ended.
+    settled: bool,
 }
 
 /// Whether a view is being fetched; one at a time.
@@ -103,7 +105,12 @@
     if let Some(targets) = view.targets {
         let age = Duration::from_millis(targets.age_ms);
         let as_of = node.now().saturating_sub(age);
-        node.take_targets(targets.list, as_of, "peer");
+        let list = List {
+            targets: targets.list,
+            as_of,
+            settled: targets.settled,
+        };
+        node.take_targets(list, "peer");
     }
 }
 
@@ -143,8 +150,13 @@
     let now = node.now();
     let configuration = state.table.as_ref().map(|it| it.configuration().clone());
     let targets = state.registry.read_at().map(|at| Targets {
-        list: state.registry.all().map(|it| it.as_ref().clone()).collect(),
+        list: state
+            .registry
+            .listed()
+            .map(|it| it.as_ref().clone())
+            .collect(),
         age_ms: millis(now.saturating_sub(at)),
+        settled: state.registry.settled(),
     });
     View {
         configuration: configuration.filter(|_| wanted.configuration),
