A few routers call the store for all

Ruled out: one waiting router for all (a cut between failure domains would need a timeout before anybody reads). Change: two routers of a failure domain, by rank, wait for the configuration and greet all when it changes; others read if nobody confirmed theirs for 0.8 of the bound. The list is read by the first in rank, by the next only when it gets older. The silence of a failure domain that means something grows with the time in which routers greet each other.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
-use crate::cell::{self, Cell};
+use crate::cell::{self, Cell, ServiceTag};
 use crate::usage::Peer;
 
 /// Shortest silence after which a router counts as ended.
@@ -50,6 +50,38 @@
     pub millicores: u32,
 }
 
+/// What a few routers do for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Waits for the configuration at the store.
+    Configuration,
+    /// Reads the list of targets at the store.
+    Targets,
+}
+
+impl Duty {
+    /// A cell that stands for it where routers are ranked.
+    fn cell(self) -> Cell {
+        let (name, index) = match self {
+            Self::Configuration => ("duty of configuration", 0),
+            Self::Targets => ("duty of targets", 0),
+        };
+        Cell {
+            service: ServiceTag::new(name),
+            index,
+        }
+    }
+}
+
+/// Among whom routers are ranked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All routers.
+    All,
+    /// Those of the same failure domain.
+    Domain,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     card: Card,
@@ -129,10 +161,25 @@
     /// Silence after which a router counts as ended: each is greeted in turn, so it grows
     /// with their number.
     fn silence(&self) -> Duration {
-        let rounds = self.known.len().div_ceil(self.fanout);
+        self.turn().saturating_mul(GREETINGS).max(SILENT_LEAST)
+    }
+
+    /// Time in which each router greets all others once.
+    #[must_use]
+    pub fn turn(&self) -> Duration {
+        let rounds = self.known.len().div_ceil(self.fanout).max(1);
         let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
-        let turn = self.interval.saturating_mul(rounds);
-        turn.saturating_mul(GREETINGS).max(SILENT_LEAST)
+        self.interval.saturating_mul(rounds)
+    }
+
+    /// How many routers come before this one in a duty, of all or of its failure domain.
+    #[must_use]
+    pub fn rank(&self, duty: Duty, scope: Scope) -> usize {
+        let own = score(&self.own, duty.cell());
+        let others = self.known.values().filter(|it| !it.leaving);
+        let others = others.map(|it| &it.card);
+        let near = others.filter(|it| scope == Scope::All || it.domain == self.own.domain);
+        near.filter(|it| score(it, duty.cell()) > own).count()
     }
 
     /// Other routers that are alive.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -50,6 +50,8 @@
     pub leaving: bool,
     /// Version of the configuration in force at the sender; 0 for none.
     pub configuration: u64,
+    /// How long ago that was the store's newest, in milliseconds.
+    pub configuration_age_ms: u64,
     /// Age of the sender's list of targets in milliseconds, if it has one.
     pub registry_age_ms: Option<u64>,
     /// Sum of the sender's list of targets.
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -180,6 +180,7 @@
         card: card(1),
         leaving: false,
         configuration: 50,
+        configuration_age_ms: 700,
         registry_age_ms: Some(700),
         registry_digest: u64::MAX / 3,
         peers: Vec::new(),
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -71,7 +71,13 @@
 
 fn prune(node: &Rc<Node>) {
     let now = node.now();
-    let ended = node.state.borrow_mut().members.prune(now);
+    let ended = {
+        let mut state = node.state.borrow_mut();
+        let ended = state.members.prune(now);
+        let turn = state.members.turn();
+        state.reach.set_turn(turn);
+        ended
+    };
     for card in ended {
         let line = node.journal.line("member_lost");
         let line = line.with("peer", card.address.to_string());
@@ -128,6 +134,9 @@
         card: state.members.own().clone(),
         leaving: node.leaving().is_some(),
         configuration: state.table.as_ref().map_or(0, |it| it.version()),
+        configuration_age_ms: state
+            .configuration_at
+            .map_or(u64::MAX, |at| millis(now.saturating_sub(at))),
         registry_age_ms: age.map(millis),
         registry_digest: state.registry.digest(),
         peers: others.take(LIST_MOST).collect(),
@@ -183,6 +192,10 @@
         configuration: greeting.configuration > version,
         targets: false,
     };
+    if version > 0 && greeting.configuration == version {
+        let age = Duration::from_millis(greeting.configuration_age_ms);
+        state.confirm_configuration(now.saturating_sub(age));
+    }
     let Some(age) = greeting.registry_age_ms.map(Duration::from_millis) else {
         return wanted;
     };
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -10,6 +10,7 @@
 
 use dunlinward_dispatch::configuration::{Configuration, Table};
 use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::member::{Duty, Scope};
 use dunlinward_dispatch::registry::Change;
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share::Standing;
@@ -162,9 +163,30 @@
                 .with("source", source),
         );
         self.metrics.add("configurations", source, 1);
+        if source == STORE {
+            self.gossip.greet_all();
+        }
         self.room_came();
     }
 
+    /// The configuration in force was the store's newest at `as_of`.
+    pub fn confirm_configuration(&self, as_of: Duration) {
+        self.state.borrow_mut().confirm_configuration(as_of);
+    }
+
+    /// How long ago the configuration in force was the store's newest.
+    #[must_use]
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let at = self.state.borrow().configuration_at;
+        at.map(|at| self.now().saturating_sub(at))
+    }
+
+    /// How many routers come before this one in a duty.
+    #[must_use]
+    pub fn rank(&self, duty: Duty, scope: Scope) -> usize {
+        self.state.borrow().members.rank(duty, scope)
+    }
+
     /// Takes a list of targets.
     pub fn take_targets(&self, list: List, source: &str) {
         let as_of = list.as_of;
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -68,6 +68,8 @@
 /// Everything that changes.
 pub(crate) struct State {
     pub(crate) table: Option<Rc<Table>>,
+    /// When the configuration was the store's newest.
+    pub(crate) configuration_at: Option<Duration>,
     pub(crate) registry: Registry,
     pub(crate) usage: Usage,
     pub(crate) memory: Memory,
@@ -89,6 +91,7 @@
     pub(crate) fn new(settings: &Settings, peer: Peer) -> Self {
         Self {
             table: None,
+            configuration_at: None,
             registry: Registry::new().with_cell_targets(settings.cell_targets),
             usage: Usage::new(),
             memory: Memory::new(),
@@ -120,6 +123,11 @@
             .retain(|_, (at, _)| now.saturating_sub(*at) < GRANT_KEPT);
     }
 
+    /// The configuration in force was the store's newest at `as_of`.
+    pub(crate) fn confirm_configuration(&mut self, as_of: Duration) {
+        self.configuration_at = self.configuration_at.max(Some(as_of));
+    }
+
     /// Takes a list of targets.
     pub(crate) fn take_list(&mut self, list: List) -> Vec<Change> {
         if list.settled {
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -59,6 +59,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct View {
     configuration: Option<Configuration>,
+    /// How long ago the configuration was the store's newest.
+    configuration_age_ms: u64,
     targets: Option<Targets>,
 }
 
@@ -101,6 +103,8 @@
 fn take(node: &Rc<Node>, view: View) {
     if let Some(configuration) = view.configuration {
         node.take_configuration(configuration, "peer");
+        let age = Duration::from_millis(view.configuration_age_ms);
+        node.confirm_configuration(node.now().saturating_sub(age));
     }
     if let Some(targets) = view.targets {
         let age = Duration::from_millis(targets.age_ms);
@@ -158,7 +162,9 @@
         age_ms: millis(now.saturating_sub(at)),
         settled: state.registry.settled(),
     });
+    let age = state.configuration_at.map(|at| now.saturating_sub(at));
     View {
+        configuration_age_ms: age.map_or(u64::MAX, millis),
         configuration: configuration.filter(|_| wanted.configuration),
         targets: targets.filter(|_| wanted.targets),
     }
