Readiness follows whether a router keeps up

Change: a router whose timers fire 15 ms late in the mean says that it is not ready, asks callers to close, and owns no cells until it has caught up, longer each time that it is soon behind again.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -82,12 +82,23 @@
     Domain,
 }
 
+/// Whether a router may own cells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// It may.
+    Sound,
+    /// It doesn't keep up with its callers.
+    Behind,
+    /// It is about to end.
+    Leaving,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     card: Card,
     heard: Duration,
     since: Duration,
-    leaving: bool,
+    condition: Condition,
     misses: u32,
     passes: u32,
     passed_until: Duration,
@@ -97,7 +108,7 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     own: Card,
-    leaving: bool,
+    condition: Condition,
     fanout: usize,
     interval: Duration,
     known: HashMap<SocketAddr, Record>,
@@ -109,7 +120,7 @@
     pub fn new(own: Card, fanout: usize, interval: Duration) -> Self {
         Self {
             own,
-            leaving: false,
+            condition: Condition::Sound,
             fanout: fanout.max(1),
             interval,
             known: HashMap::new(),
@@ -124,22 +135,31 @@
 
     /// This router is about to end: it owns nothing any more.
     pub fn leave(&mut self) {
-        self.leaving = true;
+        self.condition = Condition::Leaving;
+    }
+
+    /// This router doesn't keep up, or does again.
+    pub fn set_behind(&mut self, behind: bool) {
+        self.condition = match (self.condition, behind) {
+            (Condition::Leaving, _) => Condition::Leaving,
+            (_, true) => Condition::Behind,
+            (_, false) => Condition::Sound,
+        };
     }
 
     /// A router was heard; true if it was not known.
-    pub fn hear(&mut self, card: &Card, leaving: bool, now: Duration) -> bool {
+    pub fn hear(&mut self, card: &Card, condition: Condition, now: Duration) -> bool {
         let known = self.known.get_mut(&card.address);
         if let Some(record) = known.filter(|it| it.card.peer == card.peer) {
             record.heard = now;
-            record.leaving |= leaving;
+            record.condition = condition;
             return false;
         }
         let record = Record {
             card: card.clone(),
             heard: now,
             since: now,
-            leaving,
+            condition,
             misses: 0,
             passes: 0,
             passed_until: Duration::ZERO,
@@ -176,7 +196,8 @@
     #[must_use]
     pub fn rank(&self, duty: Duty, scope: Scope) -> usize {
         let own = score(&self.own, duty.cell());
-        let others = self.known.values().filter(|it| !it.leaving);
+        let others = self.known.values();
+        let others = others.filter(|it| it.condition != Condition::Leaving);
         let others = others.map(|it| &it.card);
         let near = others.filter(|it| scope == Scope::All || it.domain == self.own.domain);
         near.filter(|it| score(it, duty.cell()) > own).count()
@@ -209,15 +230,21 @@
     /// The router that places the requests of a cell.
     #[must_use]
     pub fn owner(&self, cell: Cell, now: Duration) -> SocketAddr {
-        let settled = |it: &Record| now.saturating_sub(it.since) >= SETTLING;
-        let able = |it: &&Record| !it.leaving && now >= it.passed_until;
-        let any = self.known.values().any(settled);
-        let others = self.known.values().filter(able);
-        let others = others.filter(|it| !any || settled(it));
-        let own = (!self.leaving).then_some(&self.own);
-        let cards = others.map(|it| &it.card).chain(own);
-        let best = cards.max_by(|a, b| score(a, cell).total_cmp(&score(b, cell)));
-        best.map_or(self.own.address, |it| it.address)
+        let settled = |it: &&Record| now.saturating_sub(it.since) >= SETTLING;
+        let answering = self.known.values().filter(|it| now >= it.passed_until);
+        let any = self.known.values().any(|it| settled(&it));
+        let settled: Vec<_> = answering.filter(|it| !any || settled(it)).collect();
+        // Better a router that is behind than one that knows nothing of the cell.
+        for condition in [Condition::Sound, Condition::Behind] {
+            let others = settled.iter().filter(|it| it.condition == condition);
+            let own = (self.condition == condition).then_some(&self.own);
+            let cards = others.map(|it| &it.card).chain(own);
+            let best = cards.max_by(|a, b| score(a, cell).total_cmp(&score(b, cell)));
+            if let Some(best) = best {
+                return best.address;
+            }
+        }
+        self.own.address
     }
 
     /// A router left a request unanswered; true if it is passed over from now on.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -11,7 +11,7 @@
 
 use crate::cell::Cell;
 use crate::health::Outcome;
-use crate::member::Card;
+use crate::member::{Card, Condition};
 use crate::prefix::{Prompt, Use};
 use crate::share::Standing;
 use crate::target::Tag;
@@ -48,6 +48,8 @@
     pub card: Card,
     /// Whether the sender is about to end.
     pub leaving: bool,
+    /// Whether the sender doesn't keep up with its callers.
+    pub behind: bool,
     /// Version of the configuration in force at the sender; 0 for none.
     pub configuration: u64,
     /// How long ago that was the store's newest, in milliseconds.
@@ -60,6 +62,18 @@
     pub peers: Vec<SocketAddr>,
 }
 
+impl Greeting {
+    /// Whether the sender may own cells.
+    #[must_use]
+    pub fn condition(&self) -> Condition {
+        match (self.leaving, self.behind) {
+            (true, _) => Condition::Leaving,
+            (false, true) => Condition::Behind,
+            (false, false) => Condition::Sound,
+        }
+    }
+}
+
 /// A request for a place at a target of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -11,7 +11,7 @@
 
 use bincode::config::standard;
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
-use dunlinward_dispatch::member::{Card, Members};
+use dunlinward_dispatch::member::{Card, Condition, Members};
 use dunlinward_dispatch::placement::{self, Ask as Wanted, Candidate, Policy};
 use dunlinward_dispatch::prefix::{Part, Prompt};
 use dunlinward_dispatch::registry::Registry;
@@ -179,6 +179,7 @@
     Greeting {
         card: card(1),
         leaving: false,
+        behind: false,
         configuration: 50,
         configuration_age_ms: 700,
         registry_age_ms: Some(700),
@@ -265,7 +266,7 @@
 fn owner(size: &Size) -> f64 {
     let mut members = Members::new(card(0), FANOUT, Duration::from_millis(100));
     for number in 1..size.routers {
-        members.hear(&card(number), false, Duration::ZERO);
+        members.hear(&card(number), Condition::Sound, Duration::ZERO);
     }
     let now = Duration::from_secs(5);
     time(|| members.owner(black_box(a_cell()), now))
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -58,7 +58,8 @@
     let mut timer = tokio::time::interval(node.settings.report_interval);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        timer.tick().await;
+        let tick = timer.tick().await;
+        node.note_lateness(tick.elapsed());
         number += 1;
         prune(&node);
         let due = due(&node, number);
@@ -133,6 +134,7 @@
     Greeting {
         card: state.members.own().clone(),
         leaving: node.leaving().is_some(),
+        behind: node.strain.behind(),
         configuration: state.table.as_ref().map_or(0, |it| it.version()),
         configuration_age_ms: state
             .configuration_at
@@ -158,7 +160,7 @@
         } else {
             state.reach.hear(card.peer, &card.domain, now);
         }
-        state.members.hear(card, greeting.leaving, now)
+        state.members.hear(card, greeting.condition(), now)
     };
     if new {
         let line = node.journal.line("member_came");
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`place`], [`owner`]: a place asked of the router that owns a cell, and given there.
 //! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
 //! - [`courier`], [`inbox`]: messages between routers.
+//! - [`strain`]: whether the router keeps up.
 //! - [`life`]: signals, drain and end.
 //! - [`flags`]: the figures that operators may set.
 //! - [`journal`], [`metrics`]: what operators see.
@@ -39,5 +40,6 @@
 pub mod server;
 pub mod settings;
 pub mod state;
+pub mod strain;
 pub mod tell;
 pub mod view;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -28,6 +28,7 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::state::State;
+use crate::strain::Strain;
 use crate::view::Fetching;
 
 /// Source of a view that this router has read from the store itself.
@@ -62,6 +63,7 @@
     pub(crate) gossip: Gossip,
     pub(crate) fetching: Fetching,
     pub(crate) pending: Pending,
+    pub(crate) strain: Strain,
     pub(crate) state: RefCell<State>,
     begun: Instant,
     pub(crate) room: Notify,
@@ -88,6 +90,7 @@
             gossip: Gossip::default(),
             fetching: Fetching::default(),
             pending: Pending::default(),
+            strain: Strain::default(),
             state: RefCell::new(state),
             begun: Instant::now(),
             room: Notify::new(),
@@ -145,7 +148,8 @@
     #[must_use]
     pub fn ready(&self) -> bool {
         let state = self.state.borrow();
-        self.leaving().is_none() && state.table.is_some() && state.registry.read_at().is_some()
+        let known = state.table.is_some() && state.registry.read_at().is_some();
+        known && self.leaving().is_none() && !self.strain.behind()
     }
 
     /// Takes a configuration; an older one than that in force is ignored.
