--- /dev/null
+++ b/crates/dispatch/tests/cells.rs
@@ -0,0 +1,256 @@
+//! Cells, their owners, and what an owner counts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
+use dunlinward_dispatch::member::{Card, Condition, Duty, Members, Scope};
+use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
+use dunlinward_dispatch::registry::Registry;
+use dunlinward_dispatch::target::{State, Tag, Target};
+use dunlinward_dispatch::usage::{Load, Peer, Usage};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn targets(count: u16) -> Vec<Target> {
+    let targets = (0..count).map(|number| Target {
+        id: format!("i-{number}").into(),
+        service: "pool".into(),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        domain: "a".into(),
+        slots: 16,
+        state: State::Ready,
+    });
+    targets.collect()
+}
+
+fn cells(count: u16) -> HashMap<Tag, u16> {
+    let mut registry = Registry::new();
+    registry.take(targets(count), ms(0));
+    let cells = registry.all_cells();
+    let tags = cells.flat_map(|(cell, targets)| targets.iter().map(move |it| (it.tag(), cell)));
+    tags.map(|(tag, cell)| (tag, cell.index)).collect()
+}
+
+#[test]
+fn every_target_is_in_one_cell_and_few_move_when_one_comes() {
+    assert_eq!(cells(9).values().max(), Some(&0));
+    let (before, after) = (cells(140), cells(141));
+    assert_eq!((before.len(), after.len()), (140, 141));
+    let moved = before.iter().filter(|(tag, cell)| after[tag] != **cell);
+    assert!(moved.count() <= 141 / 9 + 10);
+    let mut registry = Registry::new();
+    registry.take(targets(140), ms(0));
+    for target in registry.all() {
+        assert_eq!(registry.cell_of(target).index, before[&target.tag()]);
+    }
+}
+
+#[test]
+fn prefixes_find_cells_by_their_sizes_and_a_second_home_elsewhere() {
+    let sizes = [10, 20, 0, 30];
+    let mut homes = [0usize; 4];
+    for number in 0..6_000 {
+        let [first, second] = cell::homes(Prefix(number * 0x9e37_79b9), &sizes);
+        assert_ne!(first, second);
+        assert_ne!(second, Some(2));
+        homes[usize::from(first.unwrap())] += 1;
+    }
+    for (count, size) in homes.iter().zip(sizes) {
+        let expected = 100 * size;
+        assert!(count.abs_diff(expected) <= expected / 10 + 1, "{homes:?}");
+    }
+    assert_eq!(cell::homes(Prefix(1), &[]), [None, None]);
+    assert_eq!(cell::homes(Prefix(1), &[5]), [Some(0), None]);
+}
+
+fn card(number: u8) -> Card {
+    Card {
+        address: ([10, 0, 0, number], 7_400).into(),
+        peer: Peer(u64::from(number)),
+        domain: if number.is_multiple_of(2) {
+            "even"
+        } else {
+            "odd"
+        }
+        .into(),
+        millicores: 120,
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    card(number).address
+}
+
+/// A router's view of `others`, all heard long enough ago to own cells.
+fn view(own: u8, others: &[u8]) -> Members {
+    let mut members = Members::new(card(own), 4, ms(100));
+    for number in others {
+        members.hear(&card(*number), Condition::Sound, ms(0));
+    }
+    members
+}
+
+fn a_cell(index: u16) -> Cell {
+    Cell {
+        service: ServiceTag::new("pool"),
+        index,
+    }
+}
+
+#[test]
+fn routers_that_know_each_other_agree_on_the_owner_of_each_cell() {
+    let all = [1, 2, 3, 4, 5];
+    let mut owners = HashMap::new();
+    for index in 0..200 {
+        let said = all.map(|own| {
+            let others: Vec<_> = all.into_iter().filter(|it| *it != own).collect();
+            view(own, &others).owner(a_cell(index), ms(2_000))
+        });
+        assert!(said.iter().all(|it| *it == said[0]));
+        *owners.entry(said[0]).or_insert(0) += 1;
+    }
+    assert_eq!(owners.len(), 5);
+    assert!(owners.values().all(|count| (20..=60).contains(count)));
+}
+
+#[test]
+fn a_router_that_leaves_is_behind_or_has_just_come_owns_nothing() {
+    let mut members = view(1, &[2, 3]);
+    let owners = |members: &Members, now| {
+        let owners = (0..50).map(|index| members.owner(a_cell(index), now));
+        owners.collect::<std::collections::HashSet<_>>()
+    };
+    assert!(owners(&members, ms(2_000)).contains(&address(2)));
+    members.hear(&card(2), Condition::Behind, ms(1_900));
+    members.hear(&card(3), Condition::Leaving, ms(1_900));
+    assert_eq!(owners(&members, ms(2_000)), [address(1)].into());
+    members.set_behind(true);
+    assert_eq!(owners(&members, ms(2_000)).len(), 2);
+    members.set_behind(false);
+    members.hear(&card(2), Condition::Sound, ms(2_000));
+    members.hear(&card(4), Condition::Sound, ms(2_000));
+    assert!(!owners(&members, ms(2_100)).contains(&address(4)));
+    assert!(owners(&members, ms(3_600)).contains(&address(4)));
+    members.leave();
+    assert!(!owners(&members, ms(3_600)).contains(&address(1)));
+}
+
+#[test]
+fn a_router_that_leaves_requests_unanswered_is_passed_over_longer_each_time() {
+    let mut members = view(1, &[2]);
+    let cell = (0..)
+        .map(a_cell)
+        .find(|it| members.owner(*it, ms(2_000)) == address(2));
+    let cell = cell.unwrap();
+    assert!(!members.missed(address(2), ms(2_000)));
+    members.answered(address(2));
+    assert!(!members.missed(address(2), ms(2_000)));
+    assert!(members.missed(address(2), ms(2_000)));
+    assert_eq!(members.owner(cell, ms(2_400)), address(1));
+    assert_eq!(members.owner(cell, ms(2_500)), address(2));
+    assert!(!members.missed(address(2), ms(2_500)));
+    assert!(members.missed(address(2), ms(2_500)));
+    assert_eq!(members.owner(cell, ms(3_400)), address(1));
+    assert_eq!(members.owner(cell, ms(3_500)), address(2));
+}
+
+#[test]
+fn routers_that_are_silent_are_dropped_and_one_that_starts_again_is_another() {
+    let mut members = view(1, &[2, 3]);
+    members.hear(&card(3), Condition::Sound, ms(1_000));
+    let ended = members.prune(ms(2_600));
+    assert_eq!(ended, [card(2)]);
+    assert_eq!((members.count(), members.knows(address(3))), (2, true));
+    let again = Card {
+        peer: Peer(99),
+        ..card(3)
+    };
+    assert!(members.hear(&again, Condition::Sound, ms(2_700)));
+    assert!(!members.hear(&again, Condition::Sound, ms(2_800)));
+}
+
+#[test]
+fn each_duty_has_one_first_router_of_all_and_one_in_each_domain() {
+    let all = [1, 2, 3, 4, 5, 6];
+    for duty in [Duty::Configuration, Duty::Targets] {
+        let ranks = |scope| {
+            let mut ranks = all.map(|own| {
+                let others: Vec<_> = all.into_iter().filter(|it| *it != own).collect();
+                view(own, &others).rank(duty, scope)
+            });
+            ranks.sort_unstable();
+            ranks
+        };
+        assert_eq!(ranks(Scope::All), [0, 1, 2, 3, 4, 5]);
+        assert_eq!(ranks(Scope::Domain), [0, 0, 1, 1, 2, 2]);
+    }
+}
+
+/// Places given, prompts read, places given back and whole reports, in any order: the sum
+/// is always that of a naive count, and never more is taken back than was given.
+#[test]
+fn the_work_at_a_target_is_the_sum_of_all_routers_whatever_comes_in() {
+    let mut random = Pcg64Mcg::seed_from_u64(5);
+    let tags = [Tag(1), Tag(2), Tag(3)];
+    let peers = [Peer(1), Peer(2)];
+    let mut usage = Usage::new();
+    let mut naive: HashMap<(Peer, Tag), Load> = HashMap::new();
+    for step in 0..5_000 {
+        let now = ms(step);
+        let tag = tags[random.random_range(0..3)];
+        let peer = peers[random.random_range(0..2)];
+        let unread = random.random_range(0..100);
+        let held = naive.entry((peer, tag)).or_default();
+        match random.random_range(0..8) {
+            0..3 => {
+                usage.begin_for(peer, tag, unread, now);
+                held.running += 1;
+                held.unread += unread;
+            }
+            3 => {
+                usage.read_for(peer, tag, unread);
+                held.unread = held.unread.saturating_sub(unread);
+            }
+            4..7 => {
+                usage.end_for(peer, tag, unread);
+                held.running = held.running.saturating_sub(1);
+                held.unread = held.unread.saturating_sub(unread);
+            }
+            _ => {
+                let load = Load { running: 2, unread };
+                usage.report(peer, [(tag, load)].into_iter(), now);
+                naive.retain(|(it, _), _| *it != peer);
+                naive.insert((peer, tag), load);
+            }
+        }
+        for tag in tags {
+            let loads = naive.iter().filter(|((_, it), _)| *it == tag);
+            let running = loads.clone().map(|(_, it)| it.running).sum();
+            let unread = loads.map(|(_, it)| it.unread).sum();
+            assert_eq!(usage.total(tag), Load { running, unread }, "step {step}");
+        }
+    }
+}
+
+#[test]
+fn a_prompt_is_told_with_its_shared_parts_as_one() {
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = |own| Prompt {
+        tokens: 1_000,
+        answer_tokens: 9,
+        parts: vec![part(1, 300), part(2, 500), part(own, 200)],
+    };
+    let (one, other) = (prompt(3).joined(), prompt(4).joined());
+    assert_eq!(one, other);
+    assert_eq!((one.shared_tokens(), one.own_tokens()), (800, 200));
+    assert_eq!(one.prefix(), other.prefix());
+    let mut alone = prompt(3);
+    alone.parts.drain(..2);
+    assert_eq!(alone.joined().prefix(), None);
+}
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -230,11 +230,16 @@
     let mut sends = 0;
     let mut exclude = None;
     let mut tries = 0;
+    // A failure after which the request may have run; no refusal may deny it later.
+    let mut may_have_run: Option<Failure> = None;
     loop {
         tries += 1;
         let wish = wish(node, job, exclude, give_up_at(node, job));
         let lease = node.place(wish).await;
-        let lease = lease.map_err(|refusal| with_return(node, job, refusal))?;
+        let lease = lease.map_err(|refusal| match may_have_run {
+            Some(failure) => final_refusal(node, job, failure),
+            None => with_return(node, job, refusal),
+        })?;
         let target = lease.target.clone();
         tell::sent(node, job, &lease, sends);
         let limit = node.instant(answer_limit(node, job, sends));
@@ -253,7 +258,11 @@
         }
         tell::failure(node, job, &target.id, failure);
         exclude = Some(target.tag());
+        if matches!(failure.verdict, Verdict::Unknown | Verdict::Repeat) {
+            may_have_run = Some(failure);
+        }
         if !again(node, job, failure, sends, tries) {
+            let failure = may_have_run.unwrap_or(failure);
             return Err(final_refusal(node, job, failure));
         }
     }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -226,6 +226,20 @@
         self.state.borrow_mut().forget(tag);
     }
 
+    /// Routers that are known to be alive, this one included.
+    #[must_use]
+    pub fn routers(&self) -> usize {
+        self.state.borrow().members.count()
+    }
+
+    /// Places at targets that this router's requests have now.
+    #[must_use]
+    pub fn places(&self) -> usize {
+        let state = self.state.borrow();
+        let running = state.usage.all_own().map(|(_, load)| load.running as usize);
+        running.sum()
+    }
+
     /// How many targets are known.
     #[must_use]
     pub fn targets_known(&self) -> usize {
