Trial: a second cell with room to spare; fewer customers told between owners

Cause: cells are unequally loaded, as prefixes are. Change: a request that waits asks the owner of its second cell for room to spare, up to half of that cell. Kept: owners tell each other only customers that matter, and a service has at most 12 cells, so what owners say no longer grows with the square of the fleet.

--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -16,6 +16,10 @@
 /// 140 requests a second (`docs/design/cells.md`).
 pub const TARGETS: usize = 16;
 
+/// Cells of a service at the most: owners tell each other their customers, which grows
+/// with the square of the cells (`docs/CAPACITY.md`).
+pub const MOST: u16 = 12;
+
 /// Short name of a service in messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServiceTag(pub u32);
@@ -46,7 +50,7 @@
 pub fn count(targets: usize, per_cell: usize) -> u16 {
     let per_cell = per_cell.max(1);
     let cells = (targets + per_cell / 2) / per_cell;
-    u16::try_from(cells).unwrap_or(u16::MAX).max(1)
+    u16::try_from(cells).unwrap_or(u16::MAX).clamp(1, MOST)
 }
 
 /// The cell of a target.
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -27,6 +27,9 @@
 /// There is contention if more than this part of what was granted could not be.
 const CONTENTION: u64 = 10;
 
+/// A customer is told of that was granted more than one part in so many.
+const TOLD_PART: u64 = 64;
+
 /// Weight of a generated token against one that is read, from the platform's pages.
 const GENERATED_WEIGHT: u64 = 2;
 
@@ -145,7 +148,8 @@
         self.own.entry(customer).or_default().part(number).granted += tokens;
     }
 
-    /// What this router reports.
+    /// What this router reports: customers that did not get all they asked for, and large
+    /// ones. The level doesn't change with small ones that get all that they ask for.
     pub fn report(&mut self, now: Duration) -> Vec<CustomerUse> {
         let number = self.number(now);
         let mut uses: Vec<_> = self
@@ -160,7 +164,9 @@
                 }
             })
             .collect();
-        uses.retain(|it| it.asked > 0 || it.granted > 0);
+        let total: u64 = uses.iter().map(|it| it.granted).sum();
+        let matters = |it: &CustomerUse| it.asked > it.granted || it.granted * TOLD_PART > total;
+        uses.retain(|it| it.asked > 0 && matters(it));
         uses
     }
 
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -267,6 +267,30 @@
     assert!(shares.cover(large, 10, ms(6000)) >= 1.0);
 }
 
+#[test]
+fn small_customers_that_get_all_are_not_told_and_the_level_stays_the_same() {
+    let mut shares = Shares::new(ms(4000));
+    for number in 0..100 {
+        shares.ask(CustomerTag(number), 10, ms(0));
+        shares.grant(CustomerTag(number), 10, ms(0));
+    }
+    for (number, asked, granted) in [(200, 9_000, 4_000), (201, 5_000, 4_000), (202, 30, 20)] {
+        shares.ask(CustomerTag(number), asked, ms(0));
+        shares.grant(CustomerTag(number), granted, ms(0));
+    }
+    let told = shares.report(ms(0));
+    let mut tags: Vec<_> = told.iter().map(|it| it.tag.0).collect();
+    tags.sort_unstable();
+    assert_eq!(tags, [200, 201, 202]);
+    let mut other = Shares::new(ms(4000));
+    other.hear(Peer(1), &told, ms(0));
+    let level = |shares: &mut Shares| {
+        shares.cover(CustomerTag(200), 1, ms(0));
+        shares.standing(CustomerTag(200), ms(0)).level
+    };
+    assert_eq!(level(&mut shares), level(&mut other));
+}
+
 #[test]
 fn what_was_used_leaves_the_window() {
     let customer = CustomerTag(1);
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -28,7 +28,7 @@
 use crate::node::Node;
 use crate::relay::Relay;
 use crate::reply::{Content, Reason, Refusal};
-use crate::state::Wish;
+use crate::state::{Claim, Wish};
 use crate::tell;
 
 /// Sends of one request beyond its route's attempts, where it has not run.
@@ -202,11 +202,12 @@
     let now = node.now();
     let state = node.state.borrow();
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
-    let cell = state.home(&job.service, prefix.unwrap_or(Prefix(draw)));
+    let (cell, second) = state.homes(&job.service, prefix.unwrap_or(Prefix(draw)));
     let mut avoid = state.avoided(cell, now);
     avoid.extend(failed);
     Wish {
         cell,
+        second,
         domain: node.settings.domain.clone(),
         prompt: job.prompt.clone(),
         customer: job
@@ -221,7 +222,7 @@
         counted: failed.is_some(),
         avoid,
         until,
-        alone: false,
+        claim: Claim::Home,
         draw,
     }
 }
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -19,7 +19,7 @@
 
 use crate::node::Node;
 use crate::queue::Asker;
-use crate::state::Wish;
+use crate::state::{Claim, Wish};
 
 /// How often a router tells owners what it has at their targets.
 const WORK_INTERVAL: Duration = Duration::from_millis(300);
@@ -43,6 +43,7 @@
         let domain = state.members.domain(address);
         let wish = Wish {
             cell: ask.cell,
+            second: None,
             domain: domain.unwrap_or_else(|| node.settings.domain.clone()),
             prompt: ask.prompt.map(Rc::new),
             customer: ask.customer,
@@ -53,7 +54,7 @@
             counted: ask.counted,
             avoid: ask.avoid,
             until: now + ask.patience,
-            alone: false,
+            claim: if ask.spare { Claim::Spare } else { Claim::Home },
             draw: node.draw(),
         };
         state.answer(&node.settings, asker, wish, now)
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -3,7 +3,8 @@
 //! The owner of a cell places its requests, as it alone knows all that its targets
 //! have to do. A request is put to the owner in one datagram; the answer is a place,
 //! or that the request waits there. While it waits it is put again from time to
-//! time, so that a lost answer is made good. An owner that doesn't answer is passed
+//! time, so that a lost answer is made good, and the owner of another cell is asked
+//! whether it has room to spare. An owner that doesn't answer is passed
 //! over, and the next one is asked; when that one is silent too, this router places
 //! the request itself, with the part of the room that is its own if all routers did so.
 
@@ -20,7 +21,7 @@
 use crate::lease::{Lease, Place};
 use crate::node::Node;
 use crate::reply::{Reason, Refusal};
-use crate::state::Wish;
+use crate::state::{Claim, Wish};
 
 /// Part of its objective within which a request must be answered by an owner.
 const ANSWER_PART: f64 = 0.1;
@@ -83,7 +84,7 @@
             wish.counted = true;
         }
         self.metrics.add("placed_alone", "unanswered", 1);
-        wish.alone = true;
+        wish.claim = Claim::Alone;
         self.place_here(wish).await
     }
 
@@ -94,8 +95,7 @@
 
     async fn ask(self: &Rc<Self>, owner: SocketAddr, wish: &Wish) -> Asked {
         let mut question = Question::new(self, owner);
-        let time = wish.objective.mul_f64(ANSWER_PART);
-        let time = time.clamp(ANSWER_LEAST, ANSWER_MOST);
+        let time = answer_time(wish);
         let mut silent = 0;
         let mut waits = None;
         loop {
@@ -104,7 +104,11 @@
                 Some(Answer::Grant(grant)) => return question.accept(wish, grant),
                 Some(Answer::Wait(wait)) => {
                     silent = 0;
-                    waits = Some(wait);
+                    if waits.replace(wait).is_none()
+                        && let Some(lease) = self.place_elsewhere(wish).await
+                    {
+                        return Asked::Placed(lease);
+                    }
                     let next = question.listen(RENEWAL, wish.until).await;
                     if let Some(Answer::Grant(grant)) = next {
                         return question.accept(wish, grant);
@@ -124,6 +128,41 @@
         }
     }
 
+    /// Finds a place in the request's second cell, if that has room to spare.
+    pub(crate) async fn place_elsewhere(self: &Rc<Self>, wish: &Wish) -> Option<Lease> {
+        let cell = wish.second?;
+        let mut spare = wish.clone();
+        spare.cell = cell;
+        spare.second = None;
+        spare.claim = Claim::Spare;
+        spare.counted = true;
+        let owner = self.owner(&spare);
+        let placed = if owner == self.settings.link {
+            self.place_now(&spare)
+        } else {
+            self.ask_once(owner, &spare).await
+        };
+        if placed.is_some() {
+            self.metrics.add("placed_elsewhere", "second_cell", 1);
+        }
+        placed
+    }
+
+    async fn ask_once(self: &Rc<Self>, owner: SocketAddr, wish: &Wish) -> Option<Lease> {
+        let mut question = Question::new(self, owner);
+        question.put(wish);
+        let answer = question.listen(answer_time(wish), wish.until).await?;
+        let Answer::Grant(grant) = answer else {
+            // An owner keeps no request that is only for room to spare.
+            question.settled = true;
+            return None;
+        };
+        match question.accept(wish, grant) {
+            Asked::Placed(lease) => Some(lease),
+            Asked::GivenUp(_) | Asked::Unanswered => None,
+        }
+    }
+
     fn missed(&self, owner: SocketAddr) -> bool {
         self.metrics.add("owner_misses", "unanswered", 1);
         let passed = self.state.borrow_mut().members.missed(owner, self.now());
@@ -156,6 +195,12 @@
     }
 }
 
+/// How long an owner may take to answer.
+fn answer_time(wish: &Wish) -> Duration {
+    let time = wish.objective.mul_f64(ANSWER_PART);
+    time.clamp(ANSWER_LEAST, ANSWER_MOST)
+}
+
 fn refusal(wait: Option<Wait>) -> Refusal {
     let standing = wait.and_then(|it| it.standing);
     Refusal::new(reason(standing)).with_standing(standing)
@@ -179,7 +224,8 @@
     owner: SocketAddr,
     number: u64,
     answers: mpsc::UnboundedReceiver<Answer>,
-    accepted: bool,
+    /// Whether nothing is to be withdrawn any more.
+    settled: bool,
 }
 
 impl<'a> Question<'a> {
@@ -194,7 +240,7 @@
             owner,
             number,
             answers,
-            accepted: false,
+            settled: false,
         }
     }
 
@@ -211,6 +257,7 @@
             patience: wish.until.saturating_sub(now),
             returning: wish.returning,
             counted: wish.counted,
+            spare: wish.claim == Claim::Spare,
             avoid: wish.avoid.clone(),
         };
         self.node.send(self.owner, Content::Ask(ask));
@@ -224,7 +271,7 @@
     }
 
     fn accept(mut self, wish: &Wish, grant: Grant) -> Asked {
-        self.accepted = true;
+        self.settled = true;
         let target = {
             let mut state = self.node.state.borrow_mut();
             let target = state.registry.get(grant.tag).cloned();
@@ -256,12 +303,12 @@
         self.node.pending.waiting.borrow_mut().remove(&self.number);
         while let Ok(answer) = self.answers.try_recv() {
             // A second copy of the place that was accepted is no other place.
-            if !self.accepted {
+            if !self.settled {
                 self.node.give_back(self.owner, answer);
-                self.accepted = true;
+                self.settled = true;
             }
         }
-        if !self.accepted {
+        if !self.settled {
             self.node.send(self.owner, Content::Withdraw(self.number));
         }
     }
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -66,30 +66,38 @@
 }
 
 impl Node {
-    /// Places a request of this router's callers by what this router knows.
+    /// Places a request of this router's callers at once, if this router knows of room.
+    pub(crate) fn place_now(self: &Rc<Self>, wish: &Wish) -> Option<Lease> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.count(wish, now);
+        let cover = state.cover(wish, now);
+        if state.waits(wish) {
+            return None;
+        }
+        let choice = state.choose(&self.settings, wish, cover, now)?;
+        let place = state.begin(wish, choice, self.settings.link, now);
+        drop(state);
+        Some(Lease::new(self, place))
+    }
+
+    /// Places a request of this router's callers by what this router knows, now or later.
     pub(crate) async fn place_here(self: &Rc<Self>, wish: Wish) -> Result<Lease, Refusal> {
+        if let Some(lease) = self.place_now(&wish) {
+            return Ok(lease);
+        }
+        if let Some(lease) = self.place_elsewhere(&wish).await {
+            return Ok(lease);
+        }
         let until = wish.until;
         let customer = wish.customer;
         let (reply, receiver) = oneshot::channel();
-        {
-            let now = self.now();
-            let mut state = self.state.borrow_mut();
-            state.count(&wish, now);
-            let cover = state.cover(&wish, now);
-            if !state.waits(&wish)
-                && let Some(choice) = state.choose(&self.settings, &wish, cover, now)
-            {
-                let place = state.begin(&wish, choice, self.settings.link, now);
-                drop(state);
-                return Ok(Lease::new(self, place));
-            }
-            let origin = Origin::Here(reply);
-            state.queue.push(Waiter {
-                wish,
-                cover,
-                origin,
-            });
-        }
+        let waiter = Waiter {
+            wish,
+            cover: 1.0,
+            origin: Origin::Here(reply),
+        };
+        self.state.borrow_mut().queue.push(waiter);
         self.room.notify_one();
         let placed = tokio::time::timeout_at(self.instant(until), receiver).await;
         if let Ok(Ok(lease)) = placed {
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -31,14 +31,31 @@
 /// How long an answer is kept for a router that did not get it: longer than it asks.
 const GRANT_KEPT: Duration = Duration::from_secs(1);
 
+/// Part of all room up to which a cell takes requests of another one: it keeps the rest for
+/// those whose prefixes it is home to.
+const SPARE_PART: f64 = 0.5;
+
 /// At most one in so many targets of a service is ejected for failures.
 const EJECTED_PART: usize = 3;
 
+/// Which room of a cell a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// All of it, as the owner knows it; without room it waits.
+    Home,
+    /// What is to spare for requests of other cells; without any it does not wait.
+    Spare,
+    /// This router's own part: no owner answers.
+    Alone,
+}
+
 /// A request that looks for a target.
 #[derive(Clone, Debug)]
 pub struct Wish {
     /// The cell whose targets may run it.
     pub cell: Cell,
+    /// Another cell, for when that one has no room and this one has room to spare.
+    pub second: Option<Cell>,
     /// Failure domain of the router whose caller it is.
     pub domain: Arc<str>,
     /// Its prompt.
@@ -59,8 +76,8 @@
     pub avoid: Vec<Tag>,
     /// When it is given up.
     pub until: Duration,
-    /// Whether no owner answers, so that each router keeps to its own part of the room.
-    pub alone: bool,
+    /// Which room it may use.
+    pub claim: Claim,
     /// Spreads ties.
     pub draw: u64,
 }
@@ -169,15 +186,13 @@
         tags.filter(|it| self.health.ejected(*it, now)).collect()
     }
 
-    /// The cell that is home to a prefix, or to a request without one.
-    pub(crate) fn home(&self, service: &str, prefix: Prefix) -> Cell {
+    /// The cells that are home to a prefix, or to a request without one.
+    pub(crate) fn homes(&self, service: &str, prefix: Prefix) -> (Cell, Option<Cell>) {
         let service = ServiceTag::new(service);
         let sizes: Vec<_> = self.registry.cells(service).iter().map(Vec::len).collect();
-        let [first, _] = cell::homes(prefix, &sizes);
-        Cell {
-            service,
-            index: first.unwrap_or_default(),
-        }
+        let [first, second] = cell::homes(prefix, &sizes);
+        let cell = |index| Cell { service, index };
+        (cell(first.unwrap_or_default()), second.map(cell))
     }
 
     /// Counts what a request asks for, once.
@@ -216,6 +231,9 @@
                 return Content::Grant(self.begin_for(asker, &wish, &choice, now));
             }
             let customer = wish.customer;
+            if wish.claim == Claim::Spare {
+                return self.wait(number, customer, now);
+            }
             self.queue.push(Waiter {
                 wish,
                 cover,
@@ -300,12 +318,12 @@
             1.0
         };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred routers")]
-        let routers = if wish.alone {
-            self.members.count() as f64
-        } else {
-            1.0
+        let claimed = match wish.claim {
+            Claim::Home => 1.0,
+            Claim::Spare => SPARE_PART,
+            Claim::Alone => 1.0 / self.members.count() as f64,
         };
-        share / routers
+        share * claimed
     }
 
     /// Gives a place to a request of this router's callers.
