--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -3,8 +3,8 @@
 //! A service with many targets is cut into cells of about equal size by rendezvous
 //! hashing, so that every router cuts alike without a word between them and a
 //! target that comes or ends moves few others. A prompt's prefix has its home in
-//! one cell, and a second one for when the first has no room. The requests of a
-//! cell are placed by one router, its owner (see [`crate::member`]).
+//! one cell. The requests of a cell are placed by one router, its owner (see
+//! [`crate::member`]).
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
@@ -60,24 +60,17 @@
     (0..count).max_by_key(weight).unwrap_or_default()
 }
 
-/// Cells of a prefix in the order in which they are asked; a larger cell is home to more.
+/// The cell that is home to a prefix; a larger cell is home to more.
 #[must_use]
-pub fn homes(prefix: Prefix, sizes: &[usize]) -> [Option<u16>; 2] {
-    let mut best: [Option<(f64, u16)>; 2] = [None; 2];
-    for (index, size) in (0u16..).zip(sizes) {
-        if *size == 0 {
-            continue;
-        }
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
-        let score = score(xxh64(&index.to_le_bytes(), prefix.0), *size as f64);
-        let entry = Some((score, index));
-        if best[0].is_none_or(|(first, _)| score > first) {
-            best = [entry, best[0]];
-        } else if best[1].is_none_or(|(second, _)| score > second) {
-            best[1] = entry;
-        }
-    }
-    best.map(|it| it.map(|(_, index)| index))
+pub fn home(prefix: Prefix, sizes: &[usize]) -> Option<u16> {
+    let numbered = (0u16..).zip(sizes).filter(|(_, size)| **size > 0);
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
+    let scored = numbered.map(|(index, size)| {
+        let hash = xxh64(&index.to_le_bytes(), prefix.0);
+        (score(hash, *size as f64), index)
+    });
+    let best = scored.max_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, index)| index)
 }
 
 /// Score of a weighted rendezvous: the largest is chosen, in proportion to the weights.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -97,8 +97,6 @@
     pub returning: bool,
     /// Whether the tokens it asks for have been counted before.
     pub counted: bool,
-    /// Whether it is only to be placed where there is room to spare, and not to wait.
-    pub spare: bool,
     /// Targets that have failed it or the router that asks.
     pub avoid: Vec<Tag>,
 }
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -202,12 +202,11 @@
     let now = node.now();
     let state = node.state.borrow();
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
-    let (cell, second) = state.homes(&job.service, prefix.unwrap_or(Prefix(draw)));
+    let cell = state.home(&job.service, prefix.unwrap_or(Prefix(draw)));
     let mut avoid = state.avoided(cell, now);
     avoid.extend(failed);
     Wish {
         cell,
-        second,
         domain: node.settings.domain.clone(),
         prompt: job.prompt.clone(),
         customer: job
@@ -222,7 +221,7 @@
         counted: failed.is_some(),
         avoid,
         until,
-        claim: Claim::Home,
+        claim: Claim::All,
         draw,
     }
 }
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -43,7 +43,6 @@
         let domain = state.members.domain(address);
         let wish = Wish {
             cell: ask.cell,
-            second: None,
             domain: domain.unwrap_or_else(|| node.settings.domain.clone()),
             prompt: ask.prompt.map(Rc::new),
             customer: ask.customer,
@@ -54,7 +53,7 @@
             counted: ask.counted,
             avoid: ask.avoid,
             until: now + ask.patience,
-            claim: if ask.spare { Claim::Spare } else { Claim::Home },
+            claim: Claim::All,
             draw: node.draw(),
         };
         state.answer(&node.settings, asker, wish, now)
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -3,8 +3,7 @@
 //! The owner of a cell places its requests, as it alone knows all that its targets
 //! have to do. A request is put to the owner in one datagram; the answer is a place,
 //! or that the request waits there. While it waits it is put again from time to
-//! time, so that a lost answer is made good, and the owner of another cell is asked
-//! whether it has room to spare. An owner that doesn't answer is passed
+//! time, so that a lost answer is made good. An owner that doesn't answer is passed
 //! over, and the next one is asked; when that one is silent too, this router places
 //! the request itself, with the part of the room that is its own if all routers did so.
 
@@ -84,7 +83,7 @@
             wish.counted = true;
         }
         self.metrics.add("placed_alone", "unanswered", 1);
-        wish.claim = Claim::Alone;
+        wish.claim = Claim::Own;
         self.place_here(wish).await
     }
 
@@ -104,11 +103,7 @@
                 Some(Answer::Grant(grant)) => return question.accept(wish, grant),
                 Some(Answer::Wait(wait)) => {
                     silent = 0;
-                    if waits.replace(wait).is_none()
-                        && let Some(lease) = self.place_elsewhere(wish).await
-                    {
-                        return Asked::Placed(lease);
-                    }
+                    waits = Some(wait);
                     let next = question.listen(RENEWAL, wish.until).await;
                     if let Some(Answer::Grant(grant)) = next {
                         return question.accept(wish, grant);
@@ -128,41 +123,6 @@
         }
     }
 
-    /// Finds a place in the request's second cell, if that has room to spare.
-    pub(crate) async fn place_elsewhere(self: &Rc<Self>, wish: &Wish) -> Option<Lease> {
-        let cell = wish.second?;
-        let mut spare = wish.clone();
-        spare.cell = cell;
-        spare.second = None;
-        spare.claim = Claim::Spare;
-        spare.counted = true;
-        let owner = self.owner(&spare);
-        let placed = if owner == self.settings.link {
-            self.place_now(&spare)
-        } else {
-            self.ask_once(owner, &spare).await
-        };
-        if placed.is_some() {
-            self.metrics.add("placed_elsewhere", "second_cell", 1);
-        }
-        placed
-    }
-
-    async fn ask_once(self: &Rc<Self>, owner: SocketAddr, wish: &Wish) -> Option<Lease> {
-        let mut question = Question::new(self, owner);
-        question.put(wish);
-        let answer = question.listen(answer_time(wish), wish.until).await?;
-        let Answer::Grant(grant) = answer else {
-            // An owner keeps no request that is only for room to spare.
-            question.settled = true;
-            return None;
-        };
-        match question.accept(wish, grant) {
-            Asked::Placed(lease) => Some(lease),
-            Asked::GivenUp(_) | Asked::Unanswered => None,
-        }
-    }
-
     fn missed(&self, owner: SocketAddr) -> bool {
         self.metrics.add("owner_misses", "unanswered", 1);
         let passed = self.state.borrow_mut().members.missed(owner, self.now());
@@ -224,8 +184,7 @@
     owner: SocketAddr,
     number: u64,
     answers: mpsc::UnboundedReceiver<Answer>,
-    /// Whether nothing is to be withdrawn any more.
-    settled: bool,
+    accepted: bool,
 }
 
 impl<'a> Question<'a> {
@@ -240,7 +199,7 @@
             owner,
             number,
             answers,
-            settled: false,
+            accepted: false,
         }
     }
 
@@ -257,7 +216,6 @@
             patience: wish.until.saturating_sub(now),
             returning: wish.returning,
             counted: wish.counted,
-            spare: wish.claim == Claim::Spare,
             avoid: wish.avoid.clone(),
         };
         self.node.send(self.owner, Content::Ask(ask));
@@ -271,7 +229,7 @@
     }
 
     fn accept(mut self, wish: &Wish, grant: Grant) -> Asked {
-        self.settled = true;
+        self.accepted = true;
         let target = {
             let mut state = self.node.state.borrow_mut();
             let target = state.registry.get(grant.tag).cloned();
@@ -303,12 +261,12 @@
         self.node.pending.waiting.borrow_mut().remove(&self.number);
         while let Ok(answer) = self.answers.try_recv() {
             // A second copy of the place that was accepted is no other place.
-            if !self.settled {
+            if !self.accepted {
                 self.node.give_back(self.owner, answer);
-                self.settled = true;
+                self.accepted = true;
             }
         }
-        if !self.settled {
+        if !self.accepted {
             self.node.send(self.owner, Content::Withdraw(self.number));
         }
     }
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -67,7 +67,7 @@
 
 impl Node {
     /// Places a request of this router's callers at once, if this router knows of room.
-    pub(crate) fn place_now(self: &Rc<Self>, wish: &Wish) -> Option<Lease> {
+    fn place_now(self: &Rc<Self>, wish: &Wish) -> Option<Lease> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.count(wish, now);
@@ -86,9 +86,6 @@
         if let Some(lease) = self.place_now(&wish) {
             return Ok(lease);
         }
-        if let Some(lease) = self.place_elsewhere(&wish).await {
-            return Ok(lease);
-        }
         let until = wish.until;
         let customer = wish.customer;
         let (reply, receiver) = oneshot::channel();
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -31,22 +31,16 @@
 /// How long an answer is kept for a router that did not get it: longer than it asks.
 const GRANT_KEPT: Duration = Duration::from_secs(1);
 
-/// Part of all room up to which a cell takes requests of another one: it keeps the rest for
-/// those whose prefixes it is home to.
-const SPARE_PART: f64 = 0.5;
-
 /// At most one in so many targets of a service is ejected for failures.
 const EJECTED_PART: usize = 3;
 
 /// Which room of a cell a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claim {
-    /// All of it, as the owner knows it; without room it waits.
-    Home,
-    /// What is to spare for requests of other cells; without any it does not wait.
-    Spare,
-    /// This router's own part: no owner answers.
-    Alone,
+    /// All of it, as the owner knows it.
+    All,
+    /// This router's own part, as no owner answers.
+    Own,
 }
 
 /// A request that looks for a target.
@@ -54,8 +48,6 @@
 pub struct Wish {
     /// The cell whose targets may run it.
     pub cell: Cell,
-    /// Another cell, for when that one has no room and this one has room to spare.
-    pub second: Option<Cell>,
     /// Failure domain of the router whose caller it is.
     pub domain: Arc<str>,
     /// Its prompt.
@@ -186,13 +178,12 @@
         tags.filter(|it| self.health.ejected(*it, now)).collect()
     }
 
-    /// The cells that are home to a prefix, or to a request without one.
-    pub(crate) fn homes(&self, service: &str, prefix: Prefix) -> (Cell, Option<Cell>) {
+    /// The cell that is home to a prefix, or to a request without one.
+    pub(crate) fn home(&self, service: &str, prefix: Prefix) -> Cell {
         let service = ServiceTag::new(service);
         let sizes: Vec<_> = self.registry.cells(service).iter().map(Vec::len).collect();
-        let [first, second] = cell::homes(prefix, &sizes);
-        let cell = |index| Cell { service, index };
-        (cell(first.unwrap_or_default()), second.map(cell))
+        let index = cell::home(prefix, &sizes).unwrap_or_default();
+        Cell { service, index }
     }
 
     /// Counts what a request asks for, once.
@@ -231,9 +222,6 @@
                 return Content::Grant(self.begin_for(asker, &wish, &choice, now));
             }
             let customer = wish.customer;
-            if wish.claim == Claim::Spare {
-                return self.wait(number, customer, now);
-            }
             self.queue.push(Waiter {
                 wish,
                 cover,
@@ -319,9 +307,8 @@
         };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred routers")]
         let claimed = match wish.claim {
-            Claim::Home => 1.0,
-            Claim::Spare => SPARE_PART,
-            Claim::Alone => 1.0 / self.members.count() as f64,
+            Claim::All => 1.0,
+            Claim::Own => 1.0 / self.members.count() as f64,
         };
         share * claimed
     }
