Who granted places tells all owners, also after it owns nothing any more

Ruled out: contention not seen (levels stood in all refusals). Change: customers' tokens go to all owners from whoever has any. Test: a_new_owner_is_told_what_customers_were_granted_before (failed first).

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -145,7 +145,7 @@
     pub loads: Vec<TargetLoad>,
     /// Prefixes that it sent to targets lately, for an owner that is new.
     pub uses: Vec<Use>,
-    /// Customers' tokens at the sender's own cells, for owners of the same service.
+    /// Customers' tokens that the sender granted as an owner, for all owners.
     pub customers: Vec<CustomerUse>,
 }
 
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinward_dispatch::cell::ServiceTag;
+use dunlinward_dispatch::cell::Cell;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::prefix::Use;
 use dunlinward_dispatch::report::{Ask, Content, Return, TargetLoad, Work};
@@ -145,7 +145,7 @@
 #[derive(Default)]
 struct Told {
     /// Owner of each cell at the last report.
-    owners: HashMap<dunlinward_dispatch::cell::Cell, SocketAddr>,
+    owners: HashMap<Cell, SocketAddr>,
     /// Owners whose last report said that something is at their targets.
     busy: HashSet<SocketAddr>,
 }
@@ -158,12 +158,12 @@
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
         let mut reports: HashMap<SocketAddr, Work> = HashMap::new();
-        let mut owners: HashMap<ServiceTag, HashSet<SocketAddr>> = HashMap::new();
+        let mut owners = HashSet::new();
         let recent = state.memory.recent(USES_TOLD, now);
         for (cell, targets) in state.registry.all_cells() {
             let owner = state.members.owner(cell, now);
             let before = self.owners.insert(cell, owner);
-            owners.entry(cell.service).or_default().insert(owner);
+            owners.insert(owner);
             if owner == own {
                 continue;
             }
@@ -185,13 +185,12 @@
             }
         }
         let customers = state.shares.report(now);
-        let fellows = owners.values().filter(|it| it.contains(&own)).flatten();
-        for fellow in fellows.filter(|it| **it != own && !customers.is_empty()) {
-            reports
-                .entry(*fellow)
-                .or_default()
-                .customers
-                .clone_from(&customers);
+        // Also from a router that owns nothing any more: what it granted still counts.
+        for owner in owners.iter().filter(|it| **it != own) {
+            if !customers.is_empty() {
+                let report = reports.entry(*owner).or_default();
+                report.customers.clone_from(&customers);
+            }
         }
         for owner in std::mem::take(&mut self.busy) {
             reports.entry(owner).or_default();
