--- a/crates/router/src/targets/head.rs
+++ b/crates/router/src/targets/head.rs
@@ -1,8 +1,8 @@
 //! Heads of requests to targets and of answers to callers.
 //!
 //! What belongs to one connection stays on it: hop-by-hop headers are passed on
-//! in neither direction, nor is the caller's key. The router's request id takes
-//! the place of any that the caller sent.
+//! in neither direction, nor is the caller's key. The router's request id and its
+//! number of the attempt take the place of any that the caller sent.
 
 use hyper::HeaderMap;
 use hyper::header::{
@@ -44,7 +44,7 @@
         .method(call.method.clone())
         .uri(url(place.address, &call.path));
     for (name, value) in &call.headers {
-        if is_end_to_end(name) && *name != AUTHORIZATION && *name != REQUEST_ID {
+        if is_end_to_end(name) && !is_ours(name) {
             builder = builder.header(name, value);
         }
     }
@@ -83,6 +83,11 @@
     bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Whether only the router may say it to a target: the key stays here, the rest is set anew.
+fn is_ours(name: &HeaderName) -> bool {
+    *name == AUTHORIZATION || *name == REQUEST_ID || name.as_str() == ATTEMPT
+}
+
 fn is_end_to_end(name: &HeaderName) -> bool {
     !HOP.contains(name) && !HOP_EXTRA.contains(&name.as_str())
 }
