Prefixes fetched from where engines say they are; callers that come back don't crowd out new ones

Changes: owners ask engines for changes of their memory (dispatch::cache, path::memories, platform::memory); what an engine lacks of a prefix is fetched from the one that has told it keeps most (placement::engine); a fetch counts 300 times its length; requests wait 0.06 of the objective; new callers go first, and those that come back beyond a share get a fifth of the room; first tries are told by the times that come often (dispatch::tries); no level before anything was granted. Ruled out as causes: full engines (they read at three quarters of what they can), small prefixes read again.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -81,6 +81,8 @@
 pub struct Engine {
     /// Tokens that one engine's memory holds.
     pub memory_tokens: u64,
+    /// Seconds in which one engine gives another one token's memory; none if it can't.
+    pub fetch_seconds: Option<f64>,
 }
 
 /// A customer.
@@ -186,6 +188,13 @@
             .find(|route| path.starts_with(route.prefix.as_ref()))
     }
 
+    /// Whether there is a route with this name.
+    #[must_use]
+    pub fn serves(&self, route: &str) -> bool {
+        let mut routes = self.configuration.routes.iter();
+        routes.any(|it| it.name.as_ref() == route)
+    }
+
     /// The customer that holds a key.
     #[must_use]
     pub fn customer(&self, key: &str) -> Option<&Arc<str>> {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,14 +8,16 @@
 //! - [`target`], [`registry`]: the targets that are known, and which may get work.
 //! - [`cell`], [`member`]: groups of targets, and the router that places requests there.
 //! - [`usage`]: work at each target, this router's and its peers'.
-//! - [`prefix`], [`placement`]: which target runs a request.
+//! - [`prefix`], [`cache`], [`placement`]: which target runs a request.
 //! - [`share`]: what each customer has used and may use.
+//! - [`tries`]: which requests are a caller's first try.
 //! - [`budget`]: how often a request may be sent once more.
 //! - [`health`]: targets that fail and are left alone for a while.
 //! - [`reach`]: failure domains that may be cut off.
 //! - [`report`]: what routers tell each other.
 
 pub mod budget;
+pub mod cache;
 pub mod cell;
 pub mod configuration;
 pub mod health;
@@ -27,4 +29,5 @@
 pub mod report;
 pub mod share;
 pub mod target;
+pub mod tries;
 pub mod usage;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -1,17 +1,15 @@
 //! Which target runs a request.
 //!
-//! An engine reads prompts one after another, so what a request waits for its
-//! first token is the unread prompt tokens before it, its own, and its shared
-//! prefix if the engine doesn't keep it. Each candidate's cost is that sum; the
-//! cheapest that can begin within the request's objective is chosen. A prefix
-//! that would be read anew costs more than its time, as it also takes memory
-//! and time from others. Plain targets are chosen by their free slots.
+//! Model engines are chosen in [`engine`], plain targets here, by their free slots.
+
+mod engine;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::cache::Held;
 use crate::prefix::{self, Prefix, Prompt};
-use crate::target::{Tag, Target};
+use crate::target::Target;
 use crate::usage::Load;
 
 /// Figures by which targets are chosen.
@@ -25,6 +23,9 @@
     pub miss: f64,
     /// Part of a target's room that a request may use whose prefix is read anew there.
     pub miss_room: f64,
+    /// Times its own length that a fetch from another engine's memory counts, as it takes the links
+    /// and the memory of both.
+    pub fetch: f64,
     /// Tokens by which one more running request counts.
     pub running: f64,
     /// Requests at a plain target for each of its slots.
@@ -38,6 +39,7 @@
             reading: 1.3,
             miss: 4.0,
             miss_room: 0.1,
+            fetch: 300.0,
             running: 60.0,
             queue: 2.0,
         }
@@ -53,8 +55,10 @@
     pub load: Load,
     /// Whether it is in the router's own failure domain.
     pub local: bool,
-    /// Whether it is taken to keep the request's prefix.
+    /// Whether it is taken to keep the request's prefix, from what was sent there.
     pub keeps: bool,
+    /// What it has of the request's shared parts, if it has told lately.
+    pub held: Option<Held>,
 }
 
 /// A request that looks for a target.
@@ -66,6 +70,8 @@
     pub objective: Duration,
     /// Tokens a second that one engine reads.
     pub rate: f64,
+    /// Seconds in which an engine fetches one token from another's memory; none if it can't.
+    pub fetch_seconds: Option<f64>,
     /// Part of the room that the request may use, 0 to 1.
     pub room: f64,
     /// Times the standard part of that room where its prefix is read anew.
@@ -87,84 +93,19 @@
     pub unread: u64,
     /// Whether the shared prefix is taken to be there.
     pub hit: bool,
+    /// The target from whose memory it is to fetch what it lacks of the prefix.
+    pub fetch: Option<Arc<Target>>,
 }
 
 /// Chooses a target, or none if no candidate has room.
 #[must_use]
 pub fn choose(policy: &Policy, ask: &Ask<'_>, candidates: &[Candidate]) -> Option<Choice> {
     match ask.prompt {
-        Some(prompt) => engine(policy, ask, prompt, candidates),
+        Some(prompt) => engine::choose(policy, ask, prompt, candidates),
         None => plain(policy, ask, candidates),
     }
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "token counts are far below 2^52"
-)]
-fn engine(
-    policy: &Policy,
-    ask: &Ask<'_>,
-    prompt: &Prompt,
-    candidates: &[Candidate],
-) -> Option<Choice> {
-    let prefix = prompt.prefix();
-    let kept = candidates.iter().any(|it| it.keeps);
-    let home = if kept { None } else { home(prefix, candidates) };
-    let left = ask.objective.saturating_sub(ask.waited).as_secs_f64();
-    let budget = ask.rate * left * policy.reading;
-    let shared = prompt.shared_tokens();
-    let mut best: Option<(f64, Choice)> = None;
-    for candidate in candidates {
-        let hit = prefix.is_none() || candidate.keeps;
-        let anew = !hit && home != Some(candidate.target.tag());
-        if anew && !ask.may_miss {
-            continue;
-        }
-        let room = if anew {
-            ask.room * (policy.miss_room * ask.miss_scale).min(1.0)
-        } else {
-            ask.room
-        };
-        let slots = f64::from(candidate.target.slots) * policy.fill * room;
-        if f64::from(candidate.load.running) + 1.0 > slots.max(1.0) {
-            continue;
-        }
-        let unread = prompt.own_tokens() + if hit { 0 } else { shared };
-        let before = candidate.load.unread as f64;
-        // One that alone is larger than the budget may begin where little waits.
-        if before + unread as f64 > budget * room && before > budget * room * 0.1 {
-            continue;
-        }
-        let missed = if anew {
-            shared as f64 * policy.miss
-        } else {
-            0.0
-        };
-        let running = f64::from(candidate.load.running) * policy.running;
-        let cost = before + unread as f64 + missed + running;
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            let target = candidate.target.clone();
-            best = Some((
-                cost,
-                Choice {
-                    target,
-                    unread,
-                    hit,
-                },
-            ));
-        }
-    }
-    best.map(|(_, choice)| choice)
-}
-
-/// Where a prefix is read that no target keeps.
-fn home(prefix: Option<Prefix>, candidates: &[Candidate]) -> Option<Tag> {
-    let prefix = prefix?;
-    let tags = candidates.iter().map(|it| it.target.tag());
-    tags.max_by_key(|tag| prefix::weight(prefix, *tag))
-}
-
 fn plain(policy: &Policy, ask: &Ask<'_>, candidates: &[Candidate]) -> Option<Choice> {
     let mut best: Option<(f64, u64, Choice)> = None;
     for candidate in candidates {
@@ -188,6 +129,7 @@
                     target,
                     unread: 0,
                     hit: true,
+                    fetch: None,
                 },
             ));
         }
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
+use crate::cache::PartTag;
 use crate::target::Tag;
 
 /// Shortest time for which a target is taken to keep a prefix after its last use.
@@ -42,8 +43,8 @@
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
-    /// Identity of the part, as the caller names it.
-    pub id: u64,
+    /// Short name of the part, as read by the model that is asked for.
+    pub id: PartTag,
     /// Its length in tokens.
     pub tokens: u64,
 }
@@ -59,12 +60,28 @@
     pub parts: Vec<Part>,
 }
 
+/// The short name of a part that a caller names `id`, as `model` reads it.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a short name is the low half of the hash"
+)]
+pub fn part_tag(model: &str, id: u64) -> PartTag {
+    xxh64(&id.to_le_bytes(), xxh64(model.as_bytes(), 0)) as PartTag
+}
+
 impl Prompt {
+    /// The parts that other requests may share.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
     /// Tokens of the parts that other requests may share.
     #[must_use]
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|it| it.tokens).sum()
+        self.shared().iter().map(|it| it.tokens).sum()
     }
 
     /// Tokens that only this request has.
@@ -73,32 +90,29 @@
         self.tokens.saturating_sub(self.shared_tokens())
     }
 
-    /// The same with all shared parts as one, as short as it can be told to a peer.
+    /// The same with no name for its own part, as short as it can be told to a peer.
     #[must_use]
-    pub fn joined(&self) -> Self {
-        let shared = self.prefix().map(|prefix| Part {
-            id: prefix.0,
-            tokens: self.shared_tokens(),
-        });
+    pub fn brief(&self) -> Self {
         let own = Part {
             id: 0,
             tokens: self.own_tokens(),
         };
+        let shared = self.shared().iter().copied();
         Self {
             tokens: self.tokens,
             answer_tokens: self.answer_tokens,
-            parts: shared.into_iter().chain([own]).collect(),
+            parts: shared.chain([own]).collect(),
         }
     }
 
     /// The prefix of all shared parts, if there is one.
     #[must_use]
     pub fn prefix(&self) -> Option<Prefix> {
-        let shared = self.parts.len().saturating_sub(1);
-        if shared == 0 {
+        let shared = self.shared();
+        if shared.is_empty() {
             return None;
         }
-        let hash = self.parts[..shared]
+        let hash = shared
             .iter()
             .fold(0, |seed, part| xxh64(&part.id.to_le_bytes(), seed));
         Some(Prefix(hash))
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -112,6 +112,8 @@
     pub unread: u64,
     /// Whether its prefix is taken to be there.
     pub hit: bool,
+    /// The target from whose memory it fetches what it lacks of the prefix.
+    pub fetch: Option<Tag>,
     /// How its customer stands.
     pub standing: Option<Standing>,
 }
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -215,7 +215,8 @@
         let all = self.all(now);
         let granted: u64 = all.iter().map(|it| it.granted).sum();
         let asked: u64 = all.iter().map(|it| it.asked).sum();
-        if asked <= granted + granted / CONTENTION {
+        // Where nothing was granted yet, nothing is known of what there is to share.
+        if granted == 0 || asked <= granted + granted / CONTENTION {
             return None;
         }
         level(all.into_iter().map(|it| it.asked).collect(), granted)
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -453,6 +453,7 @@
         },
         local: false,
         keeps: false,
+        held: None,
     });
     candidates.collect()
 }
@@ -462,6 +463,7 @@
         prompt,
         objective: ms(1000),
         rate: 10_000.0,
+        fetch_seconds: None,
         room: 1.0,
         miss_scale: 1.0,
         waited: ms(0),
@@ -500,6 +502,20 @@
     assert!(!missed.hit && missed.target.id.as_ref() != "t1");
 }
 
+/// Before, the first request of an idle fleet, and all after a restart of all routers, found a
+/// level of nothing and a tenth of the room.
+#[test]
+fn a_fleet_that_has_granted_nothing_yet_has_no_level() {
+    let mut shares = Shares::new(ms(4_000));
+    let customer = CustomerTag(1);
+    shares.ask(customer, 1_000, ms(0));
+    assert_eq!(
+        shares.cover(customer, 1_000, ms(0)).to_bits(),
+        1.0f64.to_bits()
+    );
+    assert_eq!(shares.standing(customer, ms(0)).level, None);
+}
+
 #[test]
 fn a_request_beyond_its_share_finds_less_room() {
     let policy = Policy::default();
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bincode::config::standard;
+use dunlinward_dispatch::cache::Held;
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::member::{Card, Condition, Members};
 use dunlinward_dispatch::placement::{self, Ask as Wanted, Candidate, Policy};
@@ -128,6 +129,7 @@
                 tag,
                 unread: 17_000,
                 hit: true,
+                fetch: Some(Tag(u32::MAX / 3)),
                 standing,
             })),
             read: length(Content::Read {
@@ -193,7 +195,11 @@
     Prompt {
         tokens: 17_000,
         answer_tokens: 120,
-        parts: vec![part(u64::MAX / 5, 13_300), part(0, 3_700)],
+        parts: vec![
+            part(u32::MAX / 5, 700),
+            part(u32::MAX / 7, 12_600),
+            part(0, 3_700),
+        ],
     }
 }
 
@@ -286,12 +292,17 @@
             },
             local: false,
             keeps: number % 9 == 0,
+            held: Some(Held {
+                told: 700,
+                expected: 700,
+            }),
         })
         .collect();
     let wanted = Wanted {
         prompt: Some(&prompt),
         objective: Duration::from_millis(800),
         rate: 32_000.0,
+        fetch_seconds: Some(2.4e-6),
         room: 1.0,
         miss_scale: 1.0,
         waited: Duration::ZERO,
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -238,6 +238,7 @@
         target: &lease.target.id,
         customer: job.customer.as_deref(),
         resume_after,
+        fetch: lease.fetch,
     };
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.head.method.clone();
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -4,12 +4,14 @@
 //! reads a caller's head into a [`Call`], writes the head that a target gets,
 //! and reads a target's head into an [`Answer`].
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use dunlinward_dispatch::cache::{News, Question};
 use dunlinward_dispatch::prefix::Prompt;
-use hyper::HeaderMap;
 use hyper::http::{request, response};
+use hyper::{HeaderMap, Uri};
 
 /// What a caller's head says.
 #[derive(Clone, Debug)]
@@ -44,6 +46,8 @@
     pub customer: Option<&'a str>,
     /// Last event that the caller has got.
     pub resume_after: Option<u64>,
+    /// Engine from whose memory the target is to fetch what it lacks of the prompt.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// What a target's head says.
@@ -71,4 +75,14 @@
 
     /// Reads a target's head.
     fn answer(&self, head: &response::Parts) -> Answer;
+
+    /// Path by which a model engine is asked about its memory.
+    fn cache_path(&self, question: Question) -> Uri;
+
+    /// Reads what it answers.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be read.
+    fn cache_news(&self, question: Question, body: &[u8]) -> Result<News, Malformed>;
 }
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -40,9 +40,6 @@
 /// Largest plain answer that is read whole before it is passed on.
 const WHOLE_ANSWER: usize = 4 * 1024 * 1024;
 
-/// A caller whose time is this much shorter than its route's was refused before.
-const RETURNING_MARGIN: Duration = Duration::from_millis(50);
-
 /// Time after which a caller may come back if nothing is known yet.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(500);
 
@@ -174,12 +171,15 @@
         .service(&service)
         .is_some_and(|it| it.engine.is_some());
     let left = call.left.unwrap_or(route.timeout);
-    let returning = left + RETURNING_MARGIN < route.timeout;
     let prompt = call.prompt.filter(|_| engine);
-    let prompt = prompt.map(|it| Rc::new(it.joined()));
+    let prompt = prompt.map(|it| Rc::new(it.brief()));
     let cost = prompt.as_deref().map_or(0, share::cost);
     let now = node.now();
-    node.state.borrow_mut().budget.request(&service, now);
+    let returning = {
+        let mut state = node.state.borrow_mut();
+        state.budget.request(&service, now);
+        state.tries.later(&route.name, left, route.timeout)
+    };
     Job {
         id: call.id,
         head,
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -25,6 +25,8 @@
     pub report_interval: Duration,
     /// Targets of a cell, about.
     pub cell_targets: usize,
+    /// Time between two questions to an engine about its memory; none are asked if it is zero.
+    pub memory_interval: Duration,
 }
 
 #[derive(Clone, Copy)]
@@ -39,6 +41,10 @@
 /// Standard time between reports in milliseconds; `docs/design/platform.md` has the trials.
 const REPORT_MS: f64 = 100.0;
 
+/// Standard time between questions to an engine about its memory in milliseconds: a prefix is sent
+/// again some two seconds later, and each question costs about as much as a health check.
+const MEMORY_MS: f64 = 400.0;
+
 fn figure(flag: &'static str, help: &'static str, most: f64, standard: f64) -> Figure {
     Figure {
         flag,
@@ -49,7 +55,7 @@
     }
 }
 
-fn policy_figures() -> [Figure; 6] {
+fn policy_figures() -> [Figure; 7] {
     let policy = Policy::default();
     [
         figure(
@@ -76,6 +82,12 @@
             1.0,
             policy.miss_room,
         ),
+        figure(
+            "fetch",
+            "Times its length that a fetch from another engine counts",
+            10_000.0,
+            policy.fetch,
+        ),
         figure(
             "running",
             "Tokens by which a running request counts",
@@ -91,7 +103,7 @@
     ]
 }
 
-fn patience_figures() -> [Figure; 5] {
+fn patience_figures() -> [Figure; 6] {
     let patience = Patience::default();
     [
         figure(
@@ -124,6 +136,12 @@
             1.0,
             patience.over_share,
         ),
+        figure(
+            "again",
+            "Part of that room for callers that were refused",
+            1.0,
+            patience.again,
+        ),
     ]
 }
 
@@ -147,7 +165,14 @@
             cell::TARGETS as f64,
         )
     };
-    let patience = patience_figures().into_iter().chain([interval, cell]);
+    let memory = figure(
+        "memory-ms",
+        "Milliseconds between questions to an engine about its memory; 0 asks none",
+        10_000.0,
+        MEMORY_MS,
+    );
+    let patience = patience_figures().into_iter();
+    let patience = patience.chain([interval, cell, memory]);
     policy_figures().into_iter().chain(patience).collect()
 }
 
@@ -205,6 +230,7 @@
             reading: value("reading"),
             miss: value("miss"),
             miss_room: value("miss-room"),
+            fetch: value("fetch"),
             running: value("running"),
             queue: value("plain-queue"),
         },
@@ -214,9 +240,11 @@
             miss: value("wait-miss"),
             come_back: value("come-back"),
             over_share: value("over-share"),
+            again: value("again"),
         },
         report_interval: Duration::from_secs_f64(value("report-ms") / 1_000.0),
         cell_targets: whole(value("cell-targets")),
+        memory_interval: Duration::from_secs_f64(value("memory-ms") / 1_000.0),
     })
 }
 
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -24,6 +24,8 @@
     pub unread: u64,
     /// Whether the prompt's prefix is taken to be there.
     pub hit: bool,
+    /// Engine from whose memory the target is to fetch what it lacks of the prefix.
+    pub fetch: Option<SocketAddr>,
     /// The router that gave it.
     pub owner: SocketAddr,
     /// How the request's customer stood.
@@ -38,6 +40,8 @@
     pub target: Arc<Target>,
     /// Whether the prompt's prefix is taken to be there.
     pub hit: bool,
+    /// Engine from whose memory the target is to fetch what it lacks of the prefix.
+    pub fetch: Option<SocketAddr>,
     /// The router that gave the place.
     pub owner: SocketAddr,
     /// How the request's customer stood.
@@ -55,6 +59,7 @@
             node: Rc::downgrade(node),
             target: place.target,
             hit: place.hit,
+            fetch: place.fetch,
             owner: place.owner,
             standing: place.standing,
             cell: place.cell,
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`pool`], [`attempt`]: connections to targets, one attempt at a target.
 //! - [`event`], [`relay`]: streams of events, and how one goes on elsewhere.
 //! - [`place`], [`owner`]: a place asked of the router that owns a cell, and given there.
+//! - [`memories`]: what engines say that they keep of prompts.
 //! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
 //! - [`courier`], [`inbox`]: messages between routers.
 //! - [`strain`]: whether the router keeps up.
@@ -29,6 +30,7 @@
 pub mod journal;
 pub mod lease;
 pub mod life;
+pub mod memories;
 pub mod metrics;
 pub mod node;
 pub mod owner;
--- /dev/null
+++ b/crates/path/src/memories.rs
@@ -0,0 +1,187 @@
+//! Asks the engines of this router's cells what they keep of prompts.
+//!
+//! Only the owner of a cell asks, as it alone places requests there; a new owner asks for all
+//! from the first on. A question that brings nothing is asked again in the next round; what is
+//! known gets old meanwhile and is not used any more (`dunlinward_dispatch::cache`).
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunlinward_dispatch::cache::{Finding, News, Question};
+use dunlinward_dispatch::target::{Tag, Target};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::task::spawn_local;
+use tokio::time::MissedTickBehavior;
+
+use crate::node::Node;
+use crate::pool;
+
+/// Time for a connection, and for an answer.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Largest answer that is read: some ten thousand parts.
+const LARGEST: usize = 1024 * 1024;
+
+/// Why a question brought nothing.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("{source}"))]
+    Open { source: pool::Error },
+    #[snafu(display("no answer within {} ms", TIMEOUT.as_millis()))]
+    Silent,
+    #[snafu(display("{source}"))]
+    Http { source: hyper::Error },
+    #[snafu(display("{source}"))]
+    Body {
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    #[snafu(display("status {status}"))]
+    Status { status: StatusCode },
+    #[snafu(display("malformed: {reason}"))]
+    Malformed { reason: &'static str },
+}
+
+/// Engines that are being asked, and whether the last question to each brought nothing.
+#[derive(Default)]
+struct Asked {
+    pending: RefCell<HashMap<Tag, Pending>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pending {
+    /// An answer is waited for.
+    Asking,
+    /// The last question was answered.
+    Answered,
+    /// It was not.
+    Failed,
+}
+
+/// Asks for as long as the router runs.
+pub async fn watch(node: Rc<Node>) {
+    if node.settings.memory_interval.is_zero() {
+        return;
+    }
+    let asked = Rc::new(Asked::default());
+    let mut timer = tokio::time::interval(node.settings.memory_interval);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let engines = node.own_engines();
+        let mut pending = asked.pending.borrow_mut();
+        pending.retain(|tag, it| {
+            *it == Pending::Asking || engines.iter().any(|engine| engine.tag() == *tag)
+        });
+        for engine in engines {
+            let before = pending.insert(engine.tag(), Pending::Asking);
+            if before != Some(Pending::Asking) {
+                spawn_local(ask(node.clone(), asked.clone(), engine, before));
+            }
+        }
+    }
+}
+
+async fn ask(node: Rc<Node>, asked: Rc<Asked>, engine: Arc<Target>, before: Option<Pending>) {
+    let tag = engine.tag();
+    let question = node.state.borrow().caches.question(tag, node.now());
+    let answer = exchange(&node, &engine, question).await;
+    let after = match &answer {
+        Ok(_) => Pending::Answered,
+        Err(_) => Pending::Failed,
+    };
+    match answer {
+        Ok(news) => node.take_news(&engine, question, news),
+        Err(error) => {
+            node.metrics.add("memory_questions", "failed", 1);
+            if before != Some(Pending::Failed) {
+                let line = node.journal.line("memory_unknown");
+                let line = line.with("target", engine.id.as_ref());
+                drop(line.with("error", error.to_string()));
+            }
+        }
+    }
+    asked.pending.borrow_mut().insert(tag, after);
+}
+
+async fn exchange(node: &Rc<Node>, engine: &Target, question: Question) -> Result<News, Error> {
+    let tag = engine.tag();
+    let kept = node.pool.take(tag, node.now());
+    let mut connection = if let Some(connection) = kept {
+        connection
+    } else {
+        node.metrics.add("connections", "memory", 1);
+        let opened = pool::open(engine.address, TIMEOUT).await;
+        opened.context(OpenSnafu)?
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = node.dialect.cache_path(question);
+    if let Ok(host) = HeaderValue::from_str(&engine.address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let answering = async {
+        let response = connection.sender.send_request(request).await;
+        let (head, body) = response.context(HttpSnafu)?.into_parts();
+        let body = Limited::new(body, LARGEST).collect().await;
+        let body = body.context(BodySnafu)?.to_bytes();
+        Ok((head, body))
+    };
+    let answer = tokio::time::timeout(TIMEOUT, answering).await;
+    let (head, body) = answer.ok().context(SilentSnafu)??;
+    node.pool
+        .put(tag, connection, pool::keep(&head.headers), node.now());
+    if head.status != StatusCode::OK {
+        return StatusSnafu {
+            status: head.status,
+        }
+        .fail();
+    }
+    let news = node.dialect.cache_news(question, &body);
+    news.map_err(|error| Error::Malformed {
+        reason: error.reason,
+    })
+}
+
+impl Node {
+    /// The engines of the cells that this router owns.
+    fn own_engines(&self) -> Vec<Arc<Target>> {
+        let state = self.state.borrow();
+        let Some(table) = &state.table else {
+            return Vec::new();
+        };
+        let now = self.now();
+        let cells = state.registry.all_cells();
+        let own = cells.filter(|(cell, _)| state.members.owner(*cell, now) == self.settings.link);
+        let engines = own.flat_map(|(_, targets)| targets).filter(|target| {
+            let service = table.service(&target.service);
+            service.is_some_and(|it| it.engine.is_some())
+        });
+        engines.cloned().collect()
+    }
+
+    fn take_news(&self, engine: &Target, question: Question, news: News) {
+        let (tag, now) = (engine.tag(), self.now());
+        let finding = self
+            .state
+            .borrow_mut()
+            .caches
+            .take(tag, question, news, now);
+        let label = match finding {
+            Finding::Current => "current",
+            Finding::Gap => "gap",
+            Finding::Restarted => "restarted",
+        };
+        self.metrics.add("memory_questions", label, 1);
+        if finding != Finding::Current {
+            let line = self.journal.line("memory_doubtful");
+            let line = line.with("target", engine.id.as_ref());
+            drop(line.with("finding", label));
+        }
+    }
+}
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -159,7 +159,12 @@
         if before.is_some_and(|it| it >= version) {
             return;
         }
-        self.state.borrow_mut().table = Some(Rc::new(Table::new(configuration)));
+        let table = Rc::new(Table::new(configuration));
+        {
+            let mut state = self.state.borrow_mut();
+            state.tries.retain(|name| table.serves(name));
+            state.table = Some(table);
+        }
         let line = self.journal.line("configuration_taken");
         drop(
             line.with("version", version)
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -230,13 +230,15 @@
 
     fn accept(mut self, wish: &Wish, grant: Grant) -> Asked {
         self.accepted = true;
-        let target = {
+        let (target, fetch) = {
             let mut state = self.node.state.borrow_mut();
             let target = state.registry.get(grant.tag).cloned();
+            let source = grant.fetch.and_then(|it| state.registry.get(it));
+            let fetch = source.map(|it| it.address);
             if target.is_some() {
                 state.take_place(wish, &grant, self.node.now());
             }
-            target
+            (target, fetch)
         };
         let Some(target) = target else {
             // The lists of targets differ for the time of a greeting.
@@ -249,6 +251,7 @@
             cell: wish.cell,
             unread: grant.unread,
             hit: grant.hit,
+            fetch,
             owner: self.owner,
             standing: grant.standing,
         };
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -4,7 +4,7 @@
 //! be put in another order or taken back. Whenever room may have come (a request
 //! ended, a prompt was read, a router reported, the views changed) the queue is
 //! gone through in order: customers within their share first, then callers that
-//! were refused before, then by arrival.
+//! were not refused before, as only they can still be answered in time, then by arrival.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -70,8 +70,8 @@
     fn place_now(self: &Rc<Self>, wish: &Wish) -> Option<Lease> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        state.count(wish, now);
         let cover = state.cover(wish, now);
+        state.count(wish, now);
         if state.waits(wish) {
             return None;
         }
@@ -126,7 +126,7 @@
             for waiter in &mut queue {
                 waiter.cover = state.cover(&waiter.wish, now);
             }
-            queue.sort_by_key(|it| (it.cover < 1.0, !it.wish.returning, it.wish.arrived));
+            queue.sort_by_key(|it| (it.cover < 1.0, it.wish.returning, it.wish.arrived));
             for waiter in queue {
                 let choice = state.choose(&self.settings, &waiter.wish, waiter.cover, now);
                 match (choice, waiter) {
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -40,6 +40,8 @@
     pub millicores: u32,
     /// Targets of a cell, about.
     pub cell_targets: usize,
+    /// Time between two questions to an engine about its memory; none are asked if it is zero.
+    pub memory_interval: Duration,
 }
 
 /// How long requests wait and when refused callers may come back.
@@ -55,16 +57,22 @@
     pub come_back: f64,
     /// Part of all room that a request beyond its customer's share may use.
     pub over_share: f64,
+    /// Part of that room that it may use if its caller was refused before, and so is late.
+    pub again: f64,
 }
 
 impl Default for Patience {
     fn default() -> Self {
         Self {
-            first: 0.2,
-            miss: 0.18,
-            returning: 0.3,
+            // Time spent here is lost at the engine, where a prompt waits again: with 0.06 instead of
+            // 0.2 callers got 0.853 of the worth they asked for instead of 0.838 (mean of five
+            // days of high load and faults).
+            first: 0.06,
+            miss: 0.04,
+            returning: 0.06,
             come_back: 1.0,
             over_share: 0.8,
+            again: 0.2,
         }
     }
 }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::budget::Budget;
+use dunlinward_dispatch::cache::Caches;
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::health::{Health, Outcome};
@@ -20,6 +21,7 @@
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Wait};
 use dunlinward_dispatch::share::{Shares, Standing};
 use dunlinward_dispatch::target::{State as TargetState, Tag, Target};
+use dunlinward_dispatch::tries::Tries;
 use dunlinward_dispatch::usage::{Peer, Usage};
 
 use crate::gossip;
@@ -82,10 +84,14 @@
     pub(crate) registry: Registry,
     pub(crate) usage: Usage,
     pub(crate) memory: Memory,
+    /// What engines of this router's cells say that they keep.
+    pub(crate) caches: Caches,
     pub(crate) health: Health,
     pub(crate) budget: Budget,
     pub(crate) shares: Shares,
     pub(crate) reach: Reach,
+    /// Which callers come back.
+    pub(crate) tries: Tries,
     pub(crate) members: Members,
     pub(crate) queue: Vec<Waiter>,
     /// Failures that all routers report of the targets of this router's cells.
@@ -104,10 +110,12 @@
             registry: Registry::new().with_cell_targets(settings.cell_targets),
             usage: Usage::new(),
             memory: Memory::new(),
+            caches: Caches::new(),
             health: Health::new(),
             budget: Budget::new(settings.repeats),
             shares: Shares::new(settings.share_window),
             reach: Reach::new(settings.report_interval),
+            tries: Tries::new(),
             members: Members::new(
                 Card {
                     address: settings.link,
@@ -149,6 +157,7 @@
     /// A target has ended.
     pub(crate) fn forget(&mut self, tag: Tag) {
         self.memory.forget(tag);
+        self.caches.forget(tag);
         self.health.forget(tag);
         self.reported.forget(tag);
     }
@@ -214,8 +223,9 @@
         }
         let known = self.queue.iter().any(|it| it.origin.is(peer, number));
         if !known {
-            self.count(&wish, now);
+            // A request is no sign of contention before it was found to have no room.
             let cover = self.cover(&wish, now);
+            self.count(&wish, now);
             if !self.waits(&wish)
                 && let Some(choice) = self.choose(settings, &wish, cover, now)
             {
@@ -255,7 +265,8 @@
         cover: f64,
         now: Duration,
     ) -> Option<Choice> {
-        let prefix = wish.prompt.as_deref().and_then(Prompt::prefix);
+        let prompt = wish.prompt.as_deref();
+        let prefix = prompt.and_then(Prompt::prefix);
         let table = self.table.clone()?;
         let targets = self.registry.of_cell(wish.cell);
         let service = targets.first().map(|it| it.service.clone())?;
@@ -279,13 +290,15 @@
                     load: self.usage.total(tag),
                     local: target.domain == wish.domain,
                     keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, kept, now)),
+                    held: prompt.and_then(|it| self.caches.held(tag, it, now)),
                 });
             }
         }
         let ask = Ask {
-            prompt: wish.prompt.as_deref(),
+            prompt,
             objective: wish.objective,
             rate,
+            fetch_seconds: engine.and_then(|it| it.fetch_seconds),
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
             room: self.room(settings, wish, cover),
@@ -299,11 +312,16 @@
 
     /// Part of all room that a request may use.
     fn room(&self, settings: &Settings, wish: &Wish, cover: f64) -> f64 {
-        let share = if cover < 1.0 {
+        let patience = &settings.patience;
+        let share = match (cover < 1.0, wish.returning) {
+            (false, _) => 1.0,
             // Squared, as what is left at full targets goes to whoever asks most often.
-            settings.patience.over_share * cover * cover
-        } else {
-            1.0
+            (true, false) => patience.over_share * cover * cover,
+            // Beyond a share new callers, who can still be answered in time, use up all that the
+            // share allows. With the same room for both, 36 in 100 of the requests that ran for a
+            // flooding customer were late before they began; all callers got 0.859 of the worth
+            // they asked for, and 0.888 with a fifth of it (mean of five days of high load).
+            (true, true) => patience.over_share * cover * cover * patience.again,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred routers")]
         let claimed = match wish.claim {
@@ -323,6 +341,9 @@
     ) -> Place {
         let tag = choice.target.tag();
         self.usage.begin(tag, choice.unread);
+        if let Some(prompt) = wish.prompt.as_deref() {
+            self.caches.sent(tag, prompt, now);
+        }
         if let Some(prefix) = wish.prompt.as_deref().and_then(Prompt::prefix) {
             self.memory.note(prefix, tag, now);
         }
@@ -332,6 +353,7 @@
             cell: wish.cell,
             unread: choice.unread,
             hit: choice.hit,
+            fetch: choice.fetch.map(|it| it.address),
             owner: own,
             standing,
         }
@@ -348,6 +370,9 @@
         let Asker { peer, number, .. } = asker;
         let tag = choice.target.tag();
         self.usage.begin_for(peer, tag, choice.unread, now);
+        if let Some(prompt) = wish.prompt.as_deref() {
+            self.caches.sent(tag, prompt, now);
+        }
         if let Some(prefix) = wish.prompt.as_deref().and_then(Prompt::prefix) {
             self.memory.hear(Use::new(prefix, tag), now);
         }
@@ -357,6 +382,7 @@
             tag,
             unread: choice.unread,
             hit: choice.hit,
+            fetch: choice.fetch.as_ref().map(|it| it.tag()),
             standing,
         };
         self.granted.insert((peer, number), (now, grant));
--- a/crates/path/src/tell.rs
+++ b/crates/path/src/tell.rs
@@ -82,6 +82,7 @@
     let line = line.with("owner", lease.owner.to_string());
     let line = line.with("hit", lease.hit).with("sends", sends);
     let line = line.with("unread_tokens", lease.unread());
+    let line = line.with("fetch_from", lease.fetch.map(|it| it.to_string()));
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
     let line = line.with("prefix", prefix.map(|it| format!("{:016x}", it.0)));
     let waited = node.now().saturating_sub(job.arrived);
