Silent connections are probed and doubted; a leaving target never returns; who can't accept is not ready

A kept connection that had gone silent was found only by a request that was lost on it, and each of the others by one more; a list read from a disturbed store could make a leaving target ready again; a router whose descriptors are used up said that it was ready. Change: the system probes connections to targets, the store and peers after 1 s (found within 2.2 s) and callers' after 5 s; after one kept connection brought no answer the others to that target are closed; leaving is final; a failed accept takes a router out of rotation for 2.5 s at least.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -116,10 +116,15 @@
         let mut next = HashMap::with_capacity(list.len());
         let listed: HashSet<Tag> = list.iter().map(Target::tag).collect();
         self.replaced.retain(|tag| listed.contains(tag));
-        for target in list {
+        for mut target in list {
             if self.replaced.contains(&target.tag()) {
                 continue;
             }
+            // Nothing that leaves stays after all: a list that says so is older than it seems.
+            let known = self.targets.get(&target.tag());
+            if known.is_some_and(|it| it.state == State::Leaving) {
+                target.state = State::Leaving;
+            }
             let target = Arc::new(target);
             match self.targets.get(&target.tag()) {
                 None => changes.push(Change::Came(target.clone())),
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -106,6 +106,24 @@
     assert_eq!(registry.of("pool").len(), 1);
 }
 
+/// What a router has once heard of a leaving target binds it, whatever a disturbed store says
+/// afterwards.
+#[test]
+fn a_target_that_leaves_never_counts_as_ready_again() {
+    let mut registry = Registry::new();
+    registry.take(vec![target("a", 1)], ms(0));
+    let mut leaving = target("a", 1);
+    leaving.state = State::Leaving;
+    assert_eq!(registry.take(vec![leaving], ms(500)).len(), 1);
+    assert!(registry.take(vec![target("a", 1)], ms(900)).is_empty());
+    assert!(
+        registry
+            .take_settled(vec![target("a", 1)], ms(1200))
+            .is_empty()
+    );
+    assert_eq!(registry.of("pool")[0].state, State::Leaving);
+}
+
 #[test]
 fn after_an_outage_a_lapsed_target_is_kept_until_it_could_be_back() {
     let mut registry = Registry::new();
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -182,6 +182,7 @@
     let sent = connection.sender.try_send_request(request);
     let sent = wait(node, job, lease, sent, limit).await;
     let Some(sent) = sent else {
+        doubt(node, lease, &connection);
         lease.note(Outcome::Bad);
         return Err(Failure::new(Verdict::Unknown, "no_answer"));
     };
@@ -191,6 +192,7 @@
             if error.take_message().is_some() {
                 return Err(Failure::new(Verdict::NotSent, "connection_closed"));
             }
+            doubt(node, lease, &connection);
             // An idle connection that its target closed just then says nothing of its health.
             if !connection.used || node.now() > begun + CROSSED {
                 lease.note(Outcome::Bad);
@@ -200,6 +202,14 @@
     }
 }
 
+/// A kept connection brought no answer: the others to that target may be as dead, and a new one
+/// shows whether the target is there.
+fn doubt(node: &Node, lease: &Lease, connection: &Connection) {
+    if connection.used {
+        node.pool.close(lease.target.tag());
+    }
+}
+
 /// Waits for an answer until `limit`; a target that is silent for long has failed already
 /// before that.
 async fn wait<T>(
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -16,12 +16,19 @@
 use hyper::header::HeaderMap;
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
+use socket2::TcpKeepalive;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 /// How long a target may leave sent bytes unacknowledged before the connection is given up.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_200);
 
+/// Idle time after which the system probes whether the other end is still there, and the pause
+/// until the next probe; without an answer for [`UNACKNOWLEDGED`] the connection ends. The system
+/// counts whole seconds. So a connection that has gone silent is found within 2.2 s, whether it is
+/// kept or an answer is waited for on it.
+const PROBE: Duration = Duration::from_secs(1);
+
 /// How long an idle connection is kept if its target names no time: it closes
 /// idle connections within less than the second that it could name.
 const UNNAMED: Duration = Duration::from_millis(400);
@@ -169,9 +176,20 @@
     stream.set_nodelay(true)?;
     let reference = socket2::SockRef::from(&stream);
     reference.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    probe(&reference, PROBE)?;
     Ok(stream)
 }
 
+/// Has the system probe a connection that is idle for `time`.
+///
+/// # Errors
+///
+/// If the system refuses.
+pub fn probe(socket: &socket2::SockRef<'_>, time: Duration) -> std::io::Result<()> {
+    let keepalive = TcpKeepalive::new().with_time(time).with_interval(time);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
 /// How long a connection may stay idle after an answer with these headers.
 #[must_use]
 pub fn keep(headers: &HeaderMap) -> Duration {
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -18,6 +18,7 @@
 use crate::exchange;
 use crate::life;
 use crate::node::Node;
+use crate::pool;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -28,6 +29,9 @@
 /// Part of the callers' idle limit that is added, as they may use all of it.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
+/// Idle time after which the system probes whether a caller is still there.
+const CALLER_PROBE: Duration = Duration::from_secs(5);
+
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -66,6 +70,7 @@
             Err(error) => {
                 let line = node.journal.line("accept_failed");
                 drop(line.with("error", error.to_string()));
+                node.note_refusing();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -78,6 +83,8 @@
         let stream = accept(&node, &listener).await;
         // Only a delay is lost if this fails.
         drop(stream.set_nodelay(true));
+        // And with this, descriptors of callers that vanished, until the idle limit ends them.
+        drop(pool::probe(&socket2::SockRef::from(&stream), CALLER_PROBE));
         tokio::task::spawn_local(serve_caller(node.clone(), stream));
     }
 }
--- a/crates/path/src/strain.rs
+++ b/crates/path/src/strain.rs
@@ -4,7 +4,8 @@
 //! small machine can carry. A router sees that by its own timers: they fire late
 //! while its event loop is behind. One that is behind says that it is not ready and
 //! asks its callers to close their connections, so that new ones go to others, and
-//! owns no cells until it has caught up.
+//! owns no cells until it has caught up. The same holds for one that can't accept
+//! connections, as its descriptors are used up.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -66,6 +67,18 @@
         true
     }
 
+    /// Notes that a connection could not be accepted; true if that changes whether it is behind.
+    pub fn refusing(&self, now: Duration) -> bool {
+        let before = self.behind();
+        if before {
+            let until = self.until.get().unwrap_or_default();
+            self.until.set(Some(until.max(now + FIRST)));
+        } else {
+            self.fall_behind(now);
+        }
+        !before
+    }
+
     fn fall_behind(&self, now: Duration) {
         let last = self.last.get();
         let soon = now.saturating_sub(self.caught_up.get()) < SOON;
@@ -82,9 +95,19 @@
 impl Node {
     /// Notes a timer of this router that fired late.
     pub(crate) fn note_lateness(&self, late: Duration) {
-        if !self.strain.note(late, self.now()) {
-            return;
+        if self.strain.note(late, self.now()) {
+            self.tell_strain(late);
         }
+    }
+
+    /// Notes that a connection could not be accepted: callers should go elsewhere.
+    pub(crate) fn note_refusing(&self) {
+        if self.strain.refusing(self.now()) {
+            self.tell_strain(Duration::ZERO);
+        }
+    }
+
+    fn tell_strain(&self, late: Duration) {
         let behind = self.strain.behind();
         let event = if behind { "behind" } else { "caught_up" };
         let line = self.journal.line(event).with_ms("late_ms", late);
--- a/crates/path/tests/strain.rs
+++ b/crates/path/tests/strain.rs
@@ -57,3 +57,15 @@
     assert!(strain.behind());
     assert!(caught_up(&strain, 30_000) < 33_000);
 }
+
+/// A router whose descriptors are used up takes no connection though its timers fire in time.
+#[test]
+fn a_router_that_cannot_accept_is_behind_until_it_could_for_a_while() {
+    let strain = Strain::default();
+    assert!(strain.refusing(ms(1_000)));
+    assert!(strain.behind());
+    assert!(!strain.refusing(ms(3_000)));
+    note(&strain, 0, 3_000, 5_400);
+    assert!(strain.behind());
+    assert!(caught_up(&strain, 5_400) < 6_000);
+}
