--- a/crates/dispatch/src/cache.rs
+++ b/crates/dispatch/src/cache.rs
@@ -222,13 +222,6 @@
         })
     }
 
-    /// Age of what is known of an engine's memory, if anything is.
-    #[must_use]
-    pub fn age(&self, tag: Tag, now: Duration) -> Option<Duration> {
-        let as_of = self.by_target.get(&tag)?.as_of?;
-        Some(now.saturating_sub(as_of))
-    }
-
     /// Forgets a target that has ended.
     pub fn forget(&mut self, tag: Tag) {
         self.by_target.remove(&tag);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -4,8 +4,6 @@
 
 mod engine;
 
-pub use engine::has_slot;
-
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/dispatch/src/placement/engine.rs
+++ b/crates/dispatch/src/placement/engine.rs
@@ -18,7 +18,6 @@
 use super::{Ask, Candidate, Choice, Policy};
 use crate::prefix::{self, Prefix, Prompt};
 use crate::target::{Tag, Target};
-use crate::usage::Load;
 
 /// Fewest tokens that are fetched: an engine keeps memory in blocks of some 16 tokens, and reads
 /// two of them in less time than a transfer takes to set up.
@@ -62,7 +61,7 @@
     let budget = ask.rate * left * policy.reading;
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
-        if !has_slot(policy, &candidate.target, candidate.load, ask.room) {
+        if !has_slot(policy, candidate, ask.room) {
             continue;
         }
         let way = match candidate.held {
@@ -77,7 +76,7 @@
         } else {
             ask.room
         };
-        if way.anew && !has_slot(policy, &candidate.target, candidate.load, room) {
+        if way.anew && !has_slot(policy, candidate, room) {
             continue;
         }
         let before = candidate.load.unread as f64;
@@ -101,10 +100,9 @@
 }
 
 /// Whether an engine has a free slot of the part of all slots that may be used.
-#[must_use]
-pub fn has_slot(policy: &Policy, target: &Target, load: Load, room: f64) -> bool {
-    let slots = f64::from(target.slots) * policy.fill * room;
-    f64::from(load.running) + 1.0 <= slots.max(1.0)
+fn has_slot(policy: &Policy, candidate: &Candidate, room: f64) -> bool {
+    let slots = f64::from(candidate.target.slots) * policy.fill * room;
+    f64::from(candidate.load.running) + 1.0 <= slots.max(1.0)
 }
 
 /// The candidate that keeps most of the prefix, of those that have told.
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -266,7 +266,6 @@
         now: Duration,
     ) -> Option<Choice> {
         let prompt = wish.prompt.as_deref();
-        let prefix = prompt.and_then(Prompt::prefix);
         let table = self.table.clone()?;
         let targets = self.registry.of_cell(wish.cell);
         let service = targets.first().map(|it| it.service.clone())?;
@@ -278,35 +277,7 @@
         let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
         let engine = table.service(&service).and_then(|it| it.engine);
         let kept = prefix::kept(engine.map_or(0, |it| it.memory_tokens), rate);
-        let usable = |target: &&Arc<Target>| {
-            let tag = target.tag();
-            target.state == TargetState::Ready
-                && !self.reported.ejected(tag, now)
-                && !wish.avoid.contains(&tag)
-        };
-        let usable: Vec<_> = targets.iter().filter(usable).collect();
-        let room = self.room(settings, wish, cover);
-        let loads: Vec<_> = usable.iter().map(|it| self.usage.total(it.tag())).collect();
-        // What each engine keeps is looked up only if one has a slot: an owner of 60 engines that is
-        // asked 1,900 times a second was behind 30 times in a minute without this, 12 times with it
-        // off altogether.
-        let mut free = usable.iter().zip(&loads);
-        if prompt.is_some()
-            && !free.any(|(it, load)| placement::has_slot(&settings.policy, it, *load, room))
-        {
-            return None;
-        }
-        let candidates = usable.into_iter().zip(loads).map(|(target, load)| {
-            let tag = target.tag();
-            Candidate {
-                target: target.clone(),
-                load,
-                local: target.domain == wish.domain,
-                keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, kept, now)),
-                held: prompt.and_then(|it| self.caches.held(tag, it, now)),
-            }
-        });
-        let candidates: Vec<_> = candidates.collect();
+        let candidates = self.candidates(wish, kept, now);
         let ask = Ask {
             prompt,
             objective: wish.objective,
@@ -318,7 +289,7 @@
             may_fetch: cover >= 1.0,
             waited: now.saturating_sub(wish.arrived),
             may_miss: now >= wish.arrived + wish.objective.mul_f64(settings.patience.miss),
-            room,
+            room: self.room(settings, wish, cover),
             // Who has had little of its share is not bound to the targets that keep its
             // prefix, where others may have taken all room.
             miss_scale: cover.max(1.0),
@@ -327,6 +298,31 @@
         placement::choose(&settings.policy, &ask, &candidates)
     }
 
+    /// The targets that may run a request, with what is known of each; `kept` is how long an engine
+    /// that tells nothing is taken to keep a prefix.
+    fn candidates(&self, wish: &Wish, kept: Duration, now: Duration) -> Vec<Candidate> {
+        let prompt = wish.prompt.as_deref();
+        let prefix = prompt.and_then(Prompt::prefix);
+        let usable = |target: &&Arc<Target>| {
+            let tag = target.tag();
+            target.state == TargetState::Ready
+                && !self.reported.ejected(tag, now)
+                && !wish.avoid.contains(&tag)
+        };
+        let usable = self.registry.of_cell(wish.cell).iter().filter(usable);
+        let candidates = usable.map(|target| {
+            let tag = target.tag();
+            Candidate {
+                target: target.clone(),
+                load: self.usage.total(tag),
+                local: target.domain == wish.domain,
+                keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, kept, now)),
+                held: prompt.and_then(|it| self.caches.held(tag, it, now)),
+            }
+        });
+        candidates.collect()
+    }
+
     /// Part of all room that a request may use.
     fn room(&self, settings: &Settings, wish: &Wish, cover: f64) -> f64 {
         let patience = &settings.patience;
