--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -268,6 +268,8 @@
     }
 }
 
+/// How long this try to place a request may last. It counts from now and not from the arrival, as a
+/// second try comes after a target has had the request for longer than that.
 fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
     let patience = &node.settings.patience;
     let part = if job.returning {
@@ -275,7 +277,7 @@
     } else {
         patience.first
     };
-    let until = job.arrived + job.route.objective.mul_f64(part);
+    let until = node.now() + job.route.objective.mul_f64(part);
     until.min(job.deadline)
 }
 
