--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`configuration`]: routes, services, customers and limits in force.
 //! - [`target`], [`registry`]: the targets that are known, and which may get work.
 //! - [`cell`], [`member`]: groups of targets, and the router that places requests there.
+//! - [`membership`]: which routers are alive.
 //! - [`usage`]: work at each target, this router's and its peers'.
 //! - [`prefix`], [`cache`], [`placement`]: which target runs a request.
 //! - [`share`]: what each customer has used and may use.
@@ -22,6 +23,7 @@
 pub mod configuration;
 pub mod health;
 pub mod member;
+pub mod membership;
 pub mod placement;
 pub mod prefix;
 pub mod reach;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -1,13 +1,13 @@
-//! Routers that are alive, and which of them owns a cell.
+//! Which of the routers alive owns a cell or does a duty.
 //!
-//! Every router greets a few others in turn; who was heard lately is alive. The
-//! owner of a cell is chosen by rendezvous hashing over the routers alive, with
+//! Who is alive is told by [`crate::membership`]. The owner of a cell is chosen by rendezvous hashing over the routers alive, with
 //! their processors' shares as weights, so routers mostly agree without a word. They
 //! need not: an owner that was not meant places requests as well, and what it does
 //! not know of is refused by the target as not run. A router that leaves requests
 //! unanswered is passed over for a while, longer each time. One that has just come
 //! is passed over until the others have had time to hear of it.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,12 +19,6 @@
 use crate::cell::{self, Cell, ServiceTag};
 use crate::usage::Peer;
 
-/// Shortest silence after which a router counts as ended.
-const SILENT_LEAST: Duration = Duration::from_millis(2_500);
-
-/// Greetings of one router that must be missing before it counts as ended.
-const GREETINGS: u32 = 4;
-
 /// Time for which a router that has just been heard of owns nothing.
 const SETTLING: Duration = Duration::from_millis(1_500);
 
@@ -83,7 +77,7 @@
 }
 
 /// Whether a router may own cells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Condition {
     /// It may.
     Sound,
@@ -96,7 +90,6 @@
 #[derive(Clone, Debug)]
 struct Record {
     card: Card,
-    heard: Duration,
     since: Duration,
     condition: Condition,
     misses: u32,
@@ -109,21 +102,28 @@
 pub struct Members {
     own: Card,
     condition: Condition,
-    fanout: usize,
-    interval: Duration,
     known: HashMap<SocketAddr, Record>,
+    /// Owners found before, until anything changes.
+    owners: RefCell<HashMap<Cell, Owner>>,
+}
+
+/// An owner found before.
+#[derive(Clone, Copy, Debug)]
+struct Owner {
+    address: SocketAddr,
+    /// When a router has settled, or is no longer passed over, so that it may be another one.
+    until: Duration,
 }
 
 impl Members {
-    /// Only this router; each greets `fanout` others every `interval`.
+    /// Only this router.
     #[must_use]
-    pub fn new(own: Card, fanout: usize, interval: Duration) -> Self {
+    pub fn new(own: Card) -> Self {
         Self {
             own,
             condition: Condition::Sound,
-            fanout: fanout.max(1),
-            interval,
             known: HashMap::new(),
+            owners: RefCell::default(),
         }
     }
 
@@ -136,6 +136,13 @@
     /// This router is about to end: it owns nothing any more.
     pub fn leave(&mut self) {
         self.condition = Condition::Leaving;
+        self.owners.get_mut().clear();
+    }
+
+    /// Whether this router may own cells.
+    #[must_use]
+    pub fn condition(&self) -> Condition {
+        self.condition
     }
 
     /// This router doesn't keep up, or does again.
@@ -145,19 +152,19 @@
             (_, true) => Condition::Behind,
             (_, false) => Condition::Sound,
         };
+        self.owners.get_mut().clear();
     }
 
-    /// A router was heard; true if it was not known.
+    /// A router is alive; true if it was not known.
     pub fn hear(&mut self, card: &Card, condition: Condition, now: Duration) -> bool {
+        self.owners.get_mut().clear();
         let known = self.known.get_mut(&card.address);
         if let Some(record) = known.filter(|it| it.card.peer == card.peer) {
-            record.heard = now;
             record.condition = condition;
             return false;
         }
         let record = Record {
             card: card.clone(),
-            heard: now,
             since: now,
             condition,
             misses: 0,
@@ -168,28 +175,20 @@
         true
     }
 
-    /// Drops routers that have been silent for too long and returns them.
-    pub fn prune(&mut self, now: Duration) -> Vec<Card> {
-        let silent = self.silence();
-        let ended = |it: &Record| now.saturating_sub(it.heard) >= silent;
-        let cards = self.known.values().filter(|it| ended(it));
-        let cards = cards.map(|it| it.card.clone()).collect();
-        self.known.retain(|_, it| !ended(it));
-        cards
-    }
-
-    /// Silence after which a router counts as ended: each is greeted in turn, so it grows
-    /// with their number.
-    fn silence(&self) -> Duration {
-        self.turn().saturating_mul(GREETINGS).max(SILENT_LEAST)
+    /// A start of a router has ended.
+    pub fn remove(&mut self, card: &Card) {
+        self.owners.get_mut().clear();
+        let known = self.known.get(&card.address);
+        if known.is_some_and(|it| it.card.peer == card.peer) {
+            self.known.remove(&card.address);
+        }
     }
 
-    /// Time in which each router greets all others once.
+    /// Whether a router is about to end.
     #[must_use]
-    pub fn turn(&self) -> Duration {
-        let rounds = self.known.len().div_ceil(self.fanout).max(1);
-        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
-        self.interval.saturating_mul(rounds)
+    pub fn leaves(&self, address: SocketAddr) -> bool {
+        let record = self.known.get(&address);
+        record.is_some_and(|it| it.condition == Condition::Leaving)
     }
 
     /// How many routers come before this one in a duty, of all or of its failure domain.
@@ -230,6 +229,27 @@
     /// The router that places the requests of a cell.
     #[must_use]
     pub fn owner(&self, cell: Cell, now: Duration) -> SocketAddr {
+        let found = self.owners.borrow().get(&cell).copied();
+        if let Some(owner) = found.filter(|it| now < it.until) {
+            return owner.address;
+        }
+        let owner = Owner {
+            address: self.find_owner(cell, now),
+            until: self.next_turn(now),
+        };
+        self.owners.borrow_mut().insert(cell, owner);
+        owner.address
+    }
+
+    /// When a router will have settled or will no longer be passed over, the first of all.
+    fn next_turn(&self, now: Duration) -> Duration {
+        let records = self.known.values();
+        let turns = records.flat_map(|it| [it.since + SETTLING, it.passed_until]);
+        let next = turns.filter(|it| *it > now).min();
+        next.unwrap_or(Duration::MAX)
+    }
+
+    fn find_owner(&self, cell: Cell, now: Duration) -> SocketAddr {
         let settled = |it: &&Record| now.saturating_sub(it.since) >= SETTLING;
         let answering = self.known.values().filter(|it| now >= it.passed_until);
         let any = self.known.values().any(|it| settled(&it));
@@ -260,6 +280,7 @@
         let time = PASSED_FIRST.saturating_mul(1 << record.passes.min(DOUBLINGS));
         record.passes += 1;
         record.passed_until = now + time;
+        self.owners.get_mut().clear();
         true
     }
 
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -4,14 +4,13 @@
 //! repeated, what a router has at targets is told whole several times a second, and
 //! greetings go on for as long as the router runs.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::cell::Cell;
 use crate::health::Outcome;
-use crate::member::{Card, Condition};
+use crate::membership::Packet;
 use crate::prefix::{Prompt, Use};
 use crate::share::Standing;
 use crate::target::Tag;
@@ -41,37 +40,26 @@
     pub granted: u64,
 }
 
-/// A greeting.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Greeting {
-    /// Who sends.
-    pub card: Card,
-    /// Whether the sender is about to end.
-    pub leaving: bool,
-    /// Whether the sender doesn't keep up with its callers.
-    pub behind: bool,
-    /// Version of the configuration in force at the sender; 0 for none.
+/// How old the sender's views of the platform are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Views {
+    /// Version of the configuration in force; 0 for none.
     pub configuration: u64,
-    /// How long ago that was the store's newest, in milliseconds.
-    pub configuration_age_ms: u64,
-    /// Age of the sender's list of targets in milliseconds, if it has one.
+    /// How long ago that was the store's newest, in milliseconds, if it ever was.
+    pub configuration_age_ms: Option<u64>,
+    /// Age of the list of targets in milliseconds, if there is one.
     pub registry_age_ms: Option<u64>,
-    /// Sum of the sender's list of targets.
+    /// Sum of the list of targets.
     pub registry_digest: u64,
-    /// Other routers that the sender knows, now and then.
-    pub peers: Vec<SocketAddr>,
 }
 
-impl Greeting {
-    /// Whether the sender may own cells.
-    #[must_use]
-    pub fn condition(&self) -> Condition {
-        match (self.leaving, self.behind) {
-            (true, _) => Condition::Leaving,
-            (false, true) => Condition::Behind,
-            (false, false) => Condition::Sound,
-        }
-    }
+/// Who is alive, and what the sender knows of the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// Who is alive.
+    pub packet: Packet,
+    /// The sender's views.
+    pub views: Views,
 }
 
 /// A request for a place at a target of a cell.
--- a/crates/path/src/inbox.rs
+++ b/crates/path/src/inbox.rs
@@ -51,7 +51,7 @@
 fn take(node: &Rc<Node>, message: Message, from: std::net::SocketAddr) {
     let sender = message.sender;
     match message.content {
-        Content::Greeting(greeting) => gossip::hear(node, &greeting),
+        Content::Greeting(greeting) => gossip::hear(node, greeting),
         Content::Ask(ask) => owner::ask(node, sender, from, ask),
         Content::Grant(grant) => node.answer(from, grant.number, Answer::Grant(grant)),
         Content::Wait(wait) => node.answer(from, wait.number, Answer::Wait(wait)),
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -21,7 +21,7 @@
 
 use crate::courier::Courier;
 use crate::dialect::Dialect;
-use crate::gossip::Gossip;
+use crate::gossip::{self, Gossip};
 use crate::journal::{Journal, Line, millis};
 use crate::metrics::Metrics;
 use crate::place::Pending;
@@ -136,8 +136,8 @@
     pub fn leave(&self) {
         let now = self.now();
         self.leaving.send_replace(Some(now));
-        self.state.borrow_mut().members.leave();
-        self.gossip.greet_all();
+        self.state.borrow_mut().leave();
+        gossip::spread(self);
     }
 
     pub(crate) fn watch_leaving(&self) -> watch::Receiver<Option<Duration>> {
@@ -172,9 +172,7 @@
                 .with("source", source),
         );
         self.metrics.add("configurations", source, 1);
-        if source == STORE {
-            self.gossip.greet_all();
-        }
+        gossip::spread(self);
         self.room_came();
     }
 
@@ -183,6 +181,12 @@
         self.state.borrow_mut().confirm_configuration(as_of);
     }
 
+    /// Whether others that start ask this router first.
+    #[must_use]
+    pub fn is_seed(&self) -> bool {
+        self.settings.seeds.contains(&self.settings.link)
+    }
+
     /// How long ago the configuration in force was the store's newest.
     #[must_use]
     pub fn configuration_age(&self) -> Option<Duration> {
@@ -199,8 +203,19 @@
     /// Takes a list of targets.
     pub fn take_targets(&self, list: List, source: &str) {
         let as_of = list.as_of;
-        let changes = self.state.borrow_mut().take_list(list);
-        for change in &changes {
+        let (first, changes) = {
+            let mut state = self.state.borrow_mut();
+            let first = state.registry.read_at().is_none();
+            (first, state.take_list(list))
+        };
+        if first {
+            let line = self.journal.line("targets_taken");
+            let line = line.with("count", changes.len()).with("source", source);
+            let age = self.now().saturating_sub(as_of);
+            drop(line.with_ms("age_ms", age));
+        }
+        // Of the first list the count says enough: its targets are nobody's change.
+        for change in changes.iter().filter(|_| !first) {
             let (event, target) = match change {
                 Change::Came(target) => ("target_came", target),
                 Change::Leaves(target) => ("target_leaves", target),
@@ -214,8 +229,8 @@
             let line = line.with("service", target.service.as_ref());
             drop(line.with("source", source).with_ms("age_ms", age));
         }
-        if source == STORE {
-            self.gossip.greet_all();
+        if source == STORE || !changes.is_empty() {
+            gossip::spread(self);
         }
         if !changes.is_empty() {
             self.pool.trim(self.now(), |tag| self.gone(tag));
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -14,6 +14,7 @@
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::member::{Card, Members};
+use dunlinward_dispatch::membership::{Change as MemberChange, Membership, Turn};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Memory, Prefix, Prompt, Use};
 use dunlinward_dispatch::reach::Reach;
@@ -24,7 +25,6 @@
 use dunlinward_dispatch::tries::Tries;
 use dunlinward_dispatch::usage::{Peer, Usage};
 
-use crate::gossip;
 use crate::lease::Place;
 use crate::node::List;
 use crate::queue::{Asker, Origin, Waiter};
@@ -92,6 +92,9 @@
     pub(crate) reach: Reach,
     /// Which callers come back.
     pub(crate) tries: Tries,
+    /// Which routers are alive.
+    pub(crate) membership: Membership,
+    /// Which of them owns what.
     pub(crate) members: Members,
     pub(crate) queue: Vec<Waiter>,
     /// Failures that all routers report of the targets of this router's cells.
@@ -104,6 +107,12 @@
 impl State {
     /// Nothing known yet.
     pub(crate) fn new(settings: &Settings, peer: Peer) -> Self {
+        let card = Card {
+            address: settings.link,
+            peer,
+            domain: settings.domain.clone(),
+            millicores: settings.millicores,
+        };
         Self {
             table: None,
             configuration_at: None,
@@ -116,16 +125,8 @@
             shares: Shares::new(settings.share_window),
             reach: Reach::new(settings.report_interval),
             tries: Tries::new(),
-            members: Members::new(
-                Card {
-                    address: settings.link,
-                    peer,
-                    domain: settings.domain.clone(),
-                    millicores: settings.millicores,
-                },
-                gossip::FANOUT,
-                settings.report_interval,
-            ),
+            membership: Membership::new(card.clone(), &settings.seeds, settings.report_interval),
+            members: Members::new(card),
             queue: Vec::new(),
             reported: Health::new(),
             granted: HashMap::new(),
@@ -140,6 +141,38 @@
             .retain(|_, (at, _)| now.saturating_sub(*at) < GRANT_KEPT);
     }
 
+    /// Takes over what changed in who is alive.
+    pub(crate) fn take_turn(&mut self, turn: &Turn, now: Duration) {
+        for change in &turn.changes {
+            match change {
+                MemberChange::Heard(card, condition) => {
+                    self.members.hear(card, *condition, now);
+                }
+                MemberChange::Lost(card) => self.members.remove(card),
+            }
+        }
+        for address in &turn.missed {
+            // The silence of a router that is about to end says nothing of its domain.
+            if !self.members.leaves(*address)
+                && let Some(domain) = self.members.domain(*address)
+            {
+                self.reach.miss(&domain);
+            }
+        }
+    }
+
+    /// This router doesn't keep up, or does again.
+    pub(crate) fn set_behind(&mut self, behind: bool) {
+        self.members.set_behind(behind);
+        self.membership.set_condition(self.members.condition());
+    }
+
+    /// This router is about to end.
+    pub(crate) fn leave(&mut self) {
+        self.members.leave();
+        self.membership.set_condition(self.members.condition());
+    }
+
     /// The configuration in force was the store's newest at `as_of`.
     pub(crate) fn confirm_configuration(&mut self, as_of: Duration) {
         self.configuration_at = self.configuration_at.max(Some(as_of));
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`faults`]: random faults, interleaved, on many small fleets.
 //! - [`oracle`]: the naive version, one queue that knows everything.
 //! - [`inject`]: faults of routers, targets, links, lists and callers.
+//! - [`members`]: routers of the shared data path that learn which of them are alive.
 //! - [`verify`]: invariants of the whole fleet, checked apart from the kernels.
 
 #![allow(
@@ -26,6 +27,7 @@
 pub mod fleet;
 pub mod inject;
 pub mod load;
+pub mod members;
 pub mod meter;
 pub mod net;
 pub mod oracle;
