--- a/crates/trial/examples/members.rs
+++ b/crates/trial/examples/members.rs
@@ -5,6 +5,11 @@
 //! cut know it and know each other again, until a router that stood still is known again, how many
 //! were wrongly taken to have ended, and what a router sends when nothing happens.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "figures of runs stay far below 2^52"
+)]
+
 use std::time::Duration;
 
 use dunlinward_trial::members::{Fleet, Plan};
