--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`budget`]: how often a request may be sent once more.
 //! - [`health`]: targets that fail and are left alone for a while.
 //! - [`reach`]: failure domains that may be cut off.
+//! - [`reading`]: when views were read, as routers tell each other.
 //! - [`report`]: what routers tell each other.
 
 pub mod budget;
@@ -27,6 +28,7 @@
 pub mod placement;
 pub mod prefix;
 pub mod reach;
+pub mod reading;
 pub mod registry;
 pub mod report;
 pub mod share;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -12,6 +12,7 @@
 use crate::health::Outcome;
 use crate::membership::Packet;
 use crate::prefix::{Prompt, Use};
+use crate::reading::Reading;
 use crate::share::Standing;
 use crate::target::Tag;
 use crate::usage::{Load, Peer};
@@ -45,10 +46,10 @@
 pub struct Views {
     /// Version of the configuration in force; 0 for none.
     pub configuration: u64,
-    /// How long ago that was the store's newest, in milliseconds, if it ever was.
-    pub configuration_age_ms: Option<u64>,
-    /// Age of the list of targets in milliseconds, if there is one.
-    pub registry_age_ms: Option<u64>,
+    /// The reading by which that was the store's newest.
+    pub configuration_read: Option<Reading>,
+    /// The reading of the list of targets, if there is one.
+    pub registry_read: Option<Reading>,
     /// Sum of the list of targets.
     pub registry_digest: u64,
 }
--- /dev/null
+++ b/crates/dispatch/tests/reading.rs
@@ -0,0 +1,75 @@
+//! Ages of views that are told from router to router.
+
+use std::time::Duration;
+
+use dunlinward_dispatch::reading::{Reading, Readings};
+use dunlinward_dispatch::usage::Peer;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// Routers tell each other in turn, and each message waits 30 ms: told as a mere age, the view stays
+/// as young as on the first day.
+#[test]
+fn a_reading_that_is_told_on_and_on_gets_no_younger() {
+    let mut routers: Vec<_> = (1..=5).map(|it| Readings::new(Peer(it))).collect();
+    routers[0].read(ms(1_000));
+    let mut now = ms(1_000);
+    for step in 0..500 {
+        let from = step % 5;
+        let told = routers[from].tell(now);
+        now += ms(30);
+        let to = (from + 1) % 5;
+        let Some(told) = told else {
+            continue;
+        };
+        if let Some(at) = routers[to].hear(told, now) {
+            routers[to].adopt(told, at);
+        }
+    }
+    assert_eq!(now, ms(16_000));
+    for readings in &routers {
+        let at = readings.at().unwrap();
+        assert!(at <= ms(1_000 + 5 * 30), "{at:?}");
+    }
+}
+
+#[test]
+fn a_newer_reading_of_the_same_reader_holds_and_an_older_one_is_ignored() {
+    let mut readings = Readings::new(Peer(1));
+    let reading = |number, age_ms| Reading {
+        reader: 7,
+        number,
+        age_ms,
+    };
+    assert_eq!(readings.hear(reading(2, 100), ms(1_000)), Some(ms(900)));
+    assert_eq!(readings.hear(reading(2, 0), ms(1_100)), Some(ms(900)));
+    assert_eq!(readings.hear(reading(2, 400), ms(1_200)), Some(ms(800)));
+    assert_eq!(readings.hear(reading(1, 0), ms(1_300)), None);
+    assert_eq!(readings.hear(reading(3, 50), ms(1_400)), Some(ms(1_350)));
+}
+
+#[test]
+fn a_router_tells_the_youngest_reading_of_its_view() {
+    let mut readings = Readings::new(Peer(1));
+    assert_eq!(readings.tell(ms(0)), None);
+    readings.read(ms(500));
+    let older = Reading {
+        reader: 7,
+        number: 1,
+        age_ms: 600,
+    };
+    let at = readings.hear(older, ms(1_000)).unwrap();
+    readings.adopt(older, at);
+    assert_eq!(readings.at(), Some(ms(500)));
+    let younger = Reading {
+        reader: 7,
+        number: 2,
+        age_ms: 100,
+    };
+    let at = readings.hear(younger, ms(1_000)).unwrap();
+    readings.adopt(younger, at);
+    let told = readings.tell(ms(1_200)).unwrap();
+    assert_eq!((told.reader, told.number, told.age_ms), (7, 2, 300));
+}
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -16,6 +16,7 @@
 use dunlinward_dispatch::membership::{Packet, Update, Word};
 use dunlinward_dispatch::placement::{self, Ask as Wanted, Candidate, Policy};
 use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::registry::Registry;
 use dunlinward_dispatch::report::{
     Ask, Content, CustomerTag, CustomerUse, Grant, Greeting, Message, Return, TargetLoad, Views,
@@ -185,10 +186,15 @@
         word: Word::Probe(u64::MAX / 3),
         news: Vec::new(),
     };
+    let reading = Reading {
+        reader: u32::MAX / 3,
+        number: 50,
+        age_ms: 700,
+    };
     let views = Views {
         configuration: 50,
-        configuration_age_ms: Some(700),
-        registry_age_ms: Some(700),
+        configuration_read: Some(reading),
+        registry_read: Some(reading),
         registry_digest: u64::MAX / 3,
     };
     Greeting { packet, views }
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -14,7 +14,6 @@
 use dunlinward_dispatch::membership::{Change, Turn};
 use dunlinward_dispatch::report::{Content, Greeting, Views};
 
-use crate::journal::millis;
 use crate::node::Node;
 use crate::view::{self, Wanted};
 
@@ -103,11 +102,10 @@
 fn views(node: &Node) -> Views {
     let now = node.now();
     let state = node.state.borrow();
-    let age = |at: Option<Duration>| at.map(|at| millis(now.saturating_sub(at)));
     Views {
         configuration: state.table.as_ref().map_or(0, |it| it.version()),
-        configuration_age_ms: age(state.configuration_at),
-        registry_age_ms: age(state.registry.read_at()),
+        configuration_read: state.configuration_reads.tell(now),
+        registry_read: state.registry_reads.tell(now),
         registry_digest: state.registry.digest(),
     }
 }
@@ -148,27 +146,27 @@
 fn compare(node: &Node, views: Views, now: Duration) -> News {
     let mut state = node.state.borrow_mut();
     let mut news = News::default();
-    let as_of = |age: Option<u64>| Some(now.saturating_sub(Duration::from_millis(age?)));
-    let younger = |at: Option<Duration>, known: Option<Duration>| {
-        at.zip(known)
-            .is_some_and(|(at, known)| at >= known + YOUNGER_TOLD)
+    let younger = |at: Duration, known: Option<Duration>| {
+        known.is_some_and(|known| at >= known + YOUNGER_TOLD)
     };
     let version = state.table.as_ref().map_or(0, |it| it.version());
     news.wanted.configuration = views.configuration > version;
-    if version > 0
-        && views.configuration == version
-        && let Some(at) = as_of(views.configuration_age_ms)
-    {
-        news.younger |= younger(Some(at), state.configuration_at);
-        state.confirm_configuration(at);
+    if version > 0 && views.configuration == version {
+        let known = state.configuration_reads.at();
+        let reading = views.configuration_read;
+        let at = reading.and_then(|it| state.hear_configuration(it, now));
+        news.younger |= at.is_some_and(|at| younger(at, known));
     }
-    let Some(at) = as_of(views.registry_age_ms) else {
+    let Some(reading) = views.registry_read else {
+        return news;
+    };
+    let Some(at) = state.registry_reads.hear(reading, now) else {
         return news;
     };
     let known = state.registry.read_at();
     if views.registry_digest == state.registry.digest() {
-        news.younger |= younger(Some(at), known);
-        state.registry.confirm(views.registry_digest, at);
+        news.younger |= younger(at, known);
+        state.confirm_registry(views.registry_digest, reading, at);
         return news;
     }
     news.wanted.targets = known.is_none_or(|known| at > known + YOUNGER);
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -11,6 +11,7 @@
 use dunlinward_dispatch::configuration::{Configuration, Table};
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::member::{Duty, Scope};
+use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::registry::Change;
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share::Standing;
@@ -43,6 +44,8 @@
     pub as_of: Duration,
     /// Whether what it lacks has surely ended: it is of a router that saw no outage.
     pub settled: bool,
+    /// The reading of a peer that it comes from; none if this router has read it itself.
+    pub reading: Option<Reading>,
 }
 
 /// A router.
@@ -176,9 +179,10 @@
         self.room_came();
     }
 
-    /// The configuration in force was the store's newest at `as_of`.
-    pub fn confirm_configuration(&self, as_of: Duration) {
-        self.state.borrow_mut().confirm_configuration(as_of);
+    /// This router has read that the configuration in force is the store's newest.
+    pub fn confirm_configuration(&self) {
+        let now = self.now();
+        self.state.borrow_mut().configuration_reads.read(now);
     }
 
     /// Whether others that start ask this router first.
@@ -190,7 +194,7 @@
     /// How long ago the configuration in force was the store's newest.
     #[must_use]
     pub fn configuration_age(&self) -> Option<Duration> {
-        let at = self.state.borrow().configuration_at;
+        let at = self.state.borrow().configuration_reads.at();
         at.map(|at| self.now().saturating_sub(at))
     }
 
@@ -206,6 +210,12 @@
         let (first, changes) = {
             let mut state = self.state.borrow_mut();
             let first = state.registry.read_at().is_none();
+            if state.registry.read_at().is_none_or(|at| as_of >= at) {
+                match list.reading {
+                    Some(reading) => state.registry_reads.adopt(reading, as_of),
+                    None => state.registry_reads.read(as_of),
+                }
+            }
             (first, state.take_list(list))
         };
         if first {
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -18,6 +18,7 @@
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Memory, Prefix, Prompt, Use};
 use dunlinward_dispatch::reach::Reach;
+use dunlinward_dispatch::reading::{Reading, Readings};
 use dunlinward_dispatch::registry::{Change, Registry};
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Wait};
 use dunlinward_dispatch::share::{Shares, Standing};
@@ -91,9 +92,11 @@
 /// Everything that changes.
 pub(crate) struct State {
     pub(crate) table: Option<Rc<Table>>,
-    /// When the configuration was the store's newest.
-    pub(crate) configuration_at: Option<Duration>,
+    /// Readings by which the configuration was the store's newest.
+    pub(crate) configuration_reads: Readings,
     pub(crate) registry: Registry,
+    /// Readings of the list of targets.
+    pub(crate) registry_reads: Readings,
     pub(crate) usage: Usage,
     pub(crate) memory: Memory,
     /// What engines of this router's cells say that they keep.
@@ -127,8 +130,9 @@
         };
         Self {
             table: None,
-            configuration_at: None,
+            configuration_reads: Readings::new(peer),
             registry: Registry::new().with_cell_targets(settings.cell_targets),
+            registry_reads: Readings::new(peer),
             usage: Usage::new(),
             memory: Memory::new(),
             caches: Caches::new(),
@@ -185,9 +189,22 @@
         self.membership.set_condition(self.members.condition());
     }
 
-    /// The configuration in force was the store's newest at `as_of`.
-    pub(crate) fn confirm_configuration(&mut self, as_of: Duration) {
-        self.configuration_at = self.configuration_at.max(Some(as_of));
+    /// A peer tells by which reading the configuration in force was the store's newest; when that
+    /// was, if it is not known to be older.
+    pub(crate) fn hear_configuration(
+        &mut self,
+        reading: Reading,
+        now: Duration,
+    ) -> Option<Duration> {
+        let at = self.configuration_reads.hear(reading, now)?;
+        self.configuration_reads.adopt(reading, at);
+        Some(at)
+    }
+
+    /// A peer with the same list of targets tells by which reading it has it.
+    pub(crate) fn confirm_registry(&mut self, digest: u64, reading: Reading, at: Duration) {
+        self.registry.confirm(digest, at);
+        self.registry_reads.adopt(reading, at);
     }
 
     /// Takes a list of targets.
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -11,12 +11,12 @@
 
 use bincode::config::standard;
 use dunlinward_dispatch::configuration::Configuration;
+use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::target::Target;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::journal::millis;
 use crate::node::{List, Node};
 
 /// Largest view in bytes.
@@ -59,15 +59,15 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct View {
     configuration: Option<Configuration>,
-    /// How long ago the configuration was the store's newest.
-    configuration_age_ms: u64,
+    /// The reading by which the configuration was the store's newest.
+    configuration_read: Option<Reading>,
     targets: Option<Targets>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Targets {
     list: Vec<Target>,
-    age_ms: u64,
+    read: Reading,
     /// Whether the sender saw no outage that leaves it open which targets have ended.
     settled: bool,
 }
@@ -103,16 +103,26 @@
 fn take(node: &Rc<Node>, view: View) {
     if let Some(configuration) = view.configuration {
         node.take_configuration(configuration, "peer");
-        let age = Duration::from_millis(view.configuration_age_ms);
-        node.confirm_configuration(node.now().saturating_sub(age));
+        if let Some(reading) = view.configuration_read {
+            let now = node.now();
+            node.state.borrow_mut().hear_configuration(reading, now);
+        }
     }
     if let Some(targets) = view.targets {
-        let age = Duration::from_millis(targets.age_ms);
-        let as_of = node.now().saturating_sub(age);
+        let now = node.now();
+        let heard = node
+            .state
+            .borrow_mut()
+            .registry_reads
+            .hear(targets.read, now);
+        let Some(as_of) = heard else {
+            return;
+        };
         let list = List {
             targets: targets.list,
             as_of,
             settled: targets.settled,
+            reading: Some(targets.read),
         };
         node.take_targets(list, "peer");
     }
@@ -153,18 +163,17 @@
     let state = node.state.borrow();
     let now = node.now();
     let configuration = state.table.as_ref().map(|it| it.configuration().clone());
-    let targets = state.registry.read_at().map(|at| Targets {
+    let targets = state.registry_reads.tell(now).map(|read| Targets {
         list: state
             .registry
             .listed()
             .map(|it| it.as_ref().clone())
             .collect(),
-        age_ms: millis(now.saturating_sub(at)),
+        read,
         settled: state.registry.settled(),
     });
-    let age = state.configuration_at.map(|at| now.saturating_sub(at));
     View {
-        configuration_age_ms: age.map_or(u64::MAX, millis),
+        configuration_read: state.configuration_reads.tell(now),
         configuration: configuration.filter(|_| wanted.configuration),
         targets: targets.filter(|_| wanted.targets),
     }
