Time to find an owner bounded by the time to wait again: passing slow owners over costs more than refusing

Cause looked for: nine in ten refusals for want of room had no answer of an owner. The change let a request look for an owner beside its time to wait.

--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -197,7 +197,7 @@
 }
 
 /// What a request asks for.
-pub(crate) fn wish(node: &Rc<Node>, job: &Job, failed: Option<Tag>, patience: Duration) -> Wish {
+pub(crate) fn wish(node: &Rc<Node>, job: &Job, failed: Option<Tag>, until: Duration) -> Wish {
     let draw = node.draw();
     let now = node.now();
     let state = node.state.borrow();
@@ -220,9 +220,7 @@
         returning: job.returning,
         counted: failed.is_some(),
         avoid,
-        patience,
-        until: job.deadline,
-        deadline: job.deadline,
+        until,
         claim: Claim::All,
         draw,
     }
@@ -236,7 +234,7 @@
     let mut may_have_run: Option<Failure> = None;
     loop {
         tries += 1;
-        let wish = wish(node, job, exclude, patience(node, job));
+        let wish = wish(node, job, exclude, give_up_at(node, job));
         let lease = node.place(wish).await;
         let lease = lease.map_err(|refusal| match may_have_run {
             Some(failure) => final_refusal(node, job, failure),
@@ -270,16 +268,17 @@
     }
 }
 
-/// How long a try to place a request waits for room. It does not count from the arrival, as a
+/// How long this try to place a request may last. It counts from now and not from the arrival, as a
 /// second try comes after a target has had the request for longer than that.
-fn patience(node: &Rc<Node>, job: &Job) -> Duration {
+fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
     let patience = &node.settings.patience;
     let part = if job.returning {
         patience.returning
     } else {
         patience.first
     };
-    job.route.objective.mul_f64(part)
+    let until = node.now() + job.route.objective.mul_f64(part);
+    until.min(job.deadline)
 }
 
 fn answer_limit(node: &Rc<Node>, job: &Job, sends: u32) -> Duration {
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -52,9 +52,7 @@
             returning: ask.returning,
             counted: ask.counted,
             avoid: ask.avoid,
-            patience: ask.patience,
             until: now + ask.patience,
-            deadline: now + ask.patience,
             claim: Claim::All,
             draw: node.draw(),
         };
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -2,8 +2,7 @@
 //!
 //! The owner of a cell places its requests, as it alone knows all that its targets
 //! have to do. A request is put to the owner in one datagram; the answer is a place,
-//! or that the request waits there. How long it waits counts from then, so that an owner
-//! that doesn't answer takes none of that time. While it waits it is put again from time to
+//! or that the request waits there. While it waits it is put again from time to
 //! time, so that a lost answer is made good. An owner that doesn't answer is passed
 //! over, and the next one is asked; when that one is silent too, this router places
 //! the request itself, with the part of the room that is its own if all routers did so.
@@ -76,7 +75,7 @@
             if owner == self.settings.link {
                 return self.place_here(wish).await;
             }
-            match self.ask(owner, &mut wish).await {
+            match self.ask(owner, &wish).await {
                 Asked::Placed(lease) => return Ok(lease),
                 Asked::GivenUp(wait) => return Err(refusal(wait).with_owner(owner)),
                 Asked::Unanswered => {}
@@ -93,18 +92,14 @@
         state.members.owner(wish.cell, self.now())
     }
 
-    async fn ask(self: &Rc<Self>, owner: SocketAddr, wish: &mut Wish) -> Asked {
+    async fn ask(self: &Rc<Self>, owner: SocketAddr, wish: &Wish) -> Asked {
         let mut question = Question::new(self, owner);
         let time = answer_time(wish);
         let mut silent = 0;
         let mut waits = None;
         loop {
-            if waits.is_none() {
-                wish.begin_to_wait(self.now());
-            }
             question.put(wish);
-            let limit = waits.map_or(wish.deadline, |_| wish.until);
-            match question.listen(time, limit).await {
+            match question.listen(time, wish.until).await {
                 Some(Answer::Grant(grant)) => return question.accept(wish, grant),
                 Some(Answer::Wait(wait)) => {
                     silent = 0;
@@ -116,17 +111,12 @@
                 }
                 None => silent += 1,
             }
-            let limit = waits.map_or(wish.deadline, |_| wish.until);
-            if self.now() >= limit {
+            if self.now() >= wish.until {
                 return Asked::GivenUp(waits);
             }
             if silent > 0 {
                 let passed = self.missed(owner);
                 if passed || silent >= TRIES {
-                    if waits.is_some() {
-                        // It has waited already; the next owner has what is left.
-                        wish.patience = wish.until.saturating_sub(self.now());
-                    }
                     return Asked::Unanswered;
                 }
             }
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -82,8 +82,7 @@
     }
 
     /// Places a request of this router's callers by what this router knows, now or later.
-    pub(crate) async fn place_here(self: &Rc<Self>, mut wish: Wish) -> Result<Lease, Refusal> {
-        wish.begin_to_wait(self.now());
+    pub(crate) async fn place_here(self: &Rc<Self>, wish: Wish) -> Result<Lease, Refusal> {
         if let Some(lease) = self.place_now(&wish) {
             return Ok(lease);
         }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -258,8 +258,7 @@
         self.sends += 1;
         self.begun = false;
         let exclude = failed.map(|it| it.tag());
-        let left = self.job.deadline.saturating_sub(self.node.now());
-        let wish = exchange::wish(&self.node, &self.job, exclude, left);
+        let wish = exchange::wish(&self.node, &self.job, exclude, self.job.deadline);
         let Ok(lease) = self.node.place(wish).await else {
             return Err(Broken { reason: "no_room" });
         };
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -69,26 +69,14 @@
     pub counted: bool,
     /// Targets that have failed it, or its router lately.
     pub avoid: Vec<Tag>,
-    /// How long it waits for room, once an owner that answers has taken it.
-    pub patience: Duration,
     /// When it is given up.
     pub until: Duration,
-    /// When its caller has left; nothing lasts longer.
-    pub deadline: Duration,
     /// Which room it may use.
     pub claim: Claim,
     /// Spreads ties.
     pub draw: u64,
 }
 
-impl Wish {
-    /// It begins to wait for room now. The time in which an owner that answers was looked for does
-    /// not count: it is 30 ms for a silent one, as long as a quick request waits.
-    pub fn begin_to_wait(&mut self, now: Duration) {
-        self.until = self.deadline.min(now + self.patience);
-    }
-}
-
 /// Everything that changes.
 pub(crate) struct State {
     pub(crate) table: Option<Rc<Table>>,
