--- a/crates/dispatch/src/membership/mod.rs
+++ b/crates/dispatch/src/membership/mod.rs
@@ -31,11 +31,10 @@
 use digest::Digest;
 use news::News;
 use probe::{Draws, Probe, Relayed, Ring};
-pub use update::{Change, Letter, Life, Packet, Update, Word};
+pub use update::{Change, Kind, Outgoing, Packet, Status, Update};
 
 /// Intervals for which a router is suspected before it counts as ended: 1 s at ten probes a
-/// second, in which news of it reaches all and its answer reaches them too. With 0.8 s one in
-/// 85 routers was once wrongly taken to have ended in a minute with a tenth of all packets lost.
+/// second, in which the suspicion reaches it and its answer reaches all, 0.4 s each at 600 routers.
 const SUSPICION: u32 = 10;
 
 /// How long it is remembered that a router has ended, and its address tried now and then: longer
@@ -61,16 +60,16 @@
 }
 
 #[derive(Clone, Debug)]
-struct Ended {
+struct Tombstone {
     update: Update,
     at: Duration,
 }
 
 /// What came of a packet or a moment.
 #[derive(Clone, Debug, Default)]
-pub struct Turn {
+pub struct Effects {
     /// Packets to be sent.
-    pub letters: Vec<Letter>,
+    pub outgoing: Vec<Outgoing>,
     /// What changed in who is alive.
     pub changes: Vec<Change>,
     /// Routers that a probe of this one got no answer from in time.
@@ -85,7 +84,7 @@
     interval: Duration,
     // Ordered, so that what follows from them is the same each time.
     known: BTreeMap<SocketAddr, Record>,
-    ended: BTreeMap<Peer, Ended>,
+    ended: BTreeMap<Peer, Tombstone>,
     digest: Digest,
     news: News,
     ring: Ring,
@@ -136,12 +135,12 @@
     pub fn set_condition(&mut self, condition: Condition) {
         if self.own.condition != condition {
             self.own.condition = condition;
-            self.speak_anew(self.own.incarnation);
+            self.announce(self.own.incarnation);
         }
     }
 
     /// Speaks of this router under an incarnation above one that was told of it.
-    fn speak_anew(&mut self, told: u32) {
+    fn announce(&mut self, told: u32) {
         self.own.incarnation = told.max(self.own.incarnation) + 1;
         self.news.push(self.own.clone());
     }
@@ -158,37 +157,38 @@
 
     /// A packet that only brings news.
     pub fn news(&mut self) -> Packet {
-        self.packet(Word::News)
+        self.packet(Kind::News)
     }
 
     /// A packet with news.
-    fn packet(&mut self, word: Word) -> Packet {
+    fn packet(&mut self, kind: Kind) -> Packet {
         Packet {
             news: self.news.take(self.known.len() + 1),
-            ..self.bare(word)
+            ..self.bare(kind)
         }
     }
 
     /// A packet without news, for whom they would be lost on.
-    fn bare(&self, word: Word) -> Packet {
+    fn bare(&self, kind: Kind) -> Packet {
         Packet {
             sender: self.own.clone(),
             digest: self.digest.sum(),
-            word,
+            kind,
             news: Vec::new(),
         }
     }
 
-    fn letter(&mut self, to: SocketAddr, word: Word) -> Letter {
-        let packet = self.packet(word);
-        Letter { to, packet }
+    fn outgoing(&mut self, to: SocketAddr, kind: Kind) -> Outgoing {
+        let packet = self.packet(kind);
+        Outgoing { to, packet }
     }
 
     /// A router is new.
-    fn insert(&mut self, update: Update, turn: &mut Turn) {
+    fn insert(&mut self, update: Update, effects: &mut Effects) {
         self.digest.flip(&update.card);
         self.ring.insert(update.card.address, &mut self.draws);
-        turn.changes
+        effects
+            .changes
             .push(Change::Heard(update.card.clone(), update.condition));
         let record = Record {
             suspected_until: Duration::ZERO,
@@ -198,18 +198,18 @@
         self.known.insert(record.update.card.address, record);
     }
 
-    /// A router has ended; it is remembered, so that no older word brings it back.
-    fn end(&mut self, address: SocketAddr, now: Duration, turn: &mut Turn) {
+    /// A router has ended; it is remembered, so that no older update brings it back.
+    fn end(&mut self, address: SocketAddr, now: Duration, effects: &mut Effects) {
         let Some(record) = self.known.remove(&address) else {
             return;
         };
         self.digest.flip(&record.update.card);
         self.ring.remove(address);
         self.probes.retain(|it| it.target != address);
-        let update = record.update.with_life(Life::Ended);
+        let update = record.update.with_status(Status::Ended);
         self.remember(update.clone(), now);
         self.news.push(update);
-        turn.changes.push(Change::Lost(record.update.card));
+        effects.changes.push(Change::Lost(record.update.card));
     }
 
     fn remember(&mut self, update: Update, now: Duration) {
@@ -220,6 +220,6 @@
             }
         }
         let peer = update.card.peer;
-        self.ended.insert(peer, Ended { update, at: now });
+        self.ended.insert(peer, Tombstone { update, at: now });
     }
 }
--- a/crates/dispatch/src/membership/receive.rs
+++ b/crates/dispatch/src/membership/receive.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::probe::Relayed;
-use super::update::{Letter, Life, Packet, Update, Word};
-use super::{ALONE, Change, Membership, PAGE, SUSPICION, Turn, digest};
+use super::update::{Kind, Outgoing, Packet, Status, Update};
+use super::{ALONE, Change, Effects, Membership, PAGE, SUSPICION, digest};
 
 /// Packets with other sums in a row after which a router pulls: with twenty a second 0.25 s, in
 /// which what has just changed has reached most.
@@ -36,40 +36,40 @@
 
 impl Membership {
     /// Takes a packet.
-    pub fn receive(&mut self, packet: Packet, now: Duration) -> Turn {
-        let mut turn = Turn::default();
+    pub fn receive(&mut self, packet: Packet, now: Duration) -> Effects {
+        let mut effects = Effects::default();
         let Packet {
             sender,
             digest,
-            word,
+            kind,
             news,
         } = packet;
         if sender.card.address == self.own.card.address {
-            return turn;
+            return effects;
         }
         self.note_contact(now);
         let from = sender.card.address;
         let objection = self.objection(&sender);
-        self.learn(sender, Source::Itself, now, &mut turn);
-        let source = match &word {
-            Word::Page(parts) => {
+        self.learn(sender, Source::Itself, now, &mut effects);
+        let source = match &kind {
+            Kind::Page(parts) => {
                 self.look_for_absent(parts, &news);
                 Source::Page
             }
             _ => Source::News,
         };
         for update in news {
-            self.learn(update, source, now, &mut turn);
+            self.learn(update, source, now, &mut effects);
         }
         let compares = source != Source::Page;
-        self.answer(from, word, now, &mut turn);
+        self.answer(from, kind, now, &mut effects);
         if let Some(objection) = objection {
-            self.object(from, objection, &mut turn);
+            self.object(from, objection, &mut effects);
         }
         if compares {
-            self.compare(from, digest, now, &mut turn);
+            self.compare(from, digest, now, &mut effects);
         }
-        turn
+        effects
     }
 
     /// A packet came. After a long silence this router was cut off or stood still: what it then
@@ -81,7 +81,7 @@
             self.ended.retain(|_, it| it.at < since);
             self.probes.clear();
             for record in self.known.values_mut() {
-                record.update.life = Life::Alive;
+                record.update.status = Status::Alive;
             }
             self.news.clear();
             self.differing = DIFFERING;
@@ -95,26 +95,28 @@
         let held = known
             .filter(|it| it.card.peer == sender.card.peer)
             .or(ended)?;
-        let against = held.life != Life::Alive && held.incarnation >= sender.incarnation;
+        let against = held.status != Status::Alive && held.incarnation >= sender.incarnation;
         against.then(|| held.clone())
     }
 
     /// Tells a router what is held against it, in the packet that goes there or one of its own.
-    fn object(&mut self, to: SocketAddr, objection: Update, turn: &mut Turn) {
-        let place = turn.letters.iter().position(|it| it.to == to);
+    fn object(&mut self, to: SocketAddr, objection: Update, effects: &mut Effects) {
+        let place = effects.outgoing.iter().position(|it| it.to == to);
         let place = place.unwrap_or_else(|| {
-            let letter = self.letter(to, Word::News);
-            turn.letters.push(letter);
-            turn.letters.len() - 1
+            let letter = self.outgoing(to, Kind::News);
+            effects.outgoing.push(letter);
+            effects.outgoing.len() - 1
         });
-        turn.letters[place].packet.news.push(objection);
+        effects.outgoing[place].packet.news.push(objection);
     }
 
-    fn answer(&mut self, from: SocketAddr, word: Word, now: Duration, turn: &mut Turn) {
-        match word {
-            Word::Probe(number) => turn.letters.push(self.letter(from, Word::Ack(number))),
-            Word::Ack(number) => self.acknowledge(number, turn),
-            Word::Relay { number, target } => {
+    fn answer(&mut self, from: SocketAddr, kind: Kind, now: Duration, effects: &mut Effects) {
+        match kind {
+            Kind::Probe(number) => effects
+                .outgoing
+                .push(self.outgoing(from, Kind::Ack(number))),
+            Kind::Ack(number) => self.acknowledge(number, effects),
+            Kind::Relay { number, target } => {
                 let own = self.draws.number();
                 self.relayed.push(Relayed {
                     number: own,
@@ -122,26 +124,28 @@
                     origin_number: number,
                     sent: now,
                 });
-                turn.letters.push(self.letter(target, Word::Probe(own)));
+                effects
+                    .outgoing
+                    .push(self.outgoing(target, Kind::Probe(own)));
             }
-            Word::Pull(sums) => self.pages(from, &sums, turn),
-            Word::News | Word::Page(_) => {}
+            Kind::Pull(sums) => self.pages(from, &sums, effects),
+            Kind::News | Kind::Page(_) => {}
         }
     }
 
-    fn acknowledge(&mut self, number: u64, turn: &mut Turn) {
+    fn acknowledge(&mut self, number: u64, effects: &mut Effects) {
         self.probes.retain(|it| it.number != number);
         let relayed = self.relayed.iter().position(|it| it.number == number);
         if let Some(place) = relayed {
             let relayed = self.relayed.swap_remove(place);
-            let word = Word::Ack(relayed.origin_number);
-            turn.letters.push(self.letter(relayed.origin, word));
+            let kind = Kind::Ack(relayed.origin_number);
+            effects.outgoing.push(self.outgoing(relayed.origin, kind));
         }
     }
 
     /// Answers a pull with the members of the parts that differ. Those that have ended are left out:
     /// after a cut each side takes the other to have ended.
-    fn pages(&mut self, to: SocketAddr, sums: &[u32], turn: &mut Turn) {
+    fn pages(&mut self, to: SocketAddr, sums: &[u32], effects: &mut Effects) {
         let mut parts = Vec::new();
         let mut members = Vec::new();
         for part in self.digest.differing(sums) {
@@ -149,22 +153,26 @@
             let known = self.known.values().map(|it| &it.update);
             members.extend(known.filter(|it| digest::part(&it.card) == part).cloned());
             if members.len() >= PAGE {
-                turn.letters.push(self.page(to, &mut parts, &mut members));
+                effects
+                    .outgoing
+                    .push(self.page(to, &mut parts, &mut members));
             }
         }
         if !parts.is_empty() {
-            turn.letters.push(self.page(to, &mut parts, &mut members));
+            effects
+                .outgoing
+                .push(self.page(to, &mut parts, &mut members));
         }
     }
 
-    fn page(&self, to: SocketAddr, parts: &mut Vec<u8>, members: &mut Vec<Update>) -> Letter {
-        let word = Word::Page(std::mem::take(parts));
+    fn page(&self, to: SocketAddr, parts: &mut Vec<u8>, members: &mut Vec<Update>) -> Outgoing {
+        let kind = Kind::Page(std::mem::take(parts));
         let news = std::mem::take(members);
         let packet = Packet {
             news,
-            ..self.bare(word)
+            ..self.bare(kind)
         };
-        Letter { to, packet }
+        Outgoing { to, packet }
     }
 
     /// Members that another router doesn't know any more are probed soon: this one may have missed
@@ -184,7 +192,7 @@
     }
 
     /// Pulls from a sender once its sums and those of others before it were not this router's.
-    fn compare(&mut self, from: SocketAddr, digest: u32, now: Duration, turn: &mut Turn) {
+    fn compare(&mut self, from: SocketAddr, digest: u32, now: Duration, effects: &mut Effects) {
         if digest == self.digest.sum() {
             self.differing = 0;
             return;
@@ -200,21 +208,21 @@
             .is_none_or(|at| now.saturating_sub(at) >= self.interval * pause);
         if self.differing >= packets && paused {
             self.differing = 0;
-            turn.letters.push(self.pull(from, now));
+            effects.outgoing.push(self.pull(from, now));
         }
     }
 
     /// Asks a router for what this one doesn't know.
-    pub(super) fn pull(&mut self, from: SocketAddr, now: Duration) -> Letter {
+    pub(super) fn pull(&mut self, from: SocketAddr, now: Duration) -> Outgoing {
         self.pulled = Some(now);
         let sums = self.digest.parts();
-        self.letter(from, Word::Pull(sums))
+        self.outgoing(from, Kind::Pull(sums))
     }
 
-    fn learn(&mut self, update: Update, source: Source, now: Duration, turn: &mut Turn) {
+    fn learn(&mut self, update: Update, source: Source, now: Duration, effects: &mut Effects) {
         let card = &update.card;
         if card.peer == self.own.card.peer {
-            self.deny(&update);
+            self.refute(&update);
             return;
         }
         if card.address == self.own.card.address {
@@ -226,73 +234,73 @@
             return;
         }
         let known = self.known.get(&card.address).map(|it| &it.update);
-        let suspected = known.is_some_and(|it| it.life == Life::Suspect);
+        let suspected = known.is_some_and(|it| it.status == Status::Suspect);
         match known.map(|it| it.card.peer == card.peer) {
-            Some(true) => self.renew(update, source, now, turn),
-            Some(false) | None if update.life == Life::Ended => self.remember(update, now),
+            Some(true) => self.renew(update, source, now, effects),
+            Some(false) | None if update.status == Status::Ended => self.remember(update, now),
             Some(false) if source == Source::Itself || suspected => {
-                self.end(update.card.address, now, turn);
-                self.welcome(&update, source, turn);
+                self.end(update.card.address, now, effects);
+                self.welcome(&update, source, effects);
             }
             Some(false) => self.doubted.push(card.address),
-            None => self.welcome(&update, source, turn),
+            None => self.welcome(&update, source, effects),
         }
     }
 
     /// Denies what is said against this router.
-    fn deny(&mut self, update: &Update) {
-        if update.life == Life::Alive {
+    fn refute(&mut self, update: &Update) {
+        if update.status == Status::Alive {
             return;
         }
         if update.incarnation >= self.own.incarnation {
-            self.speak_anew(update.incarnation);
+            self.announce(update.incarnation);
         } else {
             self.news.push(self.own.clone());
         }
     }
 
     /// A router that was not known.
-    fn welcome(&mut self, update: &Update, source: Source, turn: &mut Turn) {
+    fn welcome(&mut self, update: &Update, source: Source, effects: &mut Effects) {
         self.ended.remove(&update.card.peer);
         if source != Source::Page {
             self.news.push(update.clone());
         }
-        self.insert(update.with_life(Life::Alive), turn);
+        self.insert(update.with_status(Status::Alive), effects);
     }
 
     /// News of a router that is known.
-    fn renew(&mut self, mut update: Update, source: Source, now: Duration, turn: &mut Turn) {
+    fn renew(&mut self, mut update: Update, source: Source, now: Duration, effects: &mut Effects) {
         let address = update.card.address;
         let Some(record) = self.known.get_mut(&address) else {
             return;
         };
-        if source == Source::Itself && record.update.life == Life::Suspect {
+        if source == Source::Itself && record.update.status == Status::Suspect {
             // What was just heard of it is younger than the suspicion.
-            record.update.life = Life::Alive;
+            record.update.status = Status::Alive;
             record.accused = false;
         }
         if !update.overrides(&record.update) {
-            if update.life != Life::Alive && record.update.incarnation > update.incarnation {
+            if update.status != Status::Alive && record.update.incarnation > update.incarnation {
                 // Whoever says so has missed what that router answered.
                 let denial = record.update.clone();
                 self.news.push(denial);
             }
             return;
         }
-        if update.life == Life::Ended {
+        if update.status == Status::Ended {
             // Whoever was cut off takes all others to have ended. So each router waits for itself
             // whether that is denied.
-            update.life = Life::Suspect;
+            update.status = Status::Suspect;
             if !update.overrides(&record.update) {
                 return;
             }
         }
-        if update.life == Life::Suspect {
+        if update.status == Status::Suspect {
             record.suspected_until = now + self.interval * SUSPICION;
         }
         if update.condition != record.update.condition {
             let heard = Change::Heard(update.card.clone(), update.condition);
-            turn.changes.push(heard);
+            effects.changes.push(heard);
         }
         record.update = update.clone();
         self.news.push(update);
--- a/crates/dispatch/src/membership/update.rs
+++ b/crates/dispatch/src/membership/update.rs
@@ -3,7 +3,7 @@
 //! An update is about one start of one router. Of two updates about the same start the
 //! one with the higher incarnation holds; only that router itself raises it, to say
 //! something new of itself or that it is alive after all. With equal incarnations the
-//! graver one holds, so a suspicion can't be undone by an older word.
+//! graver one holds, so a suspicion can't be undone by an older update.
 
 use std::net::SocketAddr;
 
@@ -13,7 +13,7 @@
 
 /// Whether a router runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Life {
+pub enum Status {
     /// It does.
     Alive,
     /// It left probes unanswered.
@@ -32,7 +32,7 @@
     /// Whether it may own cells.
     pub condition: Condition,
     /// Whether it runs.
-    pub life: Life,
+    pub status: Status,
 }
 
 impl Update {
@@ -43,15 +43,15 @@
             card,
             incarnation: 0,
             condition: Condition::Sound,
-            life: Life::Alive,
+            status: Status::Alive,
         }
     }
 
     /// The same router, running or not.
     #[must_use]
-    pub fn with_life(&self, life: Life) -> Self {
+    pub fn with_status(&self, status: Status) -> Self {
         Self {
-            life,
+            status,
             ..self.clone()
         }
     }
@@ -59,13 +59,13 @@
     /// Whether this holds against `other`, said of the same start.
     #[must_use]
     pub fn overrides(&self, other: &Self) -> bool {
-        (self.incarnation, self.life) > (other.incarnation, other.life)
+        (self.incarnation, self.status) > (other.incarnation, other.status)
     }
 }
 
 /// What a packet is for, beside the news in it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum Kind {
     /// Asks for an answer with the same number.
     Probe(u64),
     /// Answers a probe.
@@ -93,14 +93,14 @@
     /// Sum of the members that the sender knows.
     pub digest: u32,
     /// What the packet is for.
-    pub word: Word,
+    pub kind: Kind,
     /// What the sender has learned lately.
     pub news: Vec<Update>,
 }
 
 /// A packet and where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Letter {
+pub struct Outgoing {
     /// The receiver.
     pub to: SocketAddr,
     /// The packet.
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -13,7 +13,7 @@
 use dunlinward_dispatch::cache::Held;
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::member::{Card, Condition, Members};
-use dunlinward_dispatch::membership::{Packet, Update, Word};
+use dunlinward_dispatch::membership::{Kind, Packet, Update};
 use dunlinward_dispatch::placement::{self, Ask as Wanted, Candidate, Policy};
 use dunlinward_dispatch::prefix::{Part, Prompt};
 use dunlinward_dispatch::reading::Reading;
@@ -183,7 +183,7 @@
     let packet = Packet {
         sender: Update::new(card(1)),
         digest: u32::MAX / 3,
-        word: Word::Probe(u64::MAX / 3),
+        kind: Kind::Probe(u64::MAX / 3),
         news: Vec::new(),
     };
     let reading = Reading {
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinward_dispatch::membership::{Change, Turn};
+use dunlinward_dispatch::membership::{Change, Effects};
 use dunlinward_dispatch::report::{Content, Greeting, Views};
 
 use crate::node::Node;
@@ -46,23 +46,23 @@
         let late = timer.tick().await.elapsed();
         node.note_lateness(late);
         let now = node.now();
-        let turn = node.state.borrow_mut().membership.tick(now, late);
-        carry_out(&node, turn);
+        let effects = node.state.borrow_mut().membership.tick(now, late);
+        carry_out(&node, effects);
         tell(&node);
     }
 }
 
 /// Takes over what changed and sends what is to be sent.
-fn carry_out(node: &Node, turn: Turn) {
+fn carry_out(node: &Node, effects: Effects) {
     let now = node.now();
-    node.state.borrow_mut().take_turn(&turn, now);
-    for change in &turn.changes {
+    node.state.borrow_mut().apply(&effects, now);
+    for change in &effects.changes {
         match change {
             Change::Heard(..) => node.gossip.came.set(node.gossip.came.get() + 1),
             Change::Lost(card) => node.gossip.lost.borrow_mut().push(card.address),
         }
     }
-    for letter in turn.letters {
+    for letter in effects.outgoing {
         let greeting = Greeting {
             packet: letter.packet,
             views: views(node),
@@ -118,12 +118,12 @@
         return;
     }
     let now = node.now();
-    let turn = {
+    let effects = {
         let mut state = node.state.borrow_mut();
         state.reach.hear(&card.domain, now);
         state.membership.receive(packet, now)
     };
-    carry_out(node, turn);
+    carry_out(node, effects);
     let news = compare(node, views, now);
     if news.wanted != Wanted::default() {
         view::fetch(node, card.address, news.wanted);
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -14,7 +14,7 @@
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::member::{Card, Members};
-use dunlinward_dispatch::membership::{Change as MemberChange, Membership, Turn};
+use dunlinward_dispatch::membership::{Change as MemberChange, Effects, Membership};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Memory, Prefix, Prompt, Use};
 use dunlinward_dispatch::reach::Reach;
@@ -146,8 +146,8 @@
     }
 
     /// Takes over what changed in who is alive.
-    pub(crate) fn take_turn(&mut self, turn: &Turn, now: Duration) {
-        for change in &turn.changes {
+    pub(crate) fn apply(&mut self, effects: &Effects, now: Duration) {
+        for change in &effects.changes {
             match change {
                 MemberChange::Heard(card, condition) => {
                     self.members.hear(card, *condition, now);
@@ -155,7 +155,7 @@
                 MemberChange::Lost(card) => self.members.remove(card),
             }
         }
-        for address in &turn.missed {
+        for address in &effects.missed {
             // The silence of a router that is about to end says nothing of its domain.
             if !self.members.leaves(*address)
                 && let Some(domain) = self.members.domain(*address)
--- a/crates/trial/src/members.rs
+++ b/crates/trial/src/members.rs
@@ -11,7 +11,7 @@
 
 use bincode::config::standard;
 use dunlinward_dispatch::member::Card;
-use dunlinward_dispatch::membership::{Change, Membership, Packet, Turn};
+use dunlinward_dispatch::membership::{Change, Effects, Membership, Packet};
 use dunlinward_dispatch::usage::Peer;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -314,9 +314,9 @@
         };
         let local = now.saturating_sub(router.started);
         // A process that wakes runs its timers before it reads its sockets.
-        let turn = router.membership.tick(local, late);
+        let effects = router.membership.tick(local, late);
         let inbox = std::mem::take(&mut router.inbox);
-        self.carry_out(number, turn);
+        self.carry_out(number, effects);
         for packet in inbox {
             self.deliver(number, packet);
         }
@@ -340,17 +340,17 @@
             return;
         }
         let local = now.saturating_sub(router.started);
-        let turn = router.membership.receive(packet, local);
-        self.carry_out(number, turn);
+        let effects = router.membership.receive(packet, local);
+        self.carry_out(number, effects);
     }
 
-    fn carry_out(&mut self, number: usize, turn: Turn) {
-        for change in &turn.changes {
+    fn carry_out(&mut self, number: usize, effects: Effects) {
+        for change in &effects.changes {
             if let Change::Lost(card) = change {
                 self.judge(number, card);
             }
         }
-        for letter in turn.letters {
+        for letter in effects.outgoing {
             let Some(&to) = self.places.get(&letter.to) else {
                 continue;
             };
