--- a/crates/path/tests/strain.rs
+++ b/crates/path/tests/strain.rs
@@ -69,3 +69,65 @@
     assert!(strain.behind());
     assert!(caught_up(&strain, 5_400) < 6_000);
 }
+
+/// Milliseconds of a small machine's processor that an answer takes, and a refusal.
+const ANSWER: f64 = 7.0;
+const REFUSAL: f64 = 1.2;
+
+/// What callers get.
+#[derive(Debug, Default)]
+struct Got {
+    answered: u32,
+    /// Answered after waiting for less than a tenth of a second.
+    in_time: u32,
+    shed: u32,
+}
+
+/// One caller sends so many requests a second to a router that carries 140, for 30 s; what it gets
+/// after the first three.
+fn one_large_caller(a_second: f64, shedding: bool) -> (Got, Strain) {
+    let strain = Strain::default();
+    let mut random = 1u64;
+    let mut got = Got::default();
+    let (mut now, mut tick, mut backlog) = (0.0, 0.0, 0.0f64);
+    while now < 30_000.0 {
+        let step = 1_000.0 / a_second;
+        now += step;
+        backlog = (backlog - step).max(0.0);
+        if now >= tick {
+            let late = Duration::from_secs_f64(backlog / 1_000.0);
+            strain.note(late, Duration::from_secs_f64(now / 1_000.0));
+            tick += 100.0;
+        }
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let shed = shedding && strain.sheds(random >> 33);
+        if now > 3_000.0 {
+            got.shed += u32::from(shed);
+            got.answered += u32::from(!shed);
+            got.in_time += u32::from(!shed && backlog < 100.0);
+        }
+        backlog += if shed { REFUSAL } else { ANSWER };
+    }
+    (got, strain)
+}
+
+#[test]
+fn a_router_with_twice_the_callers_it_carries_answers_the_rest_in_time() {
+    let (before, _) = one_large_caller(280.0, false);
+    assert_eq!(before.in_time, 0, "{before:?}");
+    let (got, _) = one_large_caller(280.0, true);
+    assert!(got.in_time * 10 >= got.answered * 9, "{got:?}");
+    assert!(got.answered >= 27 * 90, "{got:?}");
+}
+
+#[test]
+fn a_router_that_keeps_up_sheds_next_to_nothing() {
+    let (got, strain) = one_large_caller(70.0, true);
+    assert!(got.shed * 100 <= got.answered, "{got:?}");
+    assert!(!strain.behind());
+    for draw in 0..1_000 {
+        assert!(!Strain::default().sheds(draw));
+    }
+}
