--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -43,10 +43,6 @@
 /// Time after which a caller may come back if nothing is known yet.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(500);
 
-/// Time after which a caller may come to another router than one that sheds its request: at once, as
-/// the others keep up.
-const SHED_RETURN: Duration = Duration::from_millis(10);
-
 /// Time after which a caller may come to another router than one that ends.
 const LEAVING_RETURN: Duration = Duration::from_millis(50);
 
@@ -105,11 +101,7 @@
         job: job.clone(),
         answered: false,
     };
-    let answer = if sheds(node, &job) {
-        Err(Refusal::new(Reason::Shed).with_retry_after(SHED_RETURN))
-    } else {
-        run(node, &job).await
-    };
+    let answer = run(node, &job).await;
     departure.answered = true;
     if let Err(refusal) = &answer {
         tell::refusal(node, &job.id, arrived, *refusal, Some(&job));
@@ -117,11 +109,6 @@
     answer
 }
 
-/// Whether a request should be tried at another router. Who was refused before has no try left.
-fn sheds(node: &Node, job: &Job) -> bool {
-    !job.returning && node.routers() > 1 && node.strain.sheds(node.draw())
-}
-
 struct Admission {
     table: Rc<Table>,
     route: Arc<Route>,
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -38,8 +38,6 @@
     ExpiredUnsent,
     /// The deadline is over and the request may have run.
     Expired,
-    /// This router can't keep up with its callers; others can.
-    Shed,
     /// Targets refused to run it.
     TurnedAway,
     /// A target failed and the request may have run.
@@ -64,7 +62,6 @@
             Self::OverShare => "over_share",
             Self::ExpiredUnsent => "expired_unsent",
             Self::Expired => "expired",
-            Self::Shed => "shed",
             Self::TurnedAway => "turned_away",
             Self::TargetFailed => "target_failed",
             Self::Leaving => "leaving",
@@ -86,7 +83,6 @@
             | Self::NoTarget
             | Self::Busy
             | Self::OverShare
-            | Self::Shed
             | Self::ExpiredUnsent
             | Self::TurnedAway
             | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/path/src/strain.rs
+++ b/crates/path/src/strain.rs
@@ -6,11 +6,6 @@
 //! asks its callers to close their connections, so that new ones go to others, and
 //! owns no cells until it has caught up. The same holds for one that can't accept
 //! connections, as its descriptors are used up.
-//!
-//! Before that it sheds: it refuses a part of the first tries at once, to be repeated at once.
-//! The platform sends a repeat to another router, where it is still in time, and a refusal
-//! takes a fraction of the work of an answer. The part grows with the lateness, so that the
-//! router settles where it keeps up with the rest and doesn't flap between ready and not.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -26,16 +21,6 @@
 /// Mean lateness at which it has caught up.
 const CAUGHT_UP: f64 = 0.005;
 
-/// Mean lateness from which on first tries are shed: timers of a router that keeps up fire 1 to 2 ms
-/// late.
-const SHED_FROM: f64 = 0.004;
-
-/// Mean lateness at which most of them are: below that at which a router is behind.
-const SHED_FULL: f64 = 0.012;
-
-/// Part of the first tries that is shed at the most: a router must go on to see what it carries.
-const SHED_MOST: f64 = 0.9;
-
 /// First time for which it counts as behind: the platform looks once a second, and must
 /// miss it twice. Twice as long each time that it is soon behind again, as the same
 /// callers come back.
@@ -66,17 +51,6 @@
         self.until.get().is_some()
     }
 
-    /// Whether a first try is shed; `draw` is spread over all values.
-    #[must_use]
-    pub fn sheds(&self, draw: u64) -> bool {
-        const STEPS: u64 = 1_000;
-        let above = (self.mean.get() - SHED_FROM) / (SHED_FULL - SHED_FROM);
-        let part = SHED_MOST * above.clamp(0.0, 1.0);
-        #[expect(clippy::cast_precision_loss, reason = "below a thousand")]
-        let chance = (draw % STEPS) as f64 / STEPS as f64;
-        chance < part
-    }
-
     /// Notes a timer that fired `late`; true if that changes whether it is behind.
     pub fn note(&self, late: Duration, now: Duration) -> bool {
         let mean = self.mean.get();
