Sight: an owner's places that other routers did not use, answers that came late

Lines places_unused and answers_late, once a second; counters unused_places, unused_tokens, histogram late_answer_seconds. No decision changes: a place that was given is remembered for the share window (4 s) instead of 1 s, as word of it may come as late.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`membership`]: which routers are alive.
 //! - [`usage`]: work at each target, this router's and its peers'.
 //! - [`prefix`], [`cache`], [`placement`]: which target runs a request.
+//! - [`grants`]: places given to other routers, and which of them are not used.
 //! - [`share`]: what each customer has used and may use.
 //! - [`tries`]: which requests are a caller's first try.
 //! - [`budget`]: how often a request may be sent once more.
@@ -22,6 +23,7 @@
 pub mod cache;
 pub mod cell;
 pub mod configuration;
+pub mod grants;
 pub mod health;
 pub mod member;
 pub mod membership;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -207,6 +207,13 @@
         self.known.values().map(|it| &it.card)
     }
 
+    /// Where a start of a router that is alive listens.
+    #[must_use]
+    pub fn address(&self, peer: Peer) -> Option<SocketAddr> {
+        let card = self.others().find(|it| it.peer == peer);
+        card.map(|it| it.address)
+    }
+
     /// The failure domain of a router that is alive.
     #[must_use]
     pub fn domain(&self, address: SocketAddr) -> Option<Arc<str>> {
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -21,6 +21,13 @@
 use crate::queue::Asker;
 use crate::state::{Claim, Wish};
 
+/// How often the log is told of places that were given and not used.
+const UNUSED_TOLD: Duration = Duration::from_secs(1);
+
+/// Lines on such places each time, those with most tokens first: bounds the log at a router that
+/// owns much while many customers flood.
+const UNUSED_LINES: usize = 8;
+
 /// How often a router tells owners what it has at their targets.
 const WORK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -127,15 +134,53 @@
     let mut timer = tokio::time::interval(WORK_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut told = Told::default();
+    let mut unused_told = node.now();
     loop {
         timer.tick().await;
-        node.state.borrow_mut().prune(node.now());
+        let now = node.now();
+        node.state.borrow_mut().prune(now);
+        if now.saturating_sub(unused_told) >= UNUSED_TOLD {
+            unused_told = now;
+            tell_unused(&node);
+            tell_late(&node);
+        }
         for (address, work) in told.next(&node) {
             node.send(address, Content::Work(work));
         }
     }
 }
 
+/// Tells the log of places that other routers were given and did not use.
+fn tell_unused(node: &Node) {
+    let unused = node.state.borrow_mut().grants.take_unused();
+    for (rank, it) in unused.iter().enumerate() {
+        node.metrics.add("unused_places", "withdrawn", it.places);
+        node.metrics.add("unused_tokens", "withdrawn", it.tokens);
+        if rank >= UNUSED_LINES {
+            continue;
+        }
+        let state = node.state.borrow();
+        let line = node.journal.line("places_unused");
+        let line = line.with("customer", state.customer_name(it.customer).as_deref());
+        let address = state.members.address(it.peer);
+        let line = line.with("asked_by", address.map(|it| it.to_string()));
+        drop(line.with("places", it.places).with("tokens", it.tokens));
+    }
+}
+
+/// Tells the log of answers of owners that came after their requests had been given up.
+fn tell_late(node: &Node) {
+    let late = node.pending.take_late(node.now());
+    if late.answers == 0 {
+        return;
+    }
+    let line = node.journal.line("answers_late");
+    let line = line.with("answers", late.answers);
+    let line = line.with("places", late.places);
+    let line = line.with_ms("mean_ms", late.time / late.answers);
+    drop(line.with_ms("longest_ms", late.longest));
+}
+
 /// What owners have been told.
 #[derive(Default)]
 struct Told {
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -40,6 +40,9 @@
 /// How often a request that waits is put to its owner again.
 const RENEWAL: Duration = Duration::from_millis(100);
 
+/// How long it is remembered when a request was put that was given up.
+const LATE_MOST: Duration = Duration::from_secs(2);
+
 /// What an owner answers.
 #[derive(Clone, Copy, Debug)]
 pub enum Answer {
@@ -49,11 +52,57 @@
     Wait(Wait),
 }
 
+impl Answer {
+    /// Label in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Grant(_) => "place",
+            Self::Wait(_) => "wait",
+        }
+    }
+}
+
 /// Requests that have been put to owners.
 #[derive(Debug, Default)]
 pub struct Pending {
     next: Cell<u64>,
     waiting: RefCell<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
+    /// Requests that were given up without a place, and when they were first put.
+    given_up: RefCell<HashMap<u64, Duration>>,
+    late: Cell<Late>,
+}
+
+/// Answers that came after their requests had been given up.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Late {
+    pub(crate) answers: u32,
+    /// Of these, places.
+    pub(crate) places: u32,
+    /// Sum of the times from asking to the answer.
+    pub(crate) time: Duration,
+    pub(crate) longest: Duration,
+}
+
+impl Pending {
+    /// Late answers since the last call; forgets requests of which none will come.
+    pub(crate) fn take_late(&self, now: Duration) -> Late {
+        let mut given_up = self.given_up.borrow_mut();
+        given_up.retain(|_, at| now.saturating_sub(*at) < LATE_MOST);
+        self.late.take()
+    }
+
+    /// Notes an answer to a request that was given up; how late it is, if that is known.
+    fn note_late(&self, number: u64, answer: &Answer, now: Duration) -> Option<Duration> {
+        let asked = self.given_up.borrow_mut().remove(&number)?;
+        let time = now.saturating_sub(asked);
+        let mut late = self.late.get();
+        late.answers += 1;
+        late.places += u32::from(matches!(answer, Answer::Grant(_)));
+        late.time += time;
+        late.longest = late.longest.max(time);
+        self.late.set(late);
+        Some(time)
+    }
 }
 
 /// How asking an owner ended.
@@ -139,6 +188,10 @@
         let waiting = self.pending.waiting.borrow().get(&number).cloned();
         let taken = waiting.is_some_and(|it| it.send(answer).is_ok());
         if !taken {
+            if let Some(time) = self.pending.note_late(number, &answer, self.now()) {
+                self.metrics
+                    .time("late_answer_seconds", answer.label(), time);
+            }
             self.give_back(from, answer);
         }
     }
@@ -183,6 +236,8 @@
     node: &'a Rc<Node>,
     owner: SocketAddr,
     number: u64,
+    /// When it was first put.
+    asked: Duration,
     answers: mpsc::UnboundedReceiver<Answer>,
     accepted: bool,
 }
@@ -198,6 +253,7 @@
             node,
             owner,
             number,
+            asked: node.now(),
             answers,
             accepted: false,
         }
@@ -270,6 +326,8 @@
             }
         }
         if !self.accepted {
+            let mut given_up = self.node.pending.given_up.borrow_mut();
+            given_up.insert(self.number, self.asked);
             self.node.send(self.owner, Content::Withdraw(self.number));
         }
     }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -2,7 +2,6 @@
 //!
 //! No call here wakes a task or drops a lease, so the state is never borrowed twice.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 use dunlinward_dispatch::cache::Caches;
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::configuration::Table;
+use dunlinward_dispatch::grants::Grants;
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::member::{Card, Members};
 use dunlinward_dispatch::membership::{Change as MemberChange, Effects, Membership};
@@ -18,8 +18,8 @@
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::reading::{Reading, Readings};
 use dunlinward_dispatch::registry::{Change, Registry};
-use dunlinward_dispatch::report::{CustomerTag, Grant};
-use dunlinward_dispatch::share::Shares;
+use dunlinward_dispatch::report::CustomerTag;
+use dunlinward_dispatch::share::{self, Shares};
 use dunlinward_dispatch::target::{Tag, Target};
 use dunlinward_dispatch::tries::Tries;
 use dunlinward_dispatch::usage::{Peer, Usage};
@@ -30,9 +30,6 @@
 
 mod placing;
 
-/// How long an answer is kept for a router that did not get it: longer than it asks.
-const GRANT_KEPT: Duration = Duration::from_secs(1);
-
 /// At most one in so many targets of a service is ejected for failures.
 const EJECTED_PART: usize = 3;
 
@@ -101,8 +98,8 @@
     pub(crate) queue: Vec<Waiter>,
     /// Failures that all routers report of the targets of this router's cells.
     reported: Health,
-    /// Places given to other routers lately, for those that did not get the answer.
-    granted: HashMap<(Peer, u64), (Duration, Grant)>,
+    /// Places given to other routers lately.
+    pub(crate) grants: Grants,
     engines_seen: usize,
 }
 
@@ -132,7 +129,7 @@
             members: Members::new(card),
             queue: Vec::new(),
             reported: Health::new(),
-            granted: HashMap::new(),
+            grants: Grants::new(settings.share_window),
             engines_seen: 0,
         }
     }
@@ -140,8 +137,7 @@
     /// Forgets routers that have been silent, and answers that are no longer asked for.
     pub(crate) fn prune(&mut self, now: Duration) {
         self.usage.prune(now);
-        self.granted
-            .retain(|_, (at, _)| now.saturating_sub(*at) < GRANT_KEPT);
+        self.grants.prune(now);
     }
 
     /// Takes over what changed in who is alive.
@@ -203,6 +199,13 @@
         }
     }
 
+    /// Name of a customer; none if the configuration in force doesn't have it.
+    pub(crate) fn customer_name(&self, tag: CustomerTag) -> Option<Arc<str>> {
+        let customers = &self.table.as_ref()?.configuration().customers;
+        let customer = customers.iter().find(|it| share::tag(&it.name) == tag);
+        customer.map(|it| it.name.clone())
+    }
+
     /// A target has ended.
     pub(crate) fn forget(&mut self, tag: Tag) {
         self.memory.forget(tag);
--- a/crates/path/src/state/placing.rs
+++ b/crates/path/src/state/placing.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dunlinward_dispatch::grants::{Purpose, Request};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Return, Wait};
@@ -50,8 +51,8 @@
         now: Duration,
     ) -> Content {
         let Asker { peer, number, .. } = asker;
-        if let Some((_, grant)) = self.granted.get(&(peer, number)) {
-            return Content::Grant(*grant);
+        if let Some(grant) = self.grants.find(Request { peer, number }) {
+            return Content::Grant(grant);
         }
         let known = self.queue.iter().any(|it| it.origin.is(peer, number));
         if !known {
@@ -230,7 +231,12 @@
             fetch: choice.fetch.as_ref().map(|it| it.tag()),
             standing,
         };
-        self.granted.insert((peer, number), (now, grant));
+        let purpose = wish.customer.map(|customer| Purpose {
+            customer,
+            tokens: wish.cost,
+        });
+        let request = Request { peer, number };
+        self.grants.give(request, grant, purpose, now);
         grant
     }
 
@@ -277,9 +283,10 @@
         pass
     }
 
-    /// Another router's request no longer waits.
+    /// Another router's request no longer waits; if it was given a place, that is not used.
     pub(crate) fn withdraw(&mut self, peer: Peer, number: u64) {
         self.queue.retain(|it| !it.origin.is(peer, number));
+        self.grants.withdraw(Request { peer, number });
     }
 
     /// A target has read another router's prompt.
