--- a/crates/dispatch/src/grants.rs
+++ b/crates/dispatch/src/grants.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::prefix::Use;
 use crate::report::{CustomerTag, Grant};
 use crate::share::Charge;
 use crate::usage::{PEER_TIMEOUT, Peer};
@@ -71,6 +72,17 @@
     pub grant: Grant,
     /// What its customer was charged.
     pub charge: Option<Charge>,
+    /// The prefix that is sent to its target, if the request has one.
+    pub prefix: Option<Use>,
+}
+
+/// How a lease ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// The lease.
+    pub lease: Lease,
+    /// Whether it had been confirmed, so that the request was sent to the target.
+    pub confirmed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,33 +134,31 @@
         self.entries.get(&request).map(|it| it.lease.grant)
     }
 
-    /// A router uses places that it was given.
-    pub fn confirm(&mut self, peer: Peer, numbers: &[u64]) {
-        for number in numbers {
-            let request = Request {
-                peer,
-                number: *number,
-            };
-            if let Some(entry) = self.entries.get_mut(&request)
-                && entry.condition == Condition::Given
-            {
-                entry.condition = Condition::Confirmed;
-            }
+    /// A router uses a place that it was given; the lease, if this is the first word of it.
+    pub fn confirm(&mut self, request: Request) -> Option<Lease> {
+        let entry = self.entries.get_mut(&request)?;
+        if entry.condition != Condition::Given {
+            return None;
         }
+        entry.condition = Condition::Confirmed;
+        Some(entry.lease)
     }
 
-    /// A router does not use a place; the lease, if this is the first word of its end.
-    pub fn end(&mut self, request: Request, reason: Reason) -> Option<Lease> {
+    /// A router does not use a place; none if this is not the first word of its end.
+    pub fn end(&mut self, request: Request, reason: Reason) -> Option<End> {
         let entry = self.entries.get_mut(&request)?;
-        if entry.condition == Condition::Ended {
+        let before = std::mem::replace(&mut entry.condition, Condition::Ended);
+        if before == Condition::Ended {
             return None;
         }
-        entry.condition = Condition::Ended;
         let lease = entry.lease;
         if let Some(charge) = lease.charge {
             self.note_unused(request.peer, charge, reason);
         }
-        Some(lease)
+        Some(End {
+            lease,
+            confirmed: before == Condition::Confirmed,
+        })
     }
 
     fn note_unused(&mut self, peer: Peer, charge: Charge, reason: Reason) {
@@ -167,8 +177,8 @@
     }
 
     /// Ends leases that were not confirmed in time, and forgets those of which no word can come
-    /// any more; the requests that lapsed, with their leases.
-    pub fn lapse(&mut self, now: Duration) -> Vec<(Request, Lease)> {
+    /// any more.
+    pub fn lapse(&mut self, now: Duration) -> Vec<End> {
         let kept = self.kept;
         self.entries
             .retain(|_, it| now.saturating_sub(it.at) < kept);
@@ -176,10 +186,8 @@
             |it: &Entry| it.condition == Condition::Given && now.saturating_sub(it.at) >= LEASE;
         let lapsed = self.entries.iter().filter(|(_, it)| late(it));
         let lapsed: Vec<_> = lapsed.map(|(request, _)| *request).collect();
-        let ended = lapsed
-            .into_iter()
-            .filter_map(|it| Some((it, self.end(it, Reason::Lapsed)?)));
-        ended.collect()
+        let ends = lapsed.into_iter();
+        ends.filter_map(|it| self.end(it, Reason::Lapsed)).collect()
     }
 
     /// What was not used since the last call, most tokens first.
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -154,6 +154,8 @@
 pub struct Memory {
     uses: HashMap<Use, Duration>,
     recent: VecDeque<(Duration, Use)>,
+    /// Places that peers were given and have neither used nor withdrawn.
+    expected: HashMap<Use, u32>,
 }
 
 impl Memory {
@@ -181,6 +183,28 @@
         }
     }
 
+    /// A peer was given a place, and so may send the prefix there. Until that is known, it counts as
+    /// sent: requests with the same prefix that come meanwhile go to the same target.
+    pub fn expect(&mut self, used: Use) {
+        *self.expected.entry(used).or_default() += 1;
+    }
+
+    /// A peer that was given a place uses it.
+    pub fn sent(&mut self, used: Use, now: Duration) {
+        self.not_sent(used);
+        self.hear(used, now);
+    }
+
+    /// A peer that was given a place does not use it.
+    pub fn not_sent(&mut self, used: Use) {
+        if let Some(count) = self.expected.get_mut(&used) {
+            *count -= 1;
+            if *count == 0 {
+                self.expected.remove(&used);
+            }
+        }
+    }
+
     /// What this router sent within `time`, for its report.
     pub fn recent(&mut self, time: Duration, now: Duration) -> Vec<Use> {
         while self
@@ -196,12 +220,14 @@
     /// Whether a target is taken to keep a prefix that was used within `kept`.
     #[must_use]
     pub fn keeps(&self, prefix: Prefix, tag: Tag, kept: Duration, now: Duration) -> bool {
-        let at = self.uses.get(&Use::new(prefix, tag));
-        at.is_some_and(|at| now.saturating_sub(*at) < kept)
+        let used = Use::new(prefix, tag);
+        let at = self.uses.get(&used);
+        self.expected.contains_key(&used) || at.is_some_and(|at| now.saturating_sub(*at) < kept)
     }
 
     /// Forgets a target that has ended.
     pub fn forget(&mut self, tag: Tag) {
         self.uses.retain(|it, _| it.tag != tag);
+        self.expected.retain(|it, _| it.tag != tag);
     }
 }
--- a/crates/dispatch/tests/grants.rs
+++ b/crates/dispatch/tests/grants.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dunlinward_dispatch::grants::{Grants, LEASE, Lease, Reason, Request};
+use dunlinward_dispatch::grants::{End, Grants, LEASE, Lease, Reason, Request};
 use dunlinward_dispatch::report::{CustomerTag, Grant};
 use dunlinward_dispatch::share::Shares;
 use dunlinward_dispatch::target::Tag;
@@ -32,12 +32,17 @@
             standing: None,
         };
         let charge = Some(shares.grant(CUSTOMER, 100, now));
-        grants.give(request(number), Lease { grant, charge }, now);
+        let lease = Lease {
+            grant,
+            charge,
+            prefix: None,
+        };
+        grants.give(request(number), lease, now);
     }
 }
 
-fn take_back(shares: &mut Shares, lease: Option<Lease>, now: Duration) {
-    if let Some(charge) = lease.and_then(|it| it.charge) {
+fn take_back(shares: &mut Shares, end: Option<End>, now: Duration) {
+    if let Some(charge) = end.and_then(|it| it.lease.charge) {
         shares.take_back(charge, now);
     }
 }
@@ -54,10 +59,11 @@
         (9, Reason::Withdrawn),
     ];
     for (number, reason) in words {
-        let lease = grants.end(request(number), reason);
-        take_back(&mut shares, lease, ms(50));
+        let end = grants.end(request(number), reason);
+        take_back(&mut shares, end, ms(50));
     }
-    grants.confirm(PEER, &[0, 1, 2]);
+    let confirmed = [0, 1, 2].map(|number| grants.confirm(request(number)).is_some());
+    assert_eq!(confirmed, [false, false, true]);
     assert_eq!(shares.granted(CUSTOMER, ms(60)), 100);
     assert!(grants.lapse(LEASE).is_empty());
     let unused: Vec<_> = grants.take_unused();
@@ -72,17 +78,23 @@
 fn a_lease_lapses_unless_it_is_confirmed() {
     let (mut grants, mut shares) = (Grants::new(WINDOW), Shares::new(WINDOW));
     give(&mut grants, &mut shares, 0..4, ms(0));
-    grants.confirm(PEER, &[1]);
-    grants.confirm(Peer(2), &[0, 2, 3]);
+    assert!(grants.confirm(request(1)).is_some());
+    let other = |number| Request {
+        peer: Peer(2),
+        number,
+    };
+    assert!((0..4).all(|it| grants.confirm(other(it)).is_none()));
     assert!(grants.lapse(LEASE.saturating_sub(ms(1))).is_empty());
-    for (_, lease) in grants.lapse(LEASE) {
-        take_back(&mut shares, Some(lease), LEASE);
+    for end in grants.lapse(LEASE) {
+        assert!(!end.confirmed);
+        take_back(&mut shares, Some(end), LEASE);
     }
     assert_eq!(shares.granted(CUSTOMER, LEASE), 100);
     assert!(grants.lapse(LEASE + ms(300)).is_empty());
     // A target may refuse what it was sent long after the place was confirmed.
-    let lease = grants.end(request(1), Reason::NotRun);
-    take_back(&mut shares, lease, LEASE + ms(300));
+    let end = grants.end(request(1), Reason::NotRun);
+    assert_eq!(end.map(|it| it.confirmed), Some(true));
+    take_back(&mut shares, end, LEASE + ms(300));
     assert_eq!(shares.granted(CUSTOMER, LEASE + ms(300)), 0);
 }
 
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -102,7 +102,7 @@
         for used in &work.uses {
             state.memory.hear(*used, now);
         }
-        state.confirm(peer, &work.accepted);
+        state.confirm(peer, &work.accepted, now);
         if !work.customers.is_empty() {
             state.shares.hear(peer, &work.customers, now);
         }
--- a/crates/path/src/state/placing.rs
+++ b/crates/path/src/state/placing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dunlinward_dispatch::grants::{self, Reason, Request};
+use dunlinward_dispatch::grants::{self, End, Reason, Request};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Return, Wait};
@@ -220,8 +220,10 @@
         if let Some(prompt) = wish.prompt.as_deref() {
             self.caches.sent(tag, prompt, now);
         }
-        if let Some(prefix) = wish.prompt.as_deref().and_then(Prompt::prefix) {
-            self.memory.hear(Use::new(prefix, tag), now);
+        let prefix = wish.prompt.as_deref().and_then(Prompt::prefix);
+        let prefix = prefix.map(|it| Use::new(it, tag));
+        if let Some(prefix) = prefix {
+            self.memory.expect(prefix);
         }
         let charge = self.charge(wish, now);
         let grant = Grant {
@@ -232,7 +234,11 @@
             fetch: choice.fetch.as_ref().map(|it| it.tag()),
             standing: self.standing(wish, now),
         };
-        let lease = grants::Lease { grant, charge };
+        let lease = grants::Lease {
+            grant,
+            charge,
+            prefix,
+        };
         self.grants.give(Request { peer, number }, lease, now);
         grant
     }
@@ -288,12 +294,12 @@
     pub(crate) fn withdraw(&mut self, peer: Peer, number: u64, now: Duration) {
         self.queue.retain(|it| !it.origin.is(peer, number));
         let request = Request { peer, number };
-        let Some(lease) = self.grants.end(request, Reason::Withdrawn) else {
+        let Some(end) = self.grants.end(request, Reason::Withdrawn) else {
             return;
         };
-        self.usage
-            .end_for(peer, lease.grant.tag, lease.grant.unread);
-        self.take_back(lease.charge, now);
+        let grant = end.lease.grant;
+        self.usage.end_for(peer, grant.tag, grant.unread);
+        self.undo(end, now);
     }
 
     /// A target has read another router's prompt.
@@ -305,26 +311,45 @@
     pub(crate) fn returned(&mut self, peer: Peer, returned: &Return, now: Duration) {
         self.usage.end_for(peer, returned.tag, returned.unread);
         let request = returned.not_run.map(|number| Request { peer, number });
-        let lease = request.and_then(|it| self.grants.end(it, Reason::NotRun));
-        self.take_back(lease.and_then(|it| it.charge), now);
+        let end = request.and_then(|it| self.grants.end(it, Reason::NotRun));
+        if let Some(end) = end {
+            self.undo(end, now);
+        }
     }
 
     /// Another router uses places that it was given.
-    pub(crate) fn confirm(&mut self, peer: Peer, numbers: &[u64]) {
-        self.grants.confirm(peer, numbers);
+    pub(crate) fn confirm(&mut self, peer: Peer, numbers: &[u64], now: Duration) {
+        for number in numbers {
+            let request = Request {
+                peer,
+                number: *number,
+            };
+            let lease = self.grants.confirm(request);
+            if let Some(prefix) = lease.and_then(|it| it.prefix) {
+                self.memory.sent(prefix, now);
+            }
+        }
     }
 
-    /// Takes back what was charged for places of which nothing was heard. Their work is not
-    /// counted any more either: a report has come since, or the router is silent.
+    /// Ends places of which nothing was heard. Their work is not counted any more either: a report
+    /// has come since, or the router is silent.
     pub(crate) fn lapse(&mut self, now: Duration) {
-        for (_, lease) in self.grants.lapse(now) {
-            self.take_back(lease.charge, now);
+        for end in self.grants.lapse(now) {
+            self.undo(end, now);
+        }
+    }
+
+    /// Undoes what was counted for a place that is not used.
+    fn undo(&mut self, end: End, now: Duration) {
+        self.take_back(end.lease.charge, now);
+        if let Some(prefix) = end.lease.prefix.filter(|_| !end.confirmed) {
+            self.memory.not_sent(prefix);
         }
     }
 
-    /// What was charged for a place that is not used. Otherwise a customer whose requests are given
-    /// up before their places come counts as over its share for what it never had: with answers 5
-    /// to 60 ms late it got 37,000 tokens in six seconds, another one 289,000 (`tests`).
+    /// Takes back what was charged for a place that is not used. Otherwise a customer whose requests
+    /// are given up before their places come counts as over its share for what it never had: with
+    /// answers 5 to 60 ms late it got 37,000 tokens in six seconds, another one 289,000 (`tests`).
     pub(crate) fn take_back(&mut self, charge: Option<Charge>, now: Duration) {
         if let Some(charge) = charge {
             self.shares.take_back(charge, now);
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -287,37 +287,9 @@
     fn put(&mut self, number: u64, now: Duration) {
         let request = self.requests[&number];
         let arrived = now.saturating_sub(LINK);
-        let prompt = Prompt {
-            tokens: PROMPT,
-            answer_tokens: 0,
-            parts: vec![Part {
-                id: 0,
-                tokens: PROMPT,
-            }],
-        };
-        let wish = Wish {
-            cell: Cell {
-                service: ServiceTag::new("pool"),
-                index: 0,
-            },
-            domain: "a".into(),
-            prompt: Some(Rc::new(prompt)),
-            customer: Some(tag(request.customer)),
-            cost: PROMPT,
-            objective: OBJECTIVE,
-            arrived,
-            returning: false,
-            counted: false,
-            avoid: Vec::new(),
-            until: arrived + OBJECTIVE.mul_f64(self.settings.patience.first),
-            claim: Claim::All,
-            draw: self.random.random(),
-        };
-        let asker = Asker {
-            peer: Peer(request.router),
-            address: ([127, 0, 0, 2], 1).into(),
-            number,
-        };
+        let draw = self.random.random();
+        let wish = wish(request.customer, arrived, draw);
+        let asker = asker(request.router, number);
         let answer = self.owner.answer(&self.settings, asker, wish, now);
         if let Content::Grant(grant) = answer {
             self.answered(grant, now);
@@ -385,7 +357,7 @@
     fn report(&mut self, now: Duration) {
         for number in std::mem::take(&mut self.accepted) {
             let peer = self.peer(number);
-            self.owner.confirm(peer, &[number]);
+            self.owner.confirm(peer, &[number], now);
         }
         for (peer, usage) in (0..).map(Peer).zip(&self.usages) {
             self.owner.usage.report(peer, usage.all_own(), now);
@@ -413,6 +385,44 @@
     CustomerTag(u32::try_from(customer).expect("a few customers"))
 }
 
+/// A request that arrived at a router.
+fn wish(customer: usize, arrived: Duration, draw: u64) -> Wish {
+    let prompt = Prompt {
+        tokens: PROMPT,
+        answer_tokens: 0,
+        parts: vec![Part {
+            id: 0,
+            tokens: PROMPT,
+        }],
+    };
+    Wish {
+        cell: Cell {
+            service: ServiceTag::new("pool"),
+            index: 0,
+        },
+        domain: "a".into(),
+        prompt: Some(Rc::new(prompt)),
+        customer: Some(tag(customer)),
+        cost: PROMPT,
+        objective: OBJECTIVE,
+        arrived,
+        returning: false,
+        counted: false,
+        avoid: Vec::new(),
+        until: arrived + OBJECTIVE.mul_f64(Patience::default().first),
+        claim: Claim::All,
+        draw,
+    }
+}
+
+fn asker(router: u64, number: u64) -> Asker {
+    Asker {
+        peer: Peer(router),
+        address: ([127, 0, 0, 2], 1).into(),
+        number,
+    }
+}
+
 #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
 fn to_f64(tokens: u64) -> f64 {
     tokens as f64
@@ -476,6 +486,53 @@
     }
 }
 
+/// A prompt whose first part others share.
+fn shared_prompt() -> Prompt {
+    let part = |id| Part { id, tokens: 500 };
+    Prompt {
+        tokens: PROMPT,
+        answer_tokens: 0,
+        parts: vec![part(1), part(2)],
+    }
+}
+
+/// What a place that is not used leaves behind beside its charge: the next request with the same
+/// prefix was sent to an engine that had never read it, as if that were already there.
+#[test]
+fn an_engine_is_taken_to_keep_a_prefix_only_while_a_place_there_may_be_used() {
+    let mut fleet = Fleet::new(&[], 0);
+    let prefix = shared_prompt().prefix().expect("a part is shared");
+    let give = |fleet: &mut Fleet, number| {
+        let wish = Wish {
+            prompt: Some(Rc::new(shared_prompt())),
+            ..wish(0, Duration::ZERO, 0)
+        };
+        let asker = asker(1, number);
+        let settings = fleet.settings.clone();
+        let answer = fleet.owner.answer(&settings, asker, wish, Duration::ZERO);
+        let Content::Grant(grant) = answer else {
+            panic!("the engines are idle: {answer:?}");
+        };
+        grant.tag
+    };
+    let now = Duration::from_millis(10);
+    let keeps = |fleet: &Fleet, tag| {
+        let kept = Duration::from_secs(5);
+        fleet.owner.memory.keeps(prefix, tag, kept, now)
+    };
+    let tags = [1, 2, 3].map(|number| give(&mut fleet, number));
+    assert!(tags.iter().all(|it| *it == tags[0]), "its home");
+    fleet.owner.withdraw(Peer(1), 1, now);
+    assert!(keeps(&fleet, tags[0]), "two may be used");
+    fleet.owner.withdraw(Peer(1), 3, now);
+    fleet.owner.withdraw(Peer(1), 2, now);
+    assert!(!keeps(&fleet, tags[0]));
+    let tag = give(&mut fleet, 4);
+    fleet.owner.confirm(Peer(1), &[4], now);
+    fleet.owner.withdraw(Peer(1), 4, now);
+    assert!(keeps(&fleet, tag), "it was sent there");
+}
+
 /// The model itself: with the same load at a router that is not late, all three get as much.
 #[test]
 fn a_customer_whose_router_is_not_late_gets_its_share() {
