--- a/crates/dispatch/src/cache.rs
+++ b/crates/dispatch/src/cache.rs
@@ -52,6 +52,8 @@
 /// An engine's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct News {
+    /// When the engine that answers started, if it says so.
+    pub born: Option<u64>,
     /// Differs after a restart.
     pub epoch: u64,
     /// Number from which to ask next.
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -6,6 +6,10 @@
 //! outage is a gap between lists, whoever read them: while a peer can read, entries
 //! do not lapse for want of the store. What is kept so is this router's own guess: it
 //! is not told to peers, and a list of a peer that saw no outage ends it.
+//!
+//! A server may start again under its identity. Its newest start is remembered for longer than any
+//! word of an earlier one is on its way, so such word changes nothing, whoever brings it. An entry
+//! that can't be read suspends its target; what was heard of a drain stays.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -16,6 +20,11 @@
 use crate::cell::{self, Cell, ServiceTag};
 use crate::target::{State, Tag, Target};
 
+mod starts;
+
+pub use starts::START_KEPT;
+use starts::Starts;
+
 /// How long a lapsed entry may take to come back after an outage of the store;
 /// the operators' letter says about two seconds.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
@@ -31,10 +40,30 @@
     Came(Arc<Target>),
     /// A target is about to end.
     Leaves(Arc<Target>),
+    /// A target's entry can't be read any more: it gets no new work.
+    Suspended(Arc<Target>),
     /// A target has ended.
     Ended(Arc<Target>),
 }
 
+/// A whole list of the platform's entries.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// Targets of the entries that could be read.
+    pub targets: Vec<Target>,
+    /// Identities whose entries could not be read.
+    pub unreadable: Vec<Arc<str>>,
+}
+
+impl From<Vec<Target>> for Listing {
+    fn from(targets: Vec<Target>) -> Self {
+        Self {
+            targets,
+            unreadable: Vec::new(),
+        }
+    }
+}
+
 /// Known targets and the age of that knowledge.
 #[derive(Clone, Debug)]
 pub struct Registry {
@@ -49,6 +78,8 @@
     /// Targets that are kept though the newest list lacks them.
     kept: HashSet<Tag>,
     replaced: HashSet<Tag>,
+    /// Newest starts of servers that say when they started.
+    starts: Starts,
     digest: u64,
 }
 
@@ -72,6 +103,7 @@
             settled_from: Duration::ZERO,
             kept: HashSet::new(),
             replaced: HashSet::new(),
+            starts: Starts::default(),
             digest: 0,
         }
     }
@@ -84,7 +116,7 @@
     }
 
     /// Takes a whole list that was true at `as_of`; an older list than the known one is ignored.
-    pub fn take(&mut self, list: Vec<Target>, as_of: Duration) -> Vec<Change> {
+    pub fn take(&mut self, list: impl Into<Listing>, as_of: Duration) -> Vec<Change> {
         if self.read_at.is_some_and(|at| as_of < at) {
             return Vec::new();
         }
@@ -96,61 +128,154 @@
             // A router that has just started can't know of an outage before.
             self.settled_from = as_of + RETURN_TIME;
         }
-        self.replace(list, as_of)
+        self.replace(list.into(), as_of)
     }
 
     /// Takes the list of a peer that saw no outage: what is missing there has ended.
-    pub fn take_settled(&mut self, list: Vec<Target>, as_of: Duration) -> Vec<Change> {
+    pub fn take_settled(&mut self, list: impl Into<Listing>, as_of: Duration) -> Vec<Change> {
         if self.read_at.is_some_and(|at| as_of < at) {
             return Vec::new();
         }
         self.keep_until = Duration::ZERO;
         self.settled_from = Duration::ZERO;
-        self.replace(list, as_of)
+        self.replace(list.into(), as_of)
     }
 
-    fn replace(&mut self, list: Vec<Target>, as_of: Duration) -> Vec<Change> {
+    fn replace(&mut self, listing: Listing, as_of: Duration) -> Vec<Change> {
         self.read_at = Some(as_of);
         self.kept.clear();
-        let mut changes = Vec::new();
-        let mut next = HashMap::with_capacity(list.len());
+        let list = self.current(listing, as_of);
         let listed: HashSet<Tag> = list.iter().map(Target::tag).collect();
         self.replaced.retain(|tag| listed.contains(tag));
-        for mut target in list {
+        let mut changes = Vec::new();
+        let mut next = HashMap::with_capacity(list.len());
+        for target in list {
             if self.replaced.contains(&target.tag()) {
                 continue;
             }
+            let target = Arc::new(target);
+            changes.extend(self.change(&target));
+            next.insert(target.tag(), target);
+        }
+        self.end_missing(&mut next, &mut changes, as_of);
+        self.targets = next;
+        self.index();
+        changes
+    }
+
+    /// The targets of a list as they stand by all that is known: the newest start of each server,
+    /// suspended if its entry can't be read, and leaving once it has said so.
+    fn current(&mut self, listing: Listing, as_of: Duration) -> Vec<Target> {
+        let Listing {
+            targets,
+            mut unreadable,
+        } = listing;
+        let mut list = Vec::with_capacity(targets.len());
+        for target in targets {
+            match self.newest_start(target, as_of) {
+                Ok(target) => list.extend(target),
+                Err(id) => unreadable.push(id),
+            }
+        }
+        self.starts.prune(as_of);
+        if !unreadable.is_empty() {
+            list.extend(self.suspended(&unreadable));
+        }
+        for target in &mut list {
             // Nothing that leaves stays after all: a list that says so is older than it seems.
             let known = self.targets.get(&target.tag());
             if known.is_some_and(|it| it.state == State::Leaving) {
                 target.state = State::Leaving;
             }
-            let target = Arc::new(target);
-            match self.targets.get(&target.tag()) {
-                None => changes.push(Change::Came(target.clone())),
-                Some(old) if old.state != target.state && target.state == State::Leaving => {
-                    changes.push(Change::Leaves(target.clone()));
-                }
-                Some(_) => {}
-            }
-            next.insert(target.tag(), target);
         }
+        list
+    }
+
+    /// What a list says of a server, if that is its newest start; else that one, if it is known. An
+    /// entry that says no start though its server has said one is of another writer.
+    fn newest_start(
+        &mut self,
+        target: Target,
+        as_of: Duration,
+    ) -> Result<Option<Target>, Arc<str>> {
+        let Some(born) = target.born else {
+            return match self.starts.newest(&target.id) {
+                Some(_) => Err(target.id),
+                None => Ok(Some(target)),
+            };
+        };
+        let newest = self.starts.note(&target.id, born, as_of);
+        if born == newest {
+            return Ok(Some(target));
+        }
+        let known = self.targets.get(&Tag::with_born(&target.id, newest));
+        Ok(known.map(|it| it.as_ref().clone()))
+    }
+
+    /// Known targets whose entries can't be read.
+    fn suspended(&self, unreadable: &[Arc<str>]) -> Vec<Target> {
+        let ids: HashSet<&str> = unreadable.iter().map(AsRef::as_ref).collect();
+        let known = self.targets.values();
+        let known = known.filter(|it| ids.contains(it.id.as_ref()));
+        let suspended = known.map(|it| Target {
+            state: State::Unreadable,
+            ..it.as_ref().clone()
+        });
+        suspended.collect()
+    }
+
+    /// What is new about a target.
+    fn change(&self, target: &Arc<Target>) -> Option<Change> {
+        let known = self.targets.get(&target.tag());
+        if known.is_some_and(|it| it.state == target.state) {
+            return None;
+        }
+        let target = target.clone();
+        Some(match target.state {
+            State::Ready => Change::Came(target),
+            State::Leaving if known.is_none() => Change::Came(target),
+            State::Leaving => Change::Leaves(target),
+            State::Unreadable => Change::Suspended(target),
+        })
+    }
+
+    /// Ends what the newest list lacks, but for what is kept after an outage.
+    fn end_missing(
+        &mut self,
+        next: &mut HashMap<Tag, Arc<Target>>,
+        changes: &mut Vec<Change>,
+        as_of: Duration,
+    ) {
         let keep = as_of < self.keep_until;
-        for (tag, old) in &self.targets {
-            if next.contains_key(tag) {
-                continue;
-            }
-            let replaced = next.values().any(|it| it.address == old.address);
+        let missing = self
+            .targets
+            .iter()
+            .filter(|(tag, _)| !next.contains_key(tag));
+        let missing: Vec<_> = missing.map(|(tag, it)| (*tag, it.clone())).collect();
+        for (tag, old) in missing {
+            let replaced = next
+                .values()
+                .any(|it| it.address == old.address || it.id == old.id);
             if keep && !replaced {
-                next.insert(*tag, old.clone());
-                self.kept.insert(*tag);
+                next.insert(tag, old);
+                self.kept.insert(tag);
             } else {
-                changes.push(Change::Ended(old.clone()));
+                changes.push(Change::Ended(old));
             }
         }
-        self.targets = next;
+    }
+
+    /// A server says that it started at `born`: what is known of an earlier start has ended.
+    pub fn supersede(&mut self, id: &str, born: u64, now: Duration) -> Option<Change> {
+        if self.starts.newest(id).is_some_and(|it| it >= born) {
+            return None;
+        }
+        self.starts.note(&id.into(), born, now);
+        let old = self.targets.values().find(|it| it.id.as_ref() == id)?;
+        let old = old.clone();
+        self.targets.remove(&old.tag());
         self.index();
-        changes
+        Some(Change::Ended(old))
     }
 
     /// A peer had the same list, true at `as_of`.
@@ -187,8 +312,12 @@
         let mut listed: Vec<_> = self.listed().collect();
         listed.sort_by_key(|it| it.tag());
         self.digest = listed.into_iter().fold(0, |seed, it| {
-            let leaving = u64::from(it.state == State::Leaving);
-            xxh64(it.id.as_bytes(), seed ^ leaving)
+            let state = match it.state {
+                State::Ready => 0,
+                State::Leaving => 1,
+                State::Unreadable => 2,
+            };
+            xxh64(it.id.as_bytes(), seed ^ u64::from(it.tag().0) << 2 ^ state)
         });
     }
 
--- /dev/null
+++ b/crates/dispatch/src/registry/starts.rs
@@ -0,0 +1,44 @@
+//! The newest start of each server that says when it started.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long the newest start of a server is remembered after it was last listed: longer than any
+/// word of an earlier one is on its way, which is some seconds.
+pub const START_KEPT: Duration = Duration::from_mins(1);
+
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    born: u64,
+    /// When it was last listed.
+    at: Duration,
+}
+
+/// Newest starts by the servers' identities.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Starts {
+    by_id: HashMap<Arc<str>, Start>,
+}
+
+impl Starts {
+    /// Notes a start that is listed; the newest one of that server.
+    pub(super) fn note(&mut self, id: &Arc<str>, born: u64, at: Duration) -> u64 {
+        let start = self.by_id.entry(id.clone());
+        let start = start.or_insert(Start { born, at });
+        start.born = start.born.max(born);
+        start.at = at;
+        start.born
+    }
+
+    /// The newest start of a server, if it has said one.
+    pub(super) fn newest(&self, id: &str) -> Option<u64> {
+        self.by_id.get(id).map(|it| it.born)
+    }
+
+    /// Forgets starts that were not listed for long.
+    pub(super) fn prune(&mut self, now: Duration) {
+        self.by_id
+            .retain(|_, it| now.saturating_sub(it.at) < START_KEPT);
+    }
+}
--- a/crates/dispatch/tests/cells.rs
+++ b/crates/dispatch/tests/cells.rs
@@ -23,6 +23,7 @@
         service: "pool".into(),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
         domain: "a".into(),
+        born: None,
         slots: 16,
         state: State::Ready,
     });
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -29,6 +29,7 @@
         service: "pool".into(),
         address: ([127, 0, 0, 1], port).into(),
         domain: "a".into(),
+        born: None,
         slots: 10,
         state: State::Ready,
     }
--- a/crates/dispatch/tests/memory.rs
+++ b/crates/dispatch/tests/memory.rs
@@ -24,6 +24,7 @@
 
 fn news(epoch: u64, next: u64, entries: &[Entry]) -> News {
     News {
+        born: None,
         epoch,
         next,
         gap: false,
@@ -203,6 +204,7 @@
             service: "pool".into(),
             address: ([127, 0, 0, 1], number).into(),
             domain: "a".into(),
+            born: None,
             slots: 10,
             state: State::Ready,
         }),
--- /dev/null
+++ b/crates/dispatch/tests/starts.rs
@@ -0,0 +1,188 @@
+//! Targets that start again under the identity that they had, and entries that can't be read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dunlinward_dispatch::registry::{Change, Listing, OUTAGE, Registry, START_KEPT};
+use dunlinward_dispatch::target::{State, Target};
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// The server `id` that started at `born` and listens on `port`.
+fn target(id: &str, born: u64, port: u16) -> Target {
+    Target {
+        id: id.into(),
+        born: Some(born),
+        service: "pool".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: "a".into(),
+        slots: 10,
+        state: State::Ready,
+    }
+}
+
+fn leaving(mut target: Target) -> Target {
+    target.state = State::Leaving;
+    target
+}
+
+fn unreadable(targets: Vec<Target>, id: &str) -> Listing {
+    Listing {
+        targets,
+        unreadable: vec![id.into()],
+    }
+}
+
+/// Starts that may get new work, by identity and start.
+fn usable(registry: &Registry) -> Vec<(Arc<str>, Option<u64>)> {
+    let ready = registry.of("pool").iter();
+    let ready = ready.filter(|it| it.state == State::Ready);
+    ready.map(|it| (it.id.clone(), it.born)).collect()
+}
+
+fn only(id: &str, born: u64) -> Vec<(Arc<str>, Option<u64>)> {
+    vec![(id.into(), Some(born))]
+}
+
+/// A server crashed and was back within one interval of the list, at its address or at another one.
+#[test]
+fn a_new_start_is_a_new_target_and_ends_the_earlier_one() {
+    for port in [1, 2] {
+        let mut registry = Registry::new();
+        registry.take(vec![target("a", 1_000, 1)], ms(0));
+        let changes = registry.take(vec![target("a", 2_000, port)], ms(900));
+        assert_eq!(changes.len(), 2, "{changes:?}");
+        let old = Arc::new(target("a", 1_000, 1));
+        let new = Arc::new(target("a", 2_000, port));
+        assert!(changes.contains(&Change::Ended(old)));
+        assert!(changes.contains(&Change::Came(new)));
+        assert_eq!(usable(&registry), only("a", 2_000));
+    }
+}
+
+/// Nothing that leaves is ready again, but who starts again is another one.
+#[test]
+fn a_target_that_left_may_be_used_at_once_when_it_has_started_again() {
+    let mut registry = Registry::new();
+    registry.take(vec![leaving(target("a", 1_000, 1))], ms(0));
+    registry.take(vec![target("a", 1_000, 1)], ms(500));
+    assert_eq!(usable(&registry), []);
+    registry.take(vec![target("a", 2_000, 1)], ms(900));
+    assert_eq!(usable(&registry), only("a", 2_000));
+}
+
+/// Word of an earlier start comes late: from a peer that holds an older view, or from a store that
+/// answers with what it had.
+#[test]
+fn an_older_start_after_a_newer_one_changes_nothing() {
+    for settled in [false, true] {
+        let mut registry = Registry::new();
+        registry.take(vec![target("a", 2_000, 1)], ms(0));
+        let late = vec![leaving(target("a", 1_000, 2))];
+        let changes = if settled {
+            registry.take_settled(late, ms(900))
+        } else {
+            registry.take(late, ms(900))
+        };
+        assert_eq!(changes, []);
+        assert_eq!(usable(&registry), only("a", 2_000));
+    }
+}
+
+/// The newer start has ended meanwhile: the older one doesn't come back for it.
+#[test]
+fn an_older_start_is_no_target_also_when_the_newer_one_has_ended() {
+    let mut registry = Registry::new();
+    registry.take(vec![target("a", 2_000, 1)], ms(0));
+    registry.take(Vec::new(), ms(900));
+    let changes = registry.take(vec![target("a", 1_000, 1)], ms(1_800));
+    assert_eq!(changes, []);
+    assert_eq!(usable(&registry), []);
+    assert!(START_KEPT > ms(1_800));
+}
+
+/// The store is away while a server starts again elsewhere: what is kept for those that may come
+/// back is not kept for it.
+#[test]
+fn after_an_outage_an_earlier_start_is_not_kept_beside_the_next() {
+    let mut registry = Registry::new();
+    registry.take(vec![target("a", 1_000, 1), target("b", 1_000, 2)], ms(0));
+    registry.take(vec![target("a", 2_000, 3)], OUTAGE + ms(1));
+    let starts = registry.of("pool").iter();
+    let starts: Vec<_> = starts.map(|it| (it.id.as_ref(), it.born)).collect();
+    assert_eq!(starts, [("a", Some(2_000)), ("b", Some(1_000))]);
+}
+
+/// A target itself says that it has started again, before its entry does.
+#[test]
+fn a_start_that_has_been_superseded_gets_no_new_work() {
+    let mut registry = Registry::new();
+    registry.take(vec![target("a", 1_000, 1)], ms(0));
+    let old = Arc::new(target("a", 1_000, 1));
+    assert_eq!(
+        registry.supersede("a", 2_000, ms(300)),
+        Some(Change::Ended(old))
+    );
+    assert_eq!(registry.supersede("a", 1_000, ms(300)), None);
+    assert_eq!(registry.take(vec![target("a", 1_000, 1)], ms(900)), []);
+    assert_eq!(usable(&registry), []);
+    registry.take(vec![target("a", 2_000, 1)], ms(1_800));
+    assert_eq!(usable(&registry), only("a", 2_000));
+}
+
+#[test]
+fn lists_with_another_start_of_a_server_differ() {
+    let mut one = Registry::new();
+    let mut other = Registry::new();
+    one.take(vec![target("a", 1_000, 1)], ms(0));
+    other.take(vec![target("a", 2_000, 1)], ms(0));
+    assert_ne!(one.digest(), other.digest());
+}
+
+/// Platforms where each start has an identity of its own say no start.
+#[test]
+fn a_target_without_a_start_is_what_it_was() {
+    let mut registry = Registry::new();
+    let plain = Target {
+        born: None,
+        ..target("a", 0, 1)
+    };
+    registry.take(vec![plain.clone()], ms(0));
+    assert_eq!(registry.take(vec![plain], ms(900)), []);
+    assert_eq!(usable(&registry), [("a".into(), None)]);
+}
+
+/// Another writer has overwritten an entry: its target gets no new work, and what runs there runs
+/// on, until the entry can be read again or is gone.
+#[test]
+fn an_entry_that_turns_unreadable_suspends_its_target() {
+    let mut registry = Registry::new();
+    let both = || vec![target("a", 1_000, 1), target("b", 1_000, 2)];
+    registry.take(both(), ms(0));
+    let spoilt = unreadable(vec![target("b", 1_000, 2)], "a");
+    let changes = registry.take(spoilt.clone(), ms(900));
+    assert!(matches!(&changes[..], [Change::Suspended(it)] if it.id.as_ref() == "a"));
+    assert_eq!(usable(&registry), only("b", 1_000));
+    assert_eq!(registry.take(spoilt, ms(1_800)), []);
+    assert!(registry.get(target("a", 1_000, 1).tag()).is_some());
+    let changes = registry.take(both(), ms(2_700));
+    assert!(matches!(&changes[..], [Change::Came(it)] if it.id.as_ref() == "a"));
+    assert_eq!(usable(&registry).len(), 2);
+    let unknown = unreadable(both(), "c");
+    assert_eq!(registry.take(unknown, ms(3_600)), []);
+    let gone = registry.take(vec![target("b", 1_000, 2)], ms(4_500));
+    assert!(matches!(&gone[..], [Change::Ended(it)] if it.id.as_ref() == "a"));
+}
+
+/// What was heard of a drain stays: the entry was spoilt, and then written as it once was.
+#[test]
+fn a_target_that_left_stays_so_though_its_entry_was_unreadable_meanwhile() {
+    let mut registry = Registry::new();
+    registry.take(vec![leaving(target("a", 1_000, 1))], ms(0));
+    registry.take(unreadable(Vec::new(), "a"), ms(900));
+    registry.take(vec![target("a", 1_000, 1)], ms(1_800));
+    assert_eq!(usable(&registry), []);
+    assert_eq!(registry.of("pool")[0].state, State::Leaving);
+}
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -273,6 +273,7 @@
         service: "pool".into(),
         address: ([10, 1, 0, 1], 80).into(),
         domain: "hall-a".into(),
+        born: None,
         slots: 64,
         state: State::Ready,
     });
--- a/crates/path/src/memories.rs
+++ b/crates/path/src/memories.rs
@@ -5,6 +5,7 @@
 //! known gets old meanwhile and is not used any more (`dunlinward_dispatch::cache`).
 
 use std::cell::RefCell;
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -209,6 +210,22 @@
 
     fn take_news(&self, engine: &Target, question: Question, news: News) {
         let (tag, now) = (engine.tag(), self.now());
+        match engine
+            .born
+            .zip(news.born)
+            .map(|(known, says)| says.cmp(&known))
+        {
+            None | Some(Ordering::Equal) => {}
+            Some(Ordering::Less) => {
+                self.metrics.add("memory_questions", "earlier_start", 1);
+                return;
+            }
+            Some(Ordering::Greater) => {
+                self.metrics.add("memory_questions", "later_start", 1);
+                self.superseded(engine, news.born.unwrap_or_default());
+                return;
+            }
+        }
         let finding = self
             .state
             .borrow_mut()
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -40,6 +40,8 @@
 pub struct List {
     /// The targets.
     pub targets: Vec<Target>,
+    /// Identities whose entries can't be read.
+    pub unreadable: Vec<Arc<str>>,
     /// When it was true.
     pub as_of: Duration,
     /// Whether what it lacks has surely ended: it is of a router that saw no outage.
@@ -226,18 +228,7 @@
         }
         // Of the first list the count says enough: its targets are nobody's change.
         for change in changes.iter().filter(|_| !first) {
-            let (event, target) = match change {
-                Change::Came(target) => ("target_came", target),
-                Change::Leaves(target) => ("target_leaves", target),
-                Change::Ended(target) => ("target_ended", target),
-            };
-            if let Change::Ended(target) = change {
-                self.forget(target.tag());
-            }
-            let age = self.now().saturating_sub(as_of);
-            let line = self.journal.line(event).with("target", target.id.as_ref());
-            let line = line.with("service", target.service.as_ref());
-            drop(line.with("source", source).with_ms("age_ms", age));
+            self.tell_change(change, source, as_of);
         }
         if source == STORE || !changes.is_empty() {
             gossip::spread(self);
@@ -248,6 +239,40 @@
         }
     }
 
+    /// Carries out a change of the list of targets.
+    fn tell_change(&self, change: &Change, source: &str, as_of: Duration) {
+        let (event, target) = match change {
+            Change::Came(target) => ("target_came", target),
+            Change::Leaves(target) => ("target_leaves", target),
+            Change::Suspended(target) => ("target_suspended", target),
+            Change::Ended(target) => ("target_ended", target),
+        };
+        if let Change::Ended(target) = change {
+            self.forget(target.tag());
+        }
+        let age = self.now().saturating_sub(as_of);
+        let line = self.journal.line(event).with("target", target.id.as_ref());
+        let line = line.with("born", target.born);
+        let line = line.with("service", target.service.as_ref());
+        drop(line.with("source", source).with_ms("age_ms", age));
+    }
+
+    /// A target says that it has started again, at `born`: nothing of the earlier start holds. It
+    /// gets work again as soon as it is listed.
+    pub(crate) fn superseded(&self, target: &Target, born: u64) {
+        let now = self.now();
+        let change = self
+            .state
+            .borrow_mut()
+            .registry
+            .supersede(&target.id, born, now);
+        if let Some(change) = change {
+            self.tell_change(&change, "target", now);
+            self.pool.trim(now, |tag| self.gone(tag));
+            self.room_came();
+        }
+    }
+
     fn gone(&self, tag: Tag) -> bool {
         self.state.borrow().registry.get(tag).is_none()
     }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -17,7 +17,7 @@
 use dunlinward_dispatch::prefix::{Memory, Prefix, Prompt};
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::reading::{Reading, Readings};
-use dunlinward_dispatch::registry::{Change, Registry};
+use dunlinward_dispatch::registry::{Change, Listing, Registry};
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share::{self, Shares};
 use dunlinward_dispatch::target::{Tag, Target};
@@ -194,10 +194,14 @@
 
     /// Takes a list of targets.
     pub(crate) fn take_list(&mut self, list: List) -> Vec<Change> {
+        let listing = Listing {
+            targets: list.targets,
+            unreadable: list.unreadable,
+        };
         if list.settled {
-            self.registry.take_settled(list.targets, list.as_of)
+            self.registry.take_settled(listing, list.as_of)
         } else {
-            self.registry.take(list.targets, list.as_of)
+            self.registry.take(listing, list.as_of)
         }
     }
 
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -98,6 +98,7 @@
         service: "pool".into(),
         address: ([127, 0, 0, 1], port).into(),
         domain: "a".into(),
+        born: None,
         slots: 64,
         state: Condition::Ready,
     };
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -120,6 +120,7 @@
         };
         let list = List {
             targets: targets.list,
+            unreadable: Vec::new(),
             as_of,
             settled: targets.settled,
             reading: Some(targets.read),
