Messages that no router can mean are dropped and counted

Cause: a datagram of another version may decode; a time that is too long overflowed in the owner's sum and ended the task that reads messages (seen: 'overflow when adding durations'), so the router heard nothing any more. Change: Content::plausible bounds times (1 h) and tokens (2^48).

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -3,6 +3,9 @@
 //! A lost message is made good by a later one: an unanswered request for a place is
 //! repeated, what a router has at targets is told whole several times a second, and
 //! greetings go on for as long as the router runs.
+//!
+//! A message may be of a router of another version. What decodes and can't be meant is not
+//! [plausible](Content::plausible) and is dropped: sums of it would overflow.
 
 use std::time::Duration;
 
@@ -17,6 +20,13 @@
 use crate::target::Tag;
 use crate::usage::{Load, Peer};
 
+/// Longest time in a message that is meant: no request lasts an hour.
+const LONGEST: Duration = Duration::from_hours(1);
+
+/// Most tokens in a message that are meant, 2^48: what all engines of a large fleet (1.8 M a second)
+/// produce in five years.
+const TOKENS_MOST: u64 = 1 << 48;
+
 /// Short name of a customer in messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CustomerTag(pub u32);
@@ -179,3 +189,37 @@
     /// What it says.
     pub content: Content,
 }
+
+impl Content {
+    /// Whether a router can mean this.
+    #[must_use]
+    pub fn plausible(&self) -> bool {
+        let few = |tokens: u64| tokens <= TOKENS_MOST;
+        match self {
+            Self::Ask(ask) => ask.plausible(),
+            Self::Grant(grant) => few(grant.unread),
+            Self::Read { unread, .. } => few(*unread),
+            Self::Return(returned) => few(returned.unread),
+            Self::Work(work) => {
+                let mut loads = work.loads.iter();
+                let mut customers = work.customers.iter();
+                loads.all(|it| few(it.load.unread))
+                    && customers.all(|it| few(it.asked) && few(it.granted))
+            }
+            Self::Greeting(_) | Self::Wait(_) | Self::Withdraw(_) => true,
+        }
+    }
+}
+
+impl Ask {
+    fn plausible(&self) -> bool {
+        let short = [self.objective, self.waited, self.patience];
+        let counts = self.prompt.iter().flat_map(|it| {
+            let parts = it.parts.iter().map(|it| it.tokens);
+            parts.chain([it.tokens, it.answer_tokens])
+        });
+        short.iter().all(|it| *it <= LONGEST)
+            && self.cost <= TOKENS_MOST
+            && counts.into_iter().all(|it| it <= TOKENS_MOST)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/messages.rs
@@ -0,0 +1,160 @@
+//! Messages that a router of another version, or nobody, may have sent.
+
+use std::time::Duration;
+
+use dunlinward_dispatch::cell::{Cell, ServiceTag};
+use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::report::{
+    Ask, Content, CustomerTag, CustomerUse, Grant, Return, TargetLoad, Work,
+};
+use dunlinward_dispatch::share::Standing;
+use dunlinward_dispatch::target::Tag;
+use dunlinward_dispatch::usage::Load;
+
+fn ask() -> Ask {
+    Ask {
+        number: 7,
+        cell: Cell {
+            service: ServiceTag::new("pool"),
+            index: 0,
+        },
+        prompt: Some(Prompt {
+            tokens: 10,
+            answer_tokens: 5,
+            parts: vec![Part { id: 0, tokens: 10 }],
+        }),
+        customer: Some(CustomerTag(5)),
+        cost: 20,
+        objective: Duration::from_secs(2),
+        waited: Duration::ZERO,
+        patience: Duration::from_millis(120),
+        returning: false,
+        counted: false,
+        avoid: Vec::new(),
+    }
+}
+
+fn grant() -> Grant {
+    Grant {
+        number: 7,
+        tag: Tag::new("i-1"),
+        unread: 10,
+        hit: true,
+        fetch: None,
+        standing: Some(Standing {
+            granted: 20,
+            level: Some(30),
+        }),
+    }
+}
+
+fn load(unread: u64) -> Content {
+    let tag = Tag::new("i-1");
+    let load = Load { running: 1, unread };
+    Content::Work(Work {
+        loads: vec![TargetLoad { tag, load }],
+        ..Work::default()
+    })
+}
+
+fn used(granted: u64) -> Content {
+    let used = CustomerUse {
+        tag: CustomerTag(5),
+        asked: 20,
+        granted,
+    };
+    Content::Work(Work {
+        customers: vec![used],
+        ..Work::default()
+    })
+}
+
+fn returned(unread: u64) -> Content {
+    Content::Return(Return {
+        tag: Tag::new("i-1"),
+        unread,
+        outcome: None,
+        not_run: Some(7),
+    })
+}
+
+#[test]
+fn what_routers_say_is_plausible() {
+    let contents = [
+        Content::Ask(ask()),
+        Content::Grant(grant()),
+        Content::Withdraw(u64::MAX),
+        load(2_000_000),
+        used(100_000_000),
+        returned(0),
+    ];
+    for content in contents {
+        assert!(content.plausible(), "{content:?}");
+    }
+}
+
+/// The sum of a time or of tokens overflowed: with the first of these a router heard no message any
+/// more.
+#[test]
+fn what_no_router_can_mean_is_not() {
+    let long = Duration::MAX;
+    let most = u64::MAX;
+    let asks = [
+        Ask {
+            patience: long,
+            ..ask()
+        },
+        Ask {
+            objective: long,
+            ..ask()
+        },
+        Ask {
+            waited: long,
+            ..ask()
+        },
+        Ask {
+            cost: most,
+            ..ask()
+        },
+        Ask {
+            prompt: Some(Prompt {
+                tokens: most,
+                ..Prompt::default()
+            }),
+            ..ask()
+        },
+        Ask {
+            prompt: Some(Prompt {
+                answer_tokens: most,
+                ..Prompt::default()
+            }),
+            ..ask()
+        },
+        Ask {
+            prompt: Some(Prompt {
+                parts: vec![Part {
+                    id: 0,
+                    tokens: most,
+                }],
+                ..Prompt::default()
+            }),
+            ..ask()
+        },
+    ];
+    let contents = asks.into_iter().map(Content::Ask).chain([
+        Content::Grant(Grant {
+            unread: most,
+            ..grant()
+        }),
+        Content::Read {
+            tag: Tag::new("i-1"),
+            unread: most,
+        },
+        load(most),
+        used(most),
+        returned(most),
+    ]);
+    for content in contents {
+        assert!(!content.plausible(), "{content:?}");
+    }
+}
--- a/crates/path/src/inbox.rs
+++ b/crates/path/src/inbox.rs
@@ -59,8 +59,11 @@
 fn decode(node: &Rc<Node>, bytes: &[u8], from: SocketAddr) {
     let decoded = bincode::serde::decode_from_slice::<Message, _>(bytes, standard());
     match decoded {
-        Ok((message, _)) if message.sender != node.peer => take(node, message, from),
-        Ok(_) => {}
+        Ok((message, _)) if message.sender == node.peer => {}
+        Ok((message, _)) if !message.content.plausible() => {
+            node.metrics.add("messages", "implausible", 1);
+        }
+        Ok((message, _)) => take(node, message, from),
         Err(_) => node.metrics.add("messages", "malformed", 1),
     }
 }
