--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -15,13 +15,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh64::xxh64;
-
 use crate::cell::{self, Cell, ServiceTag};
 use crate::target::{State, Tag, Target};
 
+mod index;
 mod starts;
 
+use index::{Index, digest};
 pub use starts::START_KEPT;
 use starts::Starts;
 
@@ -69,8 +69,7 @@
 pub struct Registry {
     cell_targets: usize,
     targets: HashMap<Tag, Arc<Target>>,
-    by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
-    cells: HashMap<ServiceTag, Vec<Vec<Arc<Target>>>>,
+    index: Index,
     read_at: Option<Duration>,
     keep_until: Duration,
     /// From when on a list tells surely what has ended.
@@ -96,8 +95,7 @@
         Self {
             cell_targets: cell::TARGETS,
             targets: HashMap::new(),
-            by_service: HashMap::new(),
-            cells: HashMap::new(),
+            index: Index::default(),
             read_at: None,
             keep_until: Duration::ZERO,
             settled_from: Duration::ZERO,
@@ -300,46 +298,14 @@
     }
 
     fn index(&mut self) {
-        self.by_service.clear();
-        for target in self.targets.values() {
-            let service = self.by_service.entry(target.service.clone()).or_default();
-            service.push(target.clone());
-        }
-        for targets in self.by_service.values_mut() {
-            targets.sort_by(|a, b| a.id.cmp(&b.id));
-        }
-        self.cells = self.cut();
-        let mut listed: Vec<_> = self.listed().collect();
-        listed.sort_by_key(|it| it.tag());
-        self.digest = listed.into_iter().fold(0, |seed, it| {
-            let state = match it.state {
-                State::Ready => 0,
-                State::Leaving => 1,
-                State::Unreadable => 2,
-            };
-            xxh64(it.id.as_bytes(), seed ^ u64::from(it.tag().0) << 2 ^ state)
-        });
-    }
-
-    /// Cuts each service into cells.
-    fn cut(&self) -> HashMap<ServiceTag, Vec<Vec<Arc<Target>>>> {
-        let services = self.by_service.iter();
-        let cut = services.map(|(service, targets)| {
-            let count = cell::count(targets.len(), self.cell_targets);
-            let mut cells = vec![Vec::new(); usize::from(count)];
-            for target in targets {
-                let index = cell::index(target.tag(), count);
-                cells[usize::from(index)].push(target.clone());
-            }
-            (ServiceTag::new(service), cells)
-        });
-        cut.collect()
+        self.index = Index::new(self.targets.values(), self.cell_targets);
+        self.digest = digest(self.listed());
     }
 
     /// The cells of a service.
     #[must_use]
     pub fn cells(&self, service: ServiceTag) -> &[Vec<Arc<Target>>] {
-        self.cells.get(&service).map_or(&[], Vec::as_slice)
+        self.index.cells(service)
     }
 
     /// Targets of a cell, in the order of their identities.
@@ -353,16 +319,7 @@
 
     /// All cells that have targets.
     pub fn all_cells(&self) -> impl Iterator<Item = (Cell, &[Arc<Target>])> {
-        self.cells.iter().flat_map(|(service, cells)| {
-            let numbered = (0u16..).zip(cells).filter(|(_, it)| !it.is_empty());
-            numbered.map(|(index, targets)| {
-                let cell = Cell {
-                    service: *service,
-                    index,
-                };
-                (cell, targets.as_slice())
-            })
-        })
+        self.index.all_cells()
     }
 
     /// The cell of a target.
@@ -379,7 +336,7 @@
     /// Targets of a service, in the order of their identities.
     #[must_use]
     pub fn of(&self, service: &str) -> &[Arc<Target>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.index.of(service)
     }
 
     /// Targets of the newest list, without those that are kept for a while.
--- /dev/null
+++ b/crates/dispatch/src/registry/index.rs
@@ -0,0 +1,87 @@
+//! Targets by service and cell, and the sum by which lists are compared.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh64::xxh64;
+
+use crate::cell::{self, Cell, ServiceTag};
+use crate::target::{State, Target};
+
+/// All known targets by service, and each service cut into cells.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Index {
+    by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
+    cells: HashMap<ServiceTag, Vec<Vec<Arc<Target>>>>,
+}
+
+impl Index {
+    /// Of these targets, in cells of about `cell_targets`.
+    pub(super) fn new<'a>(
+        targets: impl Iterator<Item = &'a Arc<Target>>,
+        cell_targets: usize,
+    ) -> Self {
+        let mut by_service: HashMap<Arc<str>, Vec<Arc<Target>>> = HashMap::new();
+        for target in targets {
+            let service = by_service.entry(target.service.clone()).or_default();
+            service.push(target.clone());
+        }
+        for targets in by_service.values_mut() {
+            targets.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        let cells = by_service
+            .iter()
+            .map(|(service, targets)| (ServiceTag::new(service), cut(targets, cell_targets)))
+            .collect();
+        Self { by_service, cells }
+    }
+
+    /// Targets of a service, in the order of their identities.
+    pub(super) fn of(&self, service: &str) -> &[Arc<Target>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The cells of a service.
+    pub(super) fn cells(&self, service: ServiceTag) -> &[Vec<Arc<Target>>] {
+        self.cells.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All cells that have targets.
+    pub(super) fn all_cells(&self) -> impl Iterator<Item = (Cell, &[Arc<Target>])> {
+        self.cells.iter().flat_map(|(service, cells)| {
+            let numbered = (0u16..).zip(cells).filter(|(_, it)| !it.is_empty());
+            numbered.map(|(index, targets)| {
+                let cell = Cell {
+                    service: *service,
+                    index,
+                };
+                (cell, targets.as_slice())
+            })
+        })
+    }
+}
+
+/// Cuts a service into cells.
+fn cut(targets: &[Arc<Target>], cell_targets: usize) -> Vec<Vec<Arc<Target>>> {
+    let count = cell::count(targets.len(), cell_targets);
+    let mut cells = vec![Vec::new(); usize::from(count)];
+    for target in targets {
+        let index = cell::index(target.tag(), count);
+        cells[usize::from(index)].push(target.clone());
+    }
+    cells
+}
+
+/// A short sum of a list; equal lists have equal ones.
+pub(super) fn digest<'a>(targets: impl Iterator<Item = &'a Arc<Target>>) -> u64 {
+    let mut targets: Vec<_> = targets.collect();
+    targets.sort_by_key(|it| it.tag());
+    targets.into_iter().fold(0, |seed, it| {
+        let state = match it.state {
+            State::Ready => 0,
+            State::Leaving => 1,
+            State::Unreadable => 2,
+        };
+        xxh64(it.id.as_bytes(), seed ^ u64::from(it.tag().0) << 2 ^ state)
+    })
+}
--- a/crates/path/src/inbox.rs
+++ b/crates/path/src/inbox.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::node::Node;
-use crate::place::Answer;
+use crate::pending::Answer;
 use crate::{gossip, owner};
 
 /// Largest message in bytes; a datagram's limit.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`exchange`]: one request from its head to its answer; [`tell`]: its log lines.
 //! - [`pool`], [`attempt`]: connections to targets, one attempt at a target.
 //! - [`event`], [`relay`]: streams of events, and how one goes on elsewhere.
-//! - [`place`], [`owner`]: a place asked of the router that owns a cell, and given there.
+//! - [`place`], [`pending`], [`owner`]: a place asked of the router that owns a cell, and given there.
 //! - [`memories`]: what engines say that they keep of prompts.
 //! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
 //! - [`courier`], [`inbox`]: messages between routers.
@@ -34,6 +34,7 @@
 pub mod metrics;
 pub mod node;
 pub mod owner;
+pub mod pending;
 pub mod place;
 pub mod pool;
 pub mod queue;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -25,7 +25,7 @@
 use crate::gossip::{self, Gossip};
 use crate::journal::{Journal, Line, millis};
 use crate::metrics::Metrics;
-use crate::place::Pending;
+use crate::pending::Pending;
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::state::State;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -7,8 +7,6 @@
 //! over, and the next one is asked; when that one is silent too, this router places
 //! the request itself, with the part of the room that is its own if all routers did so.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +17,7 @@
 
 use crate::lease::{Giver, Lease, Place};
 use crate::node::Node;
+use crate::pending::Answer;
 use crate::reply::{Reason, Refusal};
 use crate::state::{Claim, Wish};
 
@@ -40,109 +39,6 @@
 /// How often a request that waits is put to its owner again.
 const RENEWAL: Duration = Duration::from_millis(100);
 
-/// Reports in which a router says that it uses a place: one may be lost, and both come before the
-/// lease lapses.
-const CONFIRMATIONS: u32 = 2;
-
-/// How long it is remembered when a request was put that was given up.
-const LATE_MOST: Duration = Duration::from_secs(2);
-
-/// What an owner answers.
-#[derive(Clone, Copy, Debug)]
-pub enum Answer {
-    /// A place.
-    Grant(Grant),
-    /// The request waits.
-    Wait(Wait),
-}
-
-impl Answer {
-    /// Label in metrics.
-    fn label(self) -> &'static str {
-        match self {
-            Self::Grant(_) => "place",
-            Self::Wait(_) => "wait",
-        }
-    }
-}
-
-/// Requests that have been put to owners.
-#[derive(Debug, Default)]
-pub struct Pending {
-    next: Cell<u64>,
-    waiting: RefCell<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
-    /// Requests that were given up without a place, and when they were first put.
-    given_up: RefCell<HashMap<u64, Duration>>,
-    late: Cell<Late>,
-    /// Places that are used, by the routers that gave them.
-    accepted: RefCell<HashMap<SocketAddr, Vec<Accepted>>>,
-}
-
-/// A place that is used, and how often its giver has been told so.
-#[derive(Clone, Copy, Debug)]
-struct Accepted {
-    number: u64,
-    told: u32,
-}
-
-/// Answers that came after their requests had been given up.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Late {
-    pub(crate) answers: u32,
-    /// Of these, places.
-    pub(crate) places: u32,
-    /// Sum of the times from asking to the answer.
-    pub(crate) time: Duration,
-    pub(crate) longest: Duration,
-}
-
-impl Pending {
-    /// Tells with the next reports that a place is used.
-    fn accept(&self, giver: SocketAddr, number: u64) {
-        let mut accepted = self.accepted.borrow_mut();
-        let accepted = accepted.entry(giver).or_default();
-        accepted.push(Accepted { number, told: 0 });
-    }
-
-    /// Numbers of places that are used, for the next report to each router that gave some.
-    pub(crate) fn confirmations(&self) -> HashMap<SocketAddr, Vec<u64>> {
-        let mut accepted = self.accepted.borrow_mut();
-        accepted.retain(|_, it| {
-            it.retain(|it| it.told < CONFIRMATIONS);
-            !it.is_empty()
-        });
-        let mut numbers = HashMap::new();
-        for (giver, accepted) in accepted.iter_mut() {
-            for it in accepted.iter_mut() {
-                it.told += 1;
-            }
-            let told = accepted.iter().map(|it| it.number);
-            numbers.insert(*giver, told.collect());
-        }
-        numbers
-    }
-
-    /// Late answers since the last call; forgets requests of which none will come.
-    pub(crate) fn take_late(&self, now: Duration) -> Late {
-        let mut given_up = self.given_up.borrow_mut();
-        given_up.retain(|_, at| now.saturating_sub(*at) < LATE_MOST);
-        self.late.take()
-    }
-
-    /// Notes an answer to a request that was given up; how late it is, if that is known.
-    fn note_late(&self, number: u64, answer: &Answer, now: Duration) -> Option<Duration> {
-        let asked = self.given_up.borrow_mut().remove(&number)?;
-        let time = now.saturating_sub(asked);
-        let mut late = self.late.get();
-        late.answers += 1;
-        late.places += u32::from(matches!(answer, Answer::Grant(_)));
-        late.time += time;
-        late.longest = late.longest.max(time);
-        self.late.set(late);
-        Some(time)
-    }
-}
-
 /// How asking an owner ended.
 enum Asked {
     Placed(Lease),
@@ -223,9 +119,7 @@
     /// Takes an owner's answer; a place that nobody waits for is given back.
     pub(crate) fn answer(&self, from: SocketAddr, number: u64, answer: Answer) {
         self.state.borrow_mut().members.answered(from);
-        let waiting = self.pending.waiting.borrow().get(&number).cloned();
-        let taken = waiting.is_some_and(|it| it.send(answer).is_ok());
-        if !taken {
+        if !self.pending.answer(number, answer) {
             if let Some(time) = self.pending.note_late(number, &answer, self.now()) {
                 self.metrics
                     .time("late_answer_seconds", answer.label(), time);
@@ -278,11 +172,7 @@
 
 impl<'a> Question<'a> {
     fn new(node: &'a Rc<Node>, owner: SocketAddr) -> Self {
-        let pending = &node.pending;
-        let number = pending.next.get();
-        pending.next.set(number + 1);
-        let (sender, answers) = mpsc::unbounded_channel();
-        pending.waiting.borrow_mut().insert(number, sender);
+        let (number, answers) = node.pending.put();
         Self {
             node,
             owner,
@@ -364,10 +254,9 @@
 
 impl Drop for Question<'_> {
     fn drop(&mut self) {
-        self.node.pending.waiting.borrow_mut().remove(&self.number);
+        self.node.pending.close(self.number);
         if !self.accepted {
-            let mut given_up = self.node.pending.given_up.borrow_mut();
-            given_up.insert(self.number, self.asked);
+            self.node.pending.give_up(self.number, self.asked);
             self.node.send(self.owner, Content::Withdraw(self.number));
         }
     }
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -374,6 +374,17 @@
         }
     }
 
+    /// The first customer gets at least half of what the best served one does.
+    fn expect_share(&self, seed: u64) {
+        let served = self.served(0, 6, 12);
+        let best = (1..3).map(|it| self.served(it, 6, 12)).max();
+        let best = best.unwrap_or_default();
+        assert!(
+            served * 2 >= best && best > 0,
+            "seed {seed}: {served} tokens, another customer {best}"
+        );
+    }
+
     /// Tokens that a customer was served from one second to another.
     fn served(&self, customer: usize, from: u64, to: u64) -> u64 {
         (from..to)
@@ -459,13 +470,7 @@
 fn a_customer_whose_router_is_late_gets_its_share() {
     for seed in 0..4 {
         let fleet = Fleet::new(&flood(LATE), seed).run(Duration::from_secs(12));
-        let served = fleet.served(0, 6, 12);
-        let best = (1..3).map(|it| fleet.served(it, 6, 12)).max();
-        let best = best.unwrap_or_default();
-        assert!(
-            served * 2 >= best && best > 0,
-            "seed {seed}: {served} tokens, another customer {best}"
-        );
+        fleet.expect_share(seed);
     }
 }
 
@@ -477,13 +482,7 @@
     for seed in 0..4 {
         let fleet = Fleet::new(&flood(LATE), seed).with_lost(0.5);
         let fleet = fleet.run(Duration::from_secs(12));
-        let served = fleet.served(0, 6, 12);
-        let best = (1..3).map(|it| fleet.served(it, 6, 12)).max();
-        let best = best.unwrap_or_default();
-        assert!(
-            served * 2 >= best && best > 0,
-            "seed {seed}: {served} tokens, another customer {best}"
-        );
+        fleet.expect_share(seed);
     }
 }
 
