A start that seems older counts once the newer one was not listed for a minute

Cause: late word of an earlier start renewed the memory of the newer one, so a server whose clock was set back before it started again would have been left out for as long as it was listed.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -168,6 +168,7 @@
             targets,
             mut unreadable,
         } = listing;
+        self.starts.prune(as_of);
         let mut list = Vec::with_capacity(targets.len());
         for target in targets {
             match self.newest_start(target, as_of) {
@@ -175,7 +176,6 @@
                 Err(id) => unreadable.push(id),
             }
         }
-        self.starts.prune(as_of);
         if !unreadable.is_empty() {
             list.extend(self.suspended(&unreadable));
         }
--- a/crates/dispatch/src/registry/starts.rs
+++ b/crates/dispatch/src/registry/starts.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 /// How long the newest start of a server is remembered after it was last listed: longer than any
-/// word of an earlier one is on its way, which is some seconds.
+/// word of an earlier one is on its way, which is some seconds. After that a start that seems older
+/// counts, as the server's clock may have been set back.
 pub const START_KEPT: Duration = Duration::from_mins(1);
 
 #[derive(Clone, Copy, Debug)]
@@ -26,8 +27,9 @@
     pub(super) fn note(&mut self, id: &Arc<str>, born: u64, at: Duration) -> u64 {
         let start = self.by_id.entry(id.clone());
         let start = start.or_insert(Start { born, at });
-        start.born = start.born.max(born);
-        start.at = at;
+        if born >= start.born {
+            *start = Start { born, at };
+        }
         start.born
     }
 
@@ -36,7 +38,7 @@
         self.by_id.get(id).map(|it| it.born)
     }
 
-    /// Forgets starts that were not listed for long.
+    /// Forgets starts that were not listed for long, whatever earlier ones were.
     pub(super) fn prune(&mut self, now: Duration) {
         self.by_id
             .retain(|_, it| now.saturating_sub(it.at) < START_KEPT);
--- a/crates/dispatch/tests/starts.rs
+++ b/crates/dispatch/tests/starts.rs
@@ -103,6 +103,20 @@
     assert!(START_KEPT > ms(1_800));
 }
 
+/// A server's clock was set back before it started again: it is not left out for ever.
+#[test]
+fn a_start_that_seems_older_counts_when_the_newer_was_not_listed_for_long() {
+    let mut registry = Registry::new();
+    registry.take(vec![target("a", 2_000, 1)], ms(0));
+    let seconds = START_KEPT.as_secs();
+    for second in 1..seconds {
+        registry.take(vec![target("a", 1_000, 1)], Duration::from_secs(second));
+        assert_eq!(usable(&registry), only("a", 2_000));
+    }
+    registry.take(vec![target("a", 1_000, 1)], START_KEPT);
+    assert_eq!(usable(&registry), only("a", 1_000));
+}
+
 /// The store is away while a server starts again elsewhere: what is kept for those that may come
 /// back is not kept for it.
 #[test]
--- a/crates/path/src/memories.rs
+++ b/crates/path/src/memories.rs
@@ -210,21 +210,8 @@
 
     fn take_news(&self, engine: &Target, question: Question, news: News) {
         let (tag, now) = (engine.tag(), self.now());
-        match engine
-            .born
-            .zip(news.born)
-            .map(|(known, says)| says.cmp(&known))
-        {
-            None | Some(Ordering::Equal) => {}
-            Some(Ordering::Less) => {
-                self.metrics.add("memory_questions", "earlier_start", 1);
-                return;
-            }
-            Some(Ordering::Greater) => {
-                self.metrics.add("memory_questions", "later_start", 1);
-                self.superseded(engine, news.born.unwrap_or_default());
-                return;
-            }
+        if !self.same_start(engine, news.born) {
+            return;
         }
         let finding = self
             .state
@@ -243,4 +230,23 @@
             drop(line.with("finding", label));
         }
     }
+
+    /// Whether what an engine says is of the start that it was asked for. A later one ends that.
+    fn same_start(&self, engine: &Target, says: Option<u64>) -> bool {
+        let (Some(known), Some(says)) = (engine.born, says) else {
+            return true;
+        };
+        match says.cmp(&known) {
+            Ordering::Equal => true,
+            Ordering::Less => {
+                self.metrics.add("memory_questions", "earlier_start", 1);
+                false
+            }
+            Ordering::Greater => {
+                self.metrics.add("memory_questions", "later_start", 1);
+                self.superseded(engine, says);
+                false
+            }
+        }
+    }
 }
