Evacuated domains, cold targets, a store that comes back from a copy

Change: orders with their position (era, offset), the newest wins, told from router to router; owners leave evacuated domains out, entry routers give such places back. Cold targets get places at the rate that they are made for, a part for each side of a cut. The era orders what is read; what a copy lacks is kept, what it brings back is not taken for alive; a quarantine that is lost is written again by one router. A router is ready once a peer knows nothing that it lacks.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -72,6 +72,9 @@
     pub name: Arc<str>,
     /// Connections that one target accepts from all callers. Not used yet: slots bind first.
     pub connections: u32,
+    /// Requests a second that one target is made for while it is cold; none if that makes no
+    /// difference to it.
+    pub cold_rate: Option<f64>,
     /// What its targets are like if they are model engines.
     pub engine: Option<Engine>,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`content`]: what a request asks, whoever carries it.
 //! - [`quarantine`], [`cuts`], [`copies`]: contents under which targets end.
 //! - [`target`], [`registry`]: the targets that are known, and which may get work.
+//! - [`store`], [`evacuation`]: what the platform's store says, and failure domains that get nothing.
+//! - [`cold`]: targets that bear few requests for now.
 //! - [`cell`], [`member`]: groups of targets, and the router that places requests there.
 //! - [`membership`]: which routers are alive.
 //! - [`usage`]: work at each target, this router's and its peers'.
@@ -24,10 +26,12 @@
 pub mod budget;
 pub mod cache;
 pub mod cell;
+pub mod cold;
 pub mod configuration;
 pub mod content;
 pub mod copies;
 pub mod cuts;
+pub mod evacuation;
 pub mod grants;
 pub mod health;
 pub mod member;
@@ -40,6 +44,7 @@
 pub mod registry;
 pub mod report;
 pub mod share;
+pub mod store;
 pub mod target;
 pub mod tries;
 pub mod usage;
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -363,6 +363,21 @@
         })
     }
 
+    /// What the store is to be told so that it keeps what is known here; `stored` is what it keeps.
+    /// A store that came back from a copy may lack a quarantine, or keep one that was ended.
+    #[must_use]
+    pub fn unkept(&self, stored: &[Entry], now: Duration) -> Vec<Entry> {
+        let kept = |own: &Entry| stored.iter().find(|it| it.content == own.content);
+        let unkept = self.entries(now).filter(|own| match kept(own) {
+            None => own.guilty,
+            Some(kept) => {
+                let earlier = kept.generation < own.generation;
+                earlier || own.guilty && !own.ends.is_subset(&kept.ends)
+            }
+        });
+        unkept.collect()
+    }
+
     fn told(&self) -> impl Iterator<Item = &Record> {
         self.records.values().filter(|it| it.told)
     }
--- a/crates/dispatch/src/registry/index.rs
+++ b/crates/dispatch/src/registry/index.rs
@@ -82,6 +82,10 @@
             State::Leaving => 1,
             State::Unreadable => 2,
         };
-        xxh64(it.id.as_bytes(), seed ^ u64::from(it.tag().0) << 2 ^ state)
+        let cold = u64::from(!it.cold_left.is_zero()) << 34;
+        xxh64(
+            it.id.as_bytes(),
+            seed ^ u64::from(it.tag().0) << 2 ^ state ^ cold,
+        )
     })
 }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -67,6 +67,10 @@
     /// Sum of the contents under which targets ended; none if the sender doesn't know yet which
     /// the store keeps.
     pub quarantine: Option<u64>,
+    /// Sum of the orders to evacuate failure domains.
+    pub evacuations: u64,
+    /// The newest era of the store, if anything was heard of it.
+    pub era: Option<u64>,
 }
 
 /// Who is alive, and what the sender knows of the platform.
@@ -103,6 +107,8 @@
     pub returning: bool,
     /// Whether the tokens it asks for have been counted before.
     pub counted: bool,
+    /// Whether a target has failed it.
+    pub failed: bool,
     /// Targets that have failed it or the router that asks.
     pub avoid: Vec<Tag>,
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
@@ -39,6 +40,8 @@
     pub slots: u32,
     /// Whether it may get new work.
     pub state: State,
+    /// How much longer it bears few requests, as of its entry; zero once it is warm.
+    pub cold_left: Duration,
 }
 
 /// Short name of one start of a server in messages and tables.
--- a/crates/dispatch/tests/cells.rs
+++ b/crates/dispatch/tests/cells.rs
@@ -26,6 +26,7 @@
         born: None,
         slots: 16,
         state: State::Ready,
+        cold_left: Duration::ZERO,
     });
     targets.collect()
 }
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -32,6 +32,7 @@
         born: None,
         slots: 10,
         state: State::Ready,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/dispatch/tests/memory.rs
+++ b/crates/dispatch/tests/memory.rs
@@ -207,6 +207,7 @@
             born: None,
             slots: 10,
             state: State::Ready,
+            cold_left: Duration::ZERO,
         }),
         load: Load { running: 0, unread },
         local: false,
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -32,6 +32,7 @@
         patience: Duration::from_millis(120),
         returning: false,
         counted: false,
+        failed: false,
         avoid: Vec::new(),
     }
 }
--- a/crates/dispatch/tests/starts.rs
+++ b/crates/dispatch/tests/starts.rs
@@ -20,6 +20,7 @@
         domain: "a".into(),
         slots: 10,
         state: State::Ready,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -200,6 +200,8 @@
         registry_read: Some(reading),
         registry_digest: u64::MAX / 3,
         quarantine: Some(0),
+        evacuations: 0,
+        era: None,
     };
     Greeting { packet, views }
 }
@@ -230,6 +232,7 @@
         patience: Duration::from_millis(160),
         returning: false,
         counted: false,
+        failed: false,
         avoid: Vec::new(),
     }
 }
@@ -284,6 +287,7 @@
         born: None,
         slots: 64,
         state: State::Ready,
+        cold_left: Duration::ZERO,
     });
     targets.collect()
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -141,6 +141,10 @@
         Some(connection) => connection,
         None => connect(node, job, &lease).await?,
     };
+    if node.state.borrow().evacuated(&target) {
+        // Operators have evacuated its domain since the place was given.
+        return Err(Failure::new(Verdict::NotSent, "evacuated"));
+    }
     let (response, connection) =
         exchange(node, job, &lease, connection, resume_after, limit).await?;
     let (head, body) = response.into_parts();
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -162,6 +162,7 @@
         arrived: job.arrived,
         returning: job.returning,
         counted: failed.is_some(),
+        failed: failed.is_some(),
         avoid,
         until,
         claim: Claim::All,
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -15,7 +15,7 @@
 use dunlinward_dispatch::report::{Content, Greeting, Views};
 
 use crate::node::Node;
-use crate::view::{self, Wanted};
+use crate::view::{self, Part, Wanted};
 
 /// Routers that are told of a change at once.
 const TOLD: usize = 3;
@@ -122,6 +122,8 @@
         registry_read: state.registry_reads.tell(now),
         registry_digest: state.registry.digest(),
         quarantine: state.quarantine_known.then(|| state.quarantine.digest()),
+        evacuations: state.evacuations.digest(),
+        era: state.store.newest(),
     }
 }
 
@@ -139,6 +141,10 @@
         state.membership.receive(packet, now)
     };
     carry_out(node, effects);
+    if let Some(era) = views.era {
+        // What a peer of an earlier era tells is older than what is known here, and ordered so.
+        let _ = node.see_era(era, "peer");
+    }
     let news = compare(node, views, now);
     if news.wanted != Wanted::default() {
         view::fetch(node, card.address, news.wanted);
@@ -165,13 +171,21 @@
     // A peer that knows of none will ask itself, but it is known then that the store keeps none.
     let differs = views.quarantine.is_some_and(|it| it != own && it != 0);
     state.quarantine_known |= views.quarantine.is_some() && !differs;
-    news.wanted.quarantine = differs && node.fetching.quarantine_due(now);
+    let quarantine = differs && node.fetching.quarantine.due(now);
+    news.wanted = news.wanted.with(Part::Quarantine, quarantine);
     let younger = |at: Duration, known: Option<Duration>| {
         known.is_some_and(|known| at >= known + YOUNGER_TOLD)
     };
+    let differs = views.evacuations != state.evacuations.digest();
+    let unknown = differs && views.evacuations != 0;
+    let evacuations = unknown && node.fetching.evacuations.due(now);
+    news.wanted = news.wanted.with(Part::Evacuations, evacuations);
     let version = state.table.as_ref().map_or(0, |it| it.version());
-    news.wanted.configuration = views.configuration > version;
-    if version > 0 && views.configuration == version {
+    let known = (1..=version).contains(&views.configuration);
+    state.compared |= known && !unknown;
+    let newer = views.configuration > version;
+    news.wanted = news.wanted.with(Part::Configuration, newer);
+    if version > 0 && views.configuration == version && !differs {
         let known = state.configuration_reads.at();
         let reading = views.configuration_read;
         let at = reading.and_then(|it| state.hear_configuration(it, now));
@@ -189,6 +203,7 @@
         state.confirm_registry(views.registry_digest, reading, at);
         return news;
     }
-    news.wanted.targets = known.is_none_or(|known| at > known + YOUNGER);
+    let later = known.is_none_or(|known| at > known + YOUNGER);
+    news.wanted = news.wanted.with(Part::Targets, later);
     news
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod courier;
 pub mod cut;
 pub mod dialect;
+pub mod evacuation;
 pub mod event;
 pub mod exchange;
 pub mod flags;
--- a/crates/path/src/memories.rs
+++ b/crates/path/src/memories.rs
@@ -201,7 +201,9 @@
         let now = self.now();
         let cells = state.registry.all_cells();
         let own = cells.filter(|(cell, _)| state.members.owner(*cell, now) == self.settings.link);
-        let engines = own.flat_map(|(_, targets)| targets).filter(|target| {
+        let own = own.flat_map(|(_, targets)| targets);
+        let own = own.filter(|it| !state.evacuated(it));
+        let engines = own.filter(|target| {
             let service = table.service(&target.service);
             service.is_some_and(|it| it.engine.is_some())
         });
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -41,6 +41,11 @@
 /// tell it with their first greeting, and the store within its answer.
 const UNHEARD: Duration = Duration::from_secs(5);
 
+/// Time after its start for which a router waits to hear from a peer that it lacks no configuration and
+/// no evacuation: a store that came back from a copy may tell older ones. Peers answer the first
+/// greeting, within some 0.2 s; who knows of none goes on alone.
+const UNCOMPARED: Duration = Duration::from_secs(2);
+
 /// Source of a view that this router has read from the store itself.
 pub const STORE: &str = "store";
 
@@ -178,11 +183,18 @@
         let known = state.table.is_some() && state.registry.read_at().is_some();
         // What the others refuse must not find the one router that has not heard of it yet.
         let known = known && (state.quarantine_known || self.now() >= UNHEARD);
+        let known = known && (state.compared || self.alone() || self.now() >= UNCOMPARED);
         let sound = self.leaving().is_none() && !self.strain.behind();
         drop(state);
         known && sound && self.confirmed_since_wake()
     }
 
+    /// Whether no other router is named to this one.
+    fn alone(&self) -> bool {
+        let own = self.settings.link;
+        self.settings.seeds.iter().all(|it| *it == own)
+    }
+
     /// Takes a configuration; an older one than that in force is ignored.
     pub fn take_configuration(&self, configuration: Configuration, source: &str) {
         let version = configuration.version;
@@ -330,6 +342,13 @@
         running.sum()
     }
 
+    /// Whether a target with this identity is known.
+    #[must_use]
+    pub fn knows_target(&self, id: &str) -> bool {
+        let state = self.state.borrow();
+        state.registry.all().any(|it| it.id.as_ref() == id)
+    }
+
     /// How many targets are known.
     #[must_use]
     pub fn targets_known(&self) -> usize {
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -61,6 +61,7 @@
             arrived: now.saturating_sub(ask.waited),
             returning: ask.returning,
             counted: ask.counted,
+            failed: ask.failed,
             avoid: ask.avoid,
             until: now + ask.patience,
             claim: Claim::All,
@@ -120,11 +121,15 @@
     /// Notes how another router's exchange with a target went. A router that can't reach a
     /// target may itself be cut off, so that counts as any other failure.
     fn note_reported(&self, tag: Tag, outcome: Outcome) {
+        let lost = outcome == Outcome::Unreachable;
         let outcome = match outcome {
             Outcome::Good => Outcome::Good,
             Outcome::Bad | Outcome::Unreachable => Outcome::Bad,
         };
         let now = self.now();
+        if lost {
+            self.state.borrow_mut().cold.doubt(tag, now);
+        }
         let target = self.state.borrow().registry.get(tag).cloned();
         let Some(target) = target else {
             return;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -198,6 +198,7 @@
             patience: wish.until.saturating_sub(now),
             returning: wish.returning,
             counted: wish.counted,
+            failed: wish.failed,
             avoid: wish.avoid.clone(),
         };
         self.node.send(self.owner, Content::Ask(ask));
@@ -222,6 +223,7 @@
         let (target, fetch) = {
             let mut state = self.node.state.borrow_mut();
             let target = state.registry.get(grant.tag).cloned();
+            let target = target.filter(|it| !state.evacuated(it));
             let source = grant.fetch.and_then(|it| state.registry.get(it));
             let fetch = source.map(|it| it.address);
             if target.is_some() {
@@ -230,7 +232,7 @@
             (target, fetch)
         };
         let Some(target) = target else {
-            // The lists of targets differ for the time of a greeting.
+            // The views of routers differ for the time of a greeting.
             self.node.metrics.add("places_unknown", "target", 1);
             self.node.give_back(self.owner, Answer::Grant(grant));
             return Asked::Unanswered;
--- a/crates/path/src/quarantine.rs
+++ b/crates/path/src/quarantine.rs
@@ -158,6 +158,13 @@
         }
     }
 
+    /// What the store is to be told again, if it keeps `stored`.
+    #[must_use]
+    pub fn unkept_quarantine(&self, stored: &[Entry]) -> Vec<Entry> {
+        let state = self.state.borrow();
+        state.quarantine.unkept(stored, self.now())
+    }
+
     /// What may be done with a content.
     #[must_use]
     pub(crate) fn standing_of(&self, content: Digest) -> Standing {
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -34,6 +34,8 @@
     pub policy: Policy,
     /// Figures by which requests wait.
     pub patience: Patience,
+    /// Bound on requests to cold targets.
+    pub cold: ColdBound,
     /// Time between greetings to peers.
     pub report_interval: Duration,
     /// Thousandths of a core that this router has.
@@ -44,6 +46,15 @@
     pub memory_interval: Duration,
 }
 
+/// How many requests a cold target may get in one second, against the rate that it is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdBound {
+    /// Times that rate.
+    pub excess: f64,
+    /// And so many more.
+    pub slack: f64,
+}
+
 /// How long requests wait and when refused callers may come back.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -9,10 +9,12 @@
 use dunlinward_dispatch::budget::Budget;
 use dunlinward_dispatch::cache::Caches;
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
+use dunlinward_dispatch::cold::{self, Cold, Peak};
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::content::ContentTag;
 use dunlinward_dispatch::copies::{Answered, Copies};
 use dunlinward_dispatch::cuts::Cuts;
+use dunlinward_dispatch::evacuation::{self, Evacuations};
 use dunlinward_dispatch::grants::Grants;
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::member::{Card, Members};
@@ -24,6 +26,7 @@
 use dunlinward_dispatch::registry::{Change, Listing, Registry};
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share::{self, Shares};
+use dunlinward_dispatch::store::{Era, Sight};
 use dunlinward_dispatch::target::{Tag, Target};
 use dunlinward_dispatch::tries::Tries;
 use dunlinward_dispatch::usage::{Peer, Usage};
@@ -72,6 +75,8 @@
     pub returning: bool,
     /// Whether the tokens it asks for have been counted before.
     pub counted: bool,
+    /// Whether a target has failed it.
+    pub failed: bool,
     /// Targets that have failed it, or its router lately.
     pub avoid: Vec<Tag>,
     /// When it is given up.
@@ -88,6 +93,16 @@
     /// Readings by which the configuration was the store's newest.
     pub(crate) configuration_reads: Readings,
     pub(crate) registry: Registry,
+    /// Whether a peer that knows a configuration knows nothing that this router lacks.
+    pub(crate) compared: bool,
+    /// The newest era of the store.
+    pub(crate) store: Era,
+    /// Failure domains whose targets get nothing.
+    pub(crate) evacuations: Evacuations,
+    /// Targets that bear few requests for now.
+    pub(crate) cold: Cold,
+    /// Routers that were known lately.
+    peak: Peak,
     /// Readings of the list of targets.
     pub(crate) registry_reads: Readings,
     pub(crate) usage: Usage,
@@ -134,6 +149,11 @@
         Self {
             table: None,
             configuration_reads: Readings::new(peer),
+            compared: false,
+            store: Era::default(),
+            evacuations: Evacuations::default(),
+            cold: Cold::default(),
+            peak: Peak::default(),
             registry: Registry::new().with_cell_targets(settings.cell_targets),
             registry_reads: Readings::new(peer),
             usage: Usage::new(),
@@ -162,6 +182,7 @@
     pub(crate) fn prune(&mut self, now: Duration) {
         self.usage.prune(now);
         self.quarantine.prune(now);
+        self.peak.note(self.members.count(), now);
         self.copies.prune(now);
         self.lapse(now);
     }
@@ -222,11 +243,49 @@
             targets: list.targets,
             unreadable: list.unreadable,
         };
-        if list.settled {
+        let changes = if list.settled {
             self.registry.take_settled(listing, list.as_of)
         } else {
             self.registry.take(listing, list.as_of)
+        };
+        if self.registry.read_at() == Some(list.as_of) {
+            let listed = self.registry.listed().map(AsRef::as_ref);
+            self.cold.list(listed, list.as_of);
+        }
+        changes
+    }
+
+    /// The store, or a peer, names an era.
+    pub(crate) fn see_era(&mut self, era: u64, now: Duration) -> Sight {
+        let sight = self.store.see(era, now);
+        if sight == Sight::Restored {
+            self.registry.restored(now);
         }
+        sight
+    }
+
+    /// Takes orders to evacuate failure domains, by `take`. Targets of a domain that is reopened may
+    /// have become cold meanwhile.
+    pub(crate) fn change_evacuations(
+        &mut self,
+        now: Duration,
+        take: impl FnOnce(&mut Evacuations) -> Vec<evacuation::Change>,
+    ) -> Vec<evacuation::Change> {
+        let changes = take(&mut self.evacuations);
+        for change in &changes {
+            let evacuation::Change::Reopened(domain) = change else {
+                continue;
+            };
+            for tag in cold::of_domain(self.registry.all(), domain) {
+                self.cold.doubt(tag, now);
+            }
+        }
+        changes
+    }
+
+    /// Whether a target's failure domain is evacuated.
+    pub(crate) fn evacuated(&self, target: &Target) -> bool {
+        self.evacuations.evacuated(&target.domain)
     }
 
     /// Name of a customer; none if the configuration in force doesn't have it.
@@ -246,10 +305,18 @@
 
     /// Notes an outcome; true if the target is ejected by it.
     pub(crate) fn note(&mut self, target: &Target, outcome: Outcome, now: Duration) -> bool {
+        self.doubt_cold(target, outcome, now);
         let targets = self.registry.of(&target.service);
         note(&mut self.health, targets, target, outcome, now)
     }
 
+    /// Who could not be reached may have started anew.
+    fn doubt_cold(&mut self, target: &Target, outcome: Outcome, now: Duration) {
+        if outcome == Outcome::Unreachable {
+            self.cold.doubt(target.tag(), now);
+        }
+    }
+
     /// Notes an outcome of another router; true if the target is ejected by it.
     pub(crate) fn note_reported(
         &mut self,
--- a/crates/path/src/state/placing.rs
+++ b/crates/path/src/state/placing.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dunlinward_dispatch::cold;
 use dunlinward_dispatch::grants::{self, End, Reason, Request};
 use dunlinward_dispatch::placement::{self, Ask, Candidate, Choice};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
@@ -114,7 +115,8 @@
         let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
         let engine = table.service(&service).and_then(|it| it.engine);
         let kept = prefix::kept(engine.map_or(0, |it| it.memory_tokens), rate);
-        let candidates = self.candidates(wish, kept, now);
+        let mut candidates = self.candidates(wish, kept, now);
+        self.spare_cold(settings, wish, &service, &mut candidates, now);
         let together = self.together(wish, &candidates);
         let ask = Ask {
             prompt,
@@ -147,6 +149,7 @@
         let usable = |target: &&Arc<Target>| {
             let tag = target.tag();
             target.state == TargetState::Ready
+                && !self.evacuated(target)
                 && !self.reported.ejected(tag, now)
                 && !wish.avoid.contains(&tag)
         };
@@ -165,6 +168,38 @@
         candidates.collect()
     }
 
+    /// Leaves out cold targets that have had as many requests as they bear. One that failed elsewhere
+    /// is not sent to a second one, nor is one that this router places without the owner.
+    fn spare_cold(
+        &mut self,
+        settings: &Settings,
+        wish: &Wish,
+        service: &str,
+        candidates: &mut Vec<Candidate>,
+        now: Duration,
+    ) {
+        let rate = self
+            .table
+            .as_ref()
+            .and_then(|it| it.service(service)?.cold_rate);
+        let Some(rate) = rate else {
+            return;
+        };
+        let most = settings.cold.excess * rate + settings.cold.slack;
+        let bound = cold::Bound { rate, most };
+        let known = self.members.count();
+        let part = cold::part(known, self.peak.most());
+        let spared = wish.failed || wish.claim == Claim::Own;
+        candidates.retain(|it| {
+            let tag = it.target.tag();
+            if spared {
+                !self.cold.is_cold(tag, now)
+            } else {
+                self.cold.allows(tag, bound, part, now)
+            }
+        });
+    }
+
     /// Part of all room that a request may use.
     fn room(&self, settings: &Settings, wish: &Wish, cover: f64) -> f64 {
         let patience = &settings.patience;
@@ -196,6 +231,7 @@
     ) -> Place {
         let tag = choice.target.tag();
         self.usage.begin(tag, choice.unread);
+        self.cold.note(tag, now);
         if let Some(prompt) = wish.prompt.as_deref() {
             self.caches.sent(tag, prompt, now);
         }
@@ -230,6 +266,7 @@
         let Asker { peer, number, .. } = asker;
         let tag = choice.target.tag();
         self.usage.begin_for(peer, tag, choice.unread, now);
+        self.cold.note(tag, now);
         if let Some(prompt) = wish.prompt.as_deref() {
             self.caches.sent(tag, prompt, now);
         }
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -17,7 +17,7 @@
 
 use super::*;
 use crate::queue::Asker;
-use crate::settings::Patience;
+use crate::settings::{ColdBound, Patience};
 
 mod suspects;
 
@@ -60,6 +60,10 @@
             slack: 50.0,
             window: Duration::from_secs(10),
         },
+        cold: ColdBound {
+            excess: 1.5,
+            slack: 5.0,
+        },
         share_window: Duration::from_secs(4),
         grace: Duration::from_secs(8),
         policy: Policy::default(),
@@ -78,6 +82,7 @@
         services: vec![Service {
             name: "pool".into(),
             connections: 600,
+            cold_rate: None,
             engine: Some(Engine {
                 memory_tokens: 1_000_000,
                 fetch_seconds: None,
@@ -103,6 +108,7 @@
         born: None,
         slots: 64,
         state: Condition::Ready,
+        cold_left: Duration::ZERO,
     };
     (0..ENGINES).map(target).collect()
 }
@@ -424,6 +430,7 @@
         arrived,
         returning: false,
         counted: false,
+        failed: false,
         avoid: Vec::new(),
         until: arrived + OBJECTIVE.mul_f64(Patience::default().first),
         claim: Claim::All,
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -11,6 +11,7 @@
 
 use bincode::config::standard;
 use dunlinward_dispatch::configuration::Configuration;
+use dunlinward_dispatch::evacuation::Order;
 use dunlinward_dispatch::quarantine::Entry;
 use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::target::Target;
@@ -23,43 +24,37 @@
 /// Largest view in bytes.
 const LARGEST: u64 = 32 * 1024 * 1024;
 
-/// Asks for the configuration.
-const WANT_CONFIGURATION: u8 = 1;
-
-/// Asks for the list of targets.
-const WANT_TARGETS: u8 = 2;
-
-/// Asks for what is known of contents under which targets ended.
-const WANT_QUARANTINE: u8 = 4;
-
 /// Time for a view to come over.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What is asked for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Wanted {
+/// A view that a peer can be asked for; its bit in the question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
     /// The configuration.
-    pub configuration: bool,
+    Configuration = 1,
     /// The list of targets.
-    pub targets: bool,
+    Targets = 2,
     /// What is known of contents under which targets ended.
-    pub quarantine: bool,
+    Quarantine = 4,
+    /// The orders to evacuate failure domains.
+    Evacuations = 8,
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wanted(u8);
+
 impl Wanted {
-    fn to_byte(self) -> u8 {
-        let configuration = u8::from(self.configuration) * WANT_CONFIGURATION;
-        let targets = u8::from(self.targets) * WANT_TARGETS;
-        let quarantine = u8::from(self.quarantine) * WANT_QUARANTINE;
-        configuration | targets | quarantine
+    /// Also a view, if it is wanted.
+    #[must_use]
+    pub fn with(self, part: Part, wanted: bool) -> Self {
+        Self(self.0 | if wanted { part as u8 } else { 0 })
     }
 
-    fn from_byte(byte: u8) -> Self {
-        Self {
-            configuration: byte & WANT_CONFIGURATION != 0,
-            targets: byte & WANT_TARGETS != 0,
-            quarantine: byte & WANT_QUARANTINE != 0,
-        }
+    /// Whether a view is asked for.
+    #[must_use]
+    pub fn has(self, part: Part) -> bool {
+        self.0 & part as u8 != 0
     }
 }
 
@@ -71,6 +66,7 @@
     configuration_read: Option<Reading>,
     targets: Option<Targets>,
     quarantine: Option<Vec<Entry>>,
+    evacuations: Option<Vec<Order>>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -81,23 +77,29 @@
     settled: bool,
 }
 
-/// Shortest time between two fetches of what is known of contents: two routers whose sums stay
+/// Shortest time between two fetches of a view that has no age: two routers whose sums stay
 /// different must not ask each other with each greeting.
-const QUARANTINE_PAUSE: Duration = Duration::from_millis(100);
+const ASKED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Whether a view is being fetched; one at a time.
 #[derive(Debug, Default)]
 pub struct Fetching {
     busy: Cell<bool>,
-    /// When what is known of contents was asked for last.
-    quarantine: Cell<Option<Duration>>,
+    /// What is known of contents.
+    pub(crate) quarantine: Asked,
+    /// The orders to evacuate failure domains.
+    pub(crate) evacuations: Asked,
 }
 
-impl Fetching {
-    /// Whether what is known of contents may be asked for again.
-    pub(crate) fn quarantine_due(&self, now: Duration) -> bool {
-        let asked = self.quarantine.get();
-        asked.is_none_or(|it| now.saturating_sub(it) >= QUARANTINE_PAUSE)
+/// When a view that has no age was asked for last.
+#[derive(Debug, Default)]
+pub(crate) struct Asked(Cell<Option<Duration>>);
+
+impl Asked {
+    /// Whether it may be asked for again.
+    pub(crate) fn due(&self, now: Duration) -> bool {
+        let asked = self.0.get();
+        asked.is_none_or(|it| now.saturating_sub(it) >= ASKED_PAUSE)
     }
 }
 
@@ -106,8 +108,11 @@
     if node.fetching.busy.replace(true) {
         return;
     }
-    if wanted.quarantine {
-        node.fetching.quarantine.set(Some(node.now()));
+    if wanted.has(Part::Quarantine) {
+        node.fetching.quarantine.0.set(Some(node.now()));
+    }
+    if wanted.has(Part::Evacuations) {
+        node.fetching.evacuations.0.set(Some(node.now()));
     }
     let node = node.clone();
     tokio::task::spawn_local(async move {
@@ -129,6 +134,10 @@
 }
 
 fn take(node: &Rc<Node>, view: View) {
+    // Before the configuration, with which a router begins to serve.
+    if let Some(orders) = view.evacuations {
+        node.take_evacuations(orders, "peer");
+    }
     if let Some(configuration) = view.configuration {
         node.take_configuration(configuration, "peer");
         if let Some(reading) = view.configuration_read {
@@ -162,7 +171,7 @@
 
 async fn read(address: SocketAddr, wanted: Wanted) -> std::io::Result<View> {
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_u8(wanted.to_byte()).await?;
+    stream.write_u8(wanted.0).await?;
     let mut bytes = Vec::new();
     stream.take(LARGEST).read_to_end(&mut bytes).await?;
     let decoded = bincode::serde::decode_from_slice::<View, _>(&bytes, standard());
@@ -181,7 +190,7 @@
             let Ok(Ok(wanted)) = tokio::time::timeout(FETCH_TIMEOUT, stream.read_u8()).await else {
                 return;
             };
-            let view = view(&node, Wanted::from_byte(wanted));
+            let view = view(&node, Wanted(wanted));
             if let Ok(bytes) = bincode::serde::encode_to_vec(&view, standard()) {
                 // The peer asks again if this fails.
                 drop(stream.write_all(&bytes).await);
@@ -206,9 +215,12 @@
     });
     let quarantine = state.quarantine.entries(now);
     View {
-        quarantine: wanted.quarantine.then(|| quarantine.collect()),
+        evacuations: wanted
+            .has(Part::Evacuations)
+            .then(|| state.evacuations.orders().collect()),
+        quarantine: wanted.has(Part::Quarantine).then(|| quarantine.collect()),
         configuration_read: state.configuration_reads.tell(now),
-        configuration: configuration.filter(|_| wanted.configuration),
-        targets: targets.filter(|_| wanted.targets),
+        configuration: configuration.filter(|_| wanted.has(Part::Configuration)),
+        targets: targets.filter(|_| wanted.has(Part::Targets)),
     }
 }
