Who comes back is told by what it asks, where times tell nothing

Cause: on the shifted deployment each first try comes with a time of its own, 0.85 to 1 of the usual one.

Change: times that are spread tell nothing; the owner of a cell remembers for 5 s what it refused, and knows it by its content when it comes back. The log says how long a caller waits.

Tests fail on the code before: spread times, evacuated and cold targets, callers that come back.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`prefix`], [`cache`], [`placement`]: which target runs a request.
 //! - [`grants`]: places given to other routers, and which of them are not used.
 //! - [`share`]: what each customer has used and may use.
-//! - [`tries`]: which requests are a caller's first try.
+//! - [`tries`], [`returns`]: which requests are a caller's first try.
 //! - [`budget`]: how often a request may be sent once more.
 //! - [`health`]: targets that fail and are left alone for a while.
 //! - [`reach`]: failure domains that may be cut off.
@@ -43,6 +43,7 @@
 pub mod reading;
 pub mod registry;
 pub mod report;
+pub mod returns;
 pub mod share;
 pub mod store;
 pub mod target;
--- a/crates/dispatch/src/tries.rs
+++ b/crates/dispatch/src/tries.rs
@@ -4,7 +4,8 @@
 //! a time that comes often on a route is that of first tries, and a shorter one that is nearly
 //! unique is what is left. The route's own limit is no measure: operators change it, and callers
 //! don't follow. Until enough is seen, a request whose time is clearly shorter than its route's
-//! limit is taken for a later try.
+//! limit is taken for a later try. Where each caller has a time of its own, times tell nothing, and
+//! all are taken for first tries here.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -55,6 +56,17 @@
         usual.map(|(time, _)| *time).max()
     }
 
+    /// Whether first tries come with times of their own, so that a shorter one says nothing: less than
+    /// half of all are close to the longest.
+    #[expect(clippy::cast_possible_truncation, reason = "a small constant")]
+    fn spread(&self) -> bool {
+        let longest = self.counts.keys().max().copied().unwrap_or_default();
+        let close = longest.saturating_sub(MARGIN.as_millis() as u64);
+        let near = self.counts.iter().filter(|(time, _)| **time >= close);
+        let near: u32 = near.map(|(_, count)| *count).sum();
+        near * 2 < self.seen
+    }
+
     fn is_usual(&self, time: u64) -> bool {
         let count = self.counts.get(&time).copied().unwrap_or_default();
         count * OFTEN >= self.seen
@@ -83,6 +95,8 @@
         times.note(milliseconds);
         match times.usual() {
             Some(usual) => milliseconds < usual && !times.is_usual(milliseconds),
+            // Who puts a request to an owner again is known there (`crate::returns`).
+            None if times.spread() => false,
             None => time + MARGIN < limit,
         }
     }
--- a/crates/dispatch/tests/memory.rs
+++ b/crates/dispatch/tests/memory.rs
@@ -326,3 +326,17 @@
     tries.retain(|_| false);
     assert!(!tries.later(&route, ms(15_000), ms(15_000)));
 }
+
+/// Each caller has a time of its own, 8.5 to 10 s, and the route a limit of 10 s: with the limit as
+/// measure all of them were taken for later tries.
+#[test]
+fn first_tries_with_times_of_their_own_are_not_taken_for_later_ones() {
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let (route, mut tries): (Arc<str>, _) = ("r".into(), Tries::new());
+    let mut later = 0;
+    for _ in 0..2_000 {
+        let time = random.random_range(8_500..=10_000);
+        later += u32::from(tries.later(&route, ms(time), ms(10_000)));
+    }
+    assert!(later <= 10, "{later}");
+}
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -113,6 +113,7 @@
         customer,
         prompt,
         cost,
+        caller_waits: left,
         returning,
         arrived,
         resume_after: call.resume_after,
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -56,6 +56,8 @@
     pub prompt: Option<Rc<Prompt>>,
     /// Tokens for which its customer is charged.
     pub cost: u64,
+    /// How long its caller said that it waits.
+    pub caller_waits: Duration,
     /// Whether its caller was refused before.
     pub returning: bool,
     /// When it arrived.
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -82,10 +82,11 @@
     }
 
     /// Places a request of this router's callers by what this router knows, now or later.
-    pub(crate) async fn place_here(self: &Rc<Self>, wish: Wish) -> Result<Lease, Refusal> {
+    pub(crate) async fn place_here(self: &Rc<Self>, mut wish: Wish) -> Result<Lease, Refusal> {
         if self.state.borrow().held(&wish, self.now()) {
             return Err(Refusal::new(Reason::Suspected));
         }
+        wish.returning |= self.state.borrow().returns(&wish, self.now());
         if let Some(lease) = self.place_now(&wish) {
             return Ok(lease);
         }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -25,6 +25,7 @@
 use dunlinward_dispatch::reading::{Reading, Readings};
 use dunlinward_dispatch::registry::{Change, Listing, Registry};
 use dunlinward_dispatch::report::CustomerTag;
+use dunlinward_dispatch::returns::Returns;
 use dunlinward_dispatch::share::{self, Shares};
 use dunlinward_dispatch::store::{Era, Sight};
 use dunlinward_dispatch::target::{Tag, Target};
@@ -115,6 +116,8 @@
     pub(crate) reach: Reach,
     /// Which callers come back.
     pub(crate) tries: Tries,
+    /// Requests that found no room at this router's cells.
+    pub(crate) returns: Returns,
     /// Which routers are alive.
     pub(crate) membership: Membership,
     /// Which of them owns what.
@@ -164,6 +167,7 @@
             shares: Shares::new(settings.share_window),
             reach: Reach::new(settings.report_interval),
             tries: Tries::new(),
+            returns: Returns::default(),
             membership: Membership::new(card.clone(), &settings.seeds, settings.report_interval),
             members: Members::new(card),
             queue: Vec::new(),
@@ -184,6 +188,7 @@
         self.quarantine.prune(now);
         self.peak.note(self.members.count(), now);
         self.copies.prune(now);
+        self.returns.prune(now);
         self.lapse(now);
     }
 
--- a/crates/path/src/state/placing.rs
+++ b/crates/path/src/state/placing.rs
@@ -48,7 +48,7 @@
         &mut self,
         settings: &Settings,
         asker: Asker,
-        wish: Wish,
+        mut wish: Wish,
         now: Duration,
     ) -> Content {
         let Asker { peer, number, .. } = asker;
@@ -58,6 +58,7 @@
         let known = self.queue.iter().any(|it| it.origin.is(peer, number));
         // What must not be sent now waits at its own router, not in the way of others.
         if !known && !self.held(&wish, now) {
+            wish.returning |= self.returns(&wish, now);
             // A request is no sign of contention before it was found to have no room.
             let cover = self.cover(&wish, now);
             self.count(&wish, now);
@@ -77,6 +78,19 @@
         self.wait(number, wish.customer, now)
     }
 
+    /// Whether the caller of a request was refused before, as far as is known here.
+    pub(crate) fn returns(&self, wish: &Wish, now: Duration) -> bool {
+        wish.content
+            .is_some_and(|it| self.returns.returning(it, now))
+    }
+
+    /// A request leaves the queue without a place.
+    pub(crate) fn refuse(&mut self, wish: &Wish, now: Duration) {
+        if let Some(content) = wish.content {
+            self.returns.refused(content, now);
+        }
+    }
+
     fn wait(&mut self, number: u64, customer: Option<CustomerTag>, now: Duration) -> Content {
         Content::Wait(Wait {
             number,
@@ -320,7 +334,10 @@
     pub(crate) fn pass(&mut self, settings: &Settings, now: Duration) -> Pass {
         let mut pass = Pass::default();
         let mut queue = std::mem::take(&mut self.queue);
-        queue.retain(|it| !it.given_up(now) && !self.held(&it.wish, now));
+        for waiter in queue.extract_if(.., |it| it.given_up(now)) {
+            self.refuse(&waiter.wish, now);
+        }
+        queue.retain(|it| !self.held(&it.wish, now));
         for waiter in &mut queue {
             waiter.cover = self.cover(&waiter.wish, now);
         }
@@ -346,7 +363,11 @@
 
     /// Another router's request no longer waits; if it was given a place, that is not used.
     pub(crate) fn withdraw(&mut self, peer: Peer, number: u64, now: Duration) {
-        self.queue.retain(|it| !it.origin.is(peer, number));
+        let mut queue = std::mem::take(&mut self.queue);
+        for waiter in queue.extract_if(.., |it| it.origin.is(peer, number)) {
+            self.refuse(&waiter.wish, now);
+        }
+        self.queue = queue;
         let request = Request { peer, number };
         let Some(end) = self.grants.end(request, Reason::Withdrawn) else {
             return;
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -19,6 +19,8 @@
 use crate::queue::Asker;
 use crate::settings::{ColdBound, Patience};
 
+mod returns;
+mod spared;
 mod suspects;
 
 /// Engines of the fleet.
--- a/crates/path/src/tell.rs
+++ b/crates/path/src/tell.rs
@@ -66,7 +66,8 @@
     let line = line
         .with("route", job.route.name.as_ref())
         .with("customer", job.customer.as_deref())
-        .with("returning", job.returning);
+        .with("returning", job.returning)
+        .with_ms("caller_waits_ms", job.caller_waits);
     let Some(standing) = standing else {
         return line;
     };
