A router without processor time to spare refuses a part of the streams at once

Its timers were hardly late, as a turn of its event loop is short and a request takes a dozen; so it was behind only after 13 s, and callers' first events came after 0.4 s at the median where the router itself measured 0.2 s.

Change: the busy part of the event loop's time is measured by its parking; without a pause the part of streams that is refused grows by a tenth each 100 ms.

--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`memories`]: what engines say that they keep of prompts.
 //! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
 //! - [`courier`], [`inbox`]: messages between routers.
+//! - [`crowding`]: whether it has time left for more callers.
 //! - [`strain`]: whether the router keeps up.
 //! - [`clock`], [`wake`]: time, with that of suspensions; what is done after one.
 //! - [`life`]: signals, drain and end.
@@ -27,6 +28,7 @@
 pub mod attempt;
 pub mod clock;
 pub mod courier;
+pub mod crowding;
 pub mod cut;
 pub mod dialect;
 pub mod evacuation;
