--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -16,12 +16,14 @@
 use std::time::Duration;
 
 use crate::cell::{self, Cell, ServiceTag};
-use crate::store::RESTORE_TIME;
 use crate::target::{State, Tag, Target};
 
+mod copy;
 mod index;
 mod starts;
 
+use copy::Copy;
+pub use copy::LAPSE;
 use index::{Index, digest};
 pub use starts::START_KEPT;
 use starts::Starts;
@@ -30,10 +32,6 @@
 /// the operators' letter says about two seconds.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// Time within which the entry of a target that has ended lapses again in a store that came back from
-/// a copy: three heartbeats of 1.2 s, and a reading.
-pub const LAPSE: Duration = Duration::from_secs(5);
-
 /// A list that comes this much later than the one before follows an outage. Lists are read
 /// every 0.6 to 1.2 s; entries lapse after three heartbeats of about as long.
 pub const OUTAGE: Duration = Duration::from_secs(2);
@@ -82,10 +80,8 @@
     /// Targets that are kept though the newest list lacks them.
     kept: HashSet<Tag>,
     replaced: HashSet<Tag>,
-    /// Targets that have ended lately, and when.
-    ended: HashMap<Tag, Duration>,
-    /// When the store came back from a copy.
-    restored_at: Option<Duration>,
+    /// What a store that came back from a copy may tell wrongly.
+    copy: Copy,
     /// Newest starts of servers that say when they started.
     starts: Starts,
     digest: u64,
@@ -110,8 +106,7 @@
             settled_from: Duration::ZERO,
             kept: HashSet::new(),
             replaced: HashSet::new(),
-            ended: HashMap::new(),
-            restored_at: None,
+            copy: Copy::default(),
             starts: Starts::default(),
             digest: 0,
         }
@@ -143,25 +138,17 @@
     /// The store has come back from a copy some seconds old. What the copy lacks is kept as after
     /// an outage; what it lists again though it had ended is not taken for alive.
     pub fn restored(&mut self, now: Duration) {
-        self.restored_at = Some(now);
+        self.copy.restored(now);
         self.keep_until = now + RETURN_TIME;
         self.settled_from = now + RETURN_TIME;
     }
 
-    /// Whether a list that was true at `as_of` may be of a copy whose entries of targets that have
-    /// ended have not lapsed yet.
-    fn may_revive(&self, as_of: Duration) -> bool {
-        self.restored_at
-            .is_some_and(|at| as_of >= at && as_of < at + LAPSE)
-    }
-
     /// Takes the list of a peer that saw no outage: what is missing there has ended.
     pub fn take_settled(&mut self, list: impl Into<Listing>, as_of: Duration) -> Vec<Change> {
         if self.read_at.is_some_and(|at| as_of < at) {
             return Vec::new();
         }
-        // A list from before the store came back says nothing of what the copy lacks.
-        if self.restored_at.is_none_or(|at| as_of > at + RETURN_TIME) {
+        if self.copy.settles(as_of) {
             self.keep_until = Duration::ZERO;
             self.settled_from = Duration::ZERO;
         }
@@ -198,13 +185,11 @@
             mut unreadable,
         } = listing;
         self.starts.prune(as_of);
-        self.ended
-            .retain(|_, at| as_of.saturating_sub(*at) < RESTORE_TIME);
-        let revives = self.may_revive(as_of);
+        self.copy.prune(as_of);
         let mut list = Vec::with_capacity(targets.len());
         for target in targets {
             match self.newest_start(target, as_of) {
-                Ok(target) => list.extend(target.filter(|it| !(revives && self.is_ended(it)))),
+                Ok(target) => list.extend(target.filter(|it| !self.revived(it, as_of))),
                 Err(id) => unreadable.push(id),
             }
         }
@@ -221,10 +206,10 @@
         list
     }
 
-    /// Whether a target has ended, as far as is known.
-    fn is_ended(&self, target: &Target) -> bool {
+    /// Whether a target is listed only as a copy of the store still has it.
+    fn revived(&self, target: &Target, as_of: Duration) -> bool {
         let tag = target.tag();
-        self.ended.contains_key(&tag) && !self.targets.contains_key(&tag)
+        !self.targets.contains_key(&tag) && self.copy.revives(tag, as_of)
     }
 
     /// What a list says of a server, if that is its newest start; else that one, if it is known. An
@@ -296,7 +281,7 @@
                 next.insert(tag, old);
                 self.kept.insert(tag);
             } else {
-                self.ended.insert(tag, as_of);
+                self.copy.ended(tag, as_of);
                 changes.push(Change::Ended(old));
             }
         }
--- a/crates/path/src/crowding.rs
+++ b/crates/path/src/crowding.rs
@@ -126,12 +126,34 @@
     1.0 - idle.as_secs_f64() / time.as_secs_f64()
 }
 
+/// What was measured at the last look.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Look {
+    at: Instant,
+    idle: Duration,
+}
+
 impl Node {
-    /// Notes that of the `time` since the last look, `idle` was spent with nothing to do.
-    pub(crate) fn note_idle(&self, time: Duration, idle: Duration) {
-        if !self.crowding.note(busy_part(time, idle)) {
+    /// Notes for how long the event loop had nothing to do since the last look, if that is measured.
+    pub(crate) fn look_at_idle(&self) {
+        let Some(idle) = self.idle.get() else {
+            return;
+        };
+        let look = Look {
+            at: Instant::now(),
+            idle: idle.total(),
+        };
+        let Some(before) = self.idle_looked.replace(Some(look)) else {
             return;
+        };
+        let idle = look.idle.saturating_sub(before.idle);
+        let busy = busy_part(look.at - before.at, idle);
+        if self.crowding.note(busy) {
+            self.tell_crowding();
         }
+    }
+
+    fn tell_crowding(&self) {
         let event = if self.crowding.refused() > 0.0 {
             "crowded"
         } else {
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -51,16 +51,10 @@
 pub async fn run(node: Rc<Node>) {
     let mut timer = tokio::time::interval(node.settings.report_interval);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let idle = |node: &Node| node.idle.get().map(|it| it.total());
-    let mut looked = (std::time::Instant::now(), idle(&node));
     loop {
         let late = timer.tick().await.elapsed();
         node.note_lateness(late);
-        let look = (std::time::Instant::now(), idle(&node));
-        if let (Some(before), Some(now)) = (looked.1, look.1) {
-            node.note_idle(look.0 - looked.0, now.saturating_sub(before));
-        }
-        looked = look;
+        node.look_at_idle();
         node.look_for_wake();
         let late = late + node.wake.take_late();
         let now = node.now();
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -22,7 +22,7 @@
 
 use crate::clock::Clock;
 use crate::courier::Courier;
-use crate::crowding::{Crowding, Idle};
+use crate::crowding::{Crowding, Idle, Look};
 use crate::cut;
 use crate::dialect::Dialect;
 use crate::gossip::{self, Gossip};
@@ -87,6 +87,7 @@
     pub(crate) strain: Strain,
     /// Time for which the event loop had nothing to do, if that is measured.
     pub(crate) idle: OnceCell<Arc<Idle>>,
+    pub(crate) idle_looked: Cell<Option<Look>>,
     pub(crate) crowding: Crowding,
     pub(crate) state: RefCell<State>,
     /// Entries that the store is to keep.
@@ -126,6 +127,7 @@
             pending: Pending::default(),
             strain: Strain::default(),
             idle: OnceCell::new(),
+            idle_looked: Cell::default(),
             crowding: Crowding::default(),
             state: RefCell::new(state),
             unwritten: Unwritten::default(),
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -36,6 +36,7 @@
 use crate::queue::Waiter;
 use crate::settings::Settings;
 
+mod candidates;
 mod placing;
 mod suspects;
 #[cfg(test)]
--- /dev/null
+++ b/crates/path/src/state/candidates.rs
@@ -0,0 +1,73 @@
+//! Which targets may run a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dunlinward_dispatch::cold;
+use dunlinward_dispatch::placement::Candidate;
+use dunlinward_dispatch::prefix::Prompt;
+use dunlinward_dispatch::target::{State as TargetState, Target};
+
+use super::{Claim, State, Wish};
+use crate::settings::Settings;
+
+impl State {
+    /// The targets that may run a request, with what is known of each; `kept` is how long an engine
+    /// that tells nothing is taken to keep a prefix.
+    pub(super) fn candidates(&self, wish: &Wish, kept: Duration, now: Duration) -> Vec<Candidate> {
+        let prompt = wish.prompt.as_deref();
+        let prefix = prompt.and_then(Prompt::prefix);
+        let usable = |target: &&Arc<Target>| {
+            let tag = target.tag();
+            target.state == TargetState::Ready
+                && !self.evacuated(target)
+                && !self.reported.ejected(tag, now)
+                && !wish.avoid.contains(&tag)
+        };
+        let usable = self.registry.of_cell(wish.cell).iter().filter(usable);
+        let usable = self.apart(wish, usable.collect(), now);
+        let candidates = usable.into_iter().map(|target| {
+            let tag = target.tag();
+            Candidate {
+                target: target.clone(),
+                load: self.usage.total(tag),
+                local: target.domain == wish.domain,
+                keeps: prefix.is_some_and(|it| self.memory.keeps(it, tag, kept, now)),
+                held: prompt.and_then(|it| self.caches.held(tag, it, now)),
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Leaves out cold targets that have had as many requests as they bear. One that failed elsewhere
+    /// is not sent to a second one, nor is one that this router places without the owner.
+    pub(super) fn spare_cold(
+        &mut self,
+        settings: &Settings,
+        wish: &Wish,
+        service: &str,
+        candidates: &mut Vec<Candidate>,
+        now: Duration,
+    ) {
+        let rate = self
+            .table
+            .as_ref()
+            .and_then(|it| it.service(service)?.cold_rate);
+        let Some(rate) = rate else {
+            return;
+        };
+        let most = settings.cold.excess * rate + settings.cold.slack;
+        let bound = cold::Bound { rate, most };
+        let known = self.members.count();
+        let part = cold::part(known, self.peak.most());
+        let spared = wish.failed || wish.claim == Claim::Own;
+        candidates.retain(|it| {
+            let tag = it.target.tag();
+            if spared {
+                !self.cold.is_cold(tag, now)
+            } else {
+                self.cold.allows(tag, bound, part, now)
+            }
+        });
+    }
+}
