A router that has just started spares cold targets; an era that no store reaches is not taken

Cause: after a restart of all each router takes itself for the owner of all cells until it has heard of the others, so 64 of them might give a cold target its rate each; and a message of another version with a huge era would make all answers of the store seem late.

Ruled out: a part by routers that are expected: nobody knows how many there are.

Change: for 3 s after its start a router places nothing at cold targets; a greeting with an era above 2^20 is not plausible. Both tests fail on the code before.

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -29,6 +29,10 @@
 /// produce in five years.
 const TOKENS_MOST: u64 = 1 << 48;
 
+/// Largest era of the store that is meant: it rises by one with each copy that the store comes back
+/// from. A larger one would make all of its answers seem late.
+const ERA_MOST: u64 = 1 << 20;
+
 /// Short name of a customer in messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CustomerTag(pub u32);
@@ -223,7 +227,8 @@
                 loads.all(|it| few(it.load.unread))
                     && customers.all(|it| few(it.asked) && few(it.granted))
             }
-            Self::Greeting(_) | Self::Wait(_) | Self::Withdraw(_) | Self::Findings(_) => true,
+            Self::Greeting(greeting) => greeting.views.era.is_none_or(|it| it <= ERA_MOST),
+            Self::Wait(_) | Self::Withdraw(_) | Self::Findings(_) => true,
         }
     }
 }
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -4,13 +4,15 @@
 
 use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::content::ContentTag;
+use dunlinward_dispatch::member::Card;
+use dunlinward_dispatch::membership::{Kind, Packet, Update};
 use dunlinward_dispatch::prefix::{Part, Prompt};
 use dunlinward_dispatch::report::{
-    Ask, Content, CustomerTag, CustomerUse, Grant, Return, TargetLoad, Work,
+    Ask, Content, CustomerTag, CustomerUse, Grant, Greeting, Return, TargetLoad, Views, Work,
 };
 use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::Tag;
-use dunlinward_dispatch::usage::Load;
+use dunlinward_dispatch::usage::{Load, Peer};
 
 fn ask() -> Ask {
     Ask {
@@ -162,3 +164,36 @@
         assert!(!content.plausible(), "{content:?}");
     }
 }
+
+fn greeting(era: u64) -> Content {
+    let card = Card {
+        address: ([127, 0, 0, 1], 1).into(),
+        peer: Peer(1),
+        domain: "a".into(),
+        millicores: 1,
+    };
+    let packet = Packet {
+        sender: Update::new(card),
+        digest: 0,
+        kind: Kind::News,
+        news: Vec::new(),
+    };
+    let views = Views {
+        configuration: 0,
+        configuration_read: None,
+        registry_read: None,
+        registry_digest: 0,
+        quarantine: None,
+        evacuations: 0,
+        era: Some(era),
+    };
+    Content::Greeting(Greeting { packet, views })
+}
+
+/// With such an era all answers of the store would seem to be from before it came back from a copy.
+#[test]
+fn an_era_that_no_store_reaches_is_not_taken() {
+    assert!(greeting(1_000).plausible());
+    assert!(!greeting(u64::MAX).plausible());
+    assert!(!greeting(1 << 40).plausible());
+}
--- a/crates/path/src/state/candidates.rs
+++ b/crates/path/src/state/candidates.rs
@@ -11,6 +11,11 @@
 use super::{Claim, State, Wish};
 use crate::settings::Settings;
 
+/// Time after its start for which a router sends nothing to cold targets: until it knows the others it
+/// takes itself for the owner of all cells, as they do after a restart of all. They hear of each other
+/// within 1 s, and own nothing for 1.5 s more.
+const ALONE: Duration = Duration::from_secs(3);
+
 impl State {
     /// The targets that may run a request, with what is known of each; `kept` is how long an engine
     /// that tells nothing is taken to keep a prefix.
@@ -60,7 +65,7 @@
         let bound = cold::Bound { rate, most };
         let known = self.members.count();
         let part = cold::part(known, self.peak.most());
-        let spared = wish.failed || wish.claim == Claim::Own;
+        let spared = wish.failed || wish.claim == Claim::Own || now < ALONE;
         candidates.retain(|it| {
             let tag = it.target.tag();
             if spared {
--- a/crates/path/src/state/tests/spared.rs
+++ b/crates/path/src/state/tests/spared.rs
@@ -11,6 +11,9 @@
 /// Requests within a second that a cold engine may get at the most.
 const COLD_MOST: usize = 14;
 
+/// When the owner has run for long enough to know the other routers.
+const START: Duration = Duration::from_secs(10);
+
 /// An owner whose first engines are cold for so long.
 fn owner(cold: usize, time: Duration) -> Fleet {
     let mut fleet = Fleet::new(&[], 0);
@@ -24,7 +27,7 @@
     let list = List {
         targets,
         unreadable: Vec::new(),
-        as_of: Duration::ZERO,
+        as_of: START,
         settled: false,
         reading: None,
     };
@@ -35,10 +38,14 @@
 /// Puts requests to an owner in each millisecond of a second; whatever it places ends at once. The
 /// places that each engine got.
 fn play(fleet: &mut Fleet, failed: bool) -> BTreeMap<Tag, usize> {
+    play_from(fleet, START, failed)
+}
+
+fn play_from(fleet: &mut Fleet, start: Duration, failed: bool) -> BTreeMap<Tag, usize> {
     let settings = fleet.settings.clone();
     let mut given = BTreeMap::new();
     for number in 0..1_000 {
-        let now = Duration::from_millis(number);
+        let now = start + Duration::from_millis(number);
         let wish = Wish {
             failed,
             ..wish(0, now, number)
@@ -92,6 +99,17 @@
     }
 }
 
+/// After a restart of all, each of 64 routers takes itself for the owner until it knows the others.
+#[test]
+fn a_router_that_has_just_started_sends_nothing_to_cold_engines() {
+    let mut fleet = owner(3, Duration::from_secs(3));
+    let given = play_from(&mut fleet, Duration::ZERO, false);
+    for target in targets().iter().take(3) {
+        assert!(!given.contains_key(&target.tag()));
+    }
+    assert_eq!(given.values().sum::<usize>(), 1_000, "warm ones serve");
+}
+
 fn evacuate(fleet: &mut Fleet, domain: &str, evacuated: bool, offset: u64, now: Duration) {
     let order = Order {
         domain: domain.into(),
@@ -106,9 +124,9 @@
 #[test]
 fn an_evacuated_domain_gets_nothing_and_counts_as_cold_when_it_is_open_again() {
     let mut fleet = owner(0, Duration::ZERO);
-    evacuate(&mut fleet, "a", true, 1, Duration::ZERO);
+    evacuate(&mut fleet, "a", true, 1, START);
     assert!(play(&mut fleet, false).is_empty());
-    evacuate(&mut fleet, "a", false, 2, Duration::ZERO);
+    evacuate(&mut fleet, "a", false, 2, START);
     let given = play(&mut fleet, false);
     assert!(!given.is_empty());
     assert!(given.values().all(|it| *it <= COLD_MOST), "{given:?}");
