--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`courier`], [`inbox`]: messages between routers.
 //! - [`crowding`]: whether it has time left for more callers.
 //! - [`strain`]: whether the router keeps up.
+//! - [`targets`]: the list of targets, and what a change of it ends.
 //! - [`clock`], [`wake`]: time, with that of suspensions; what is done after one.
 //! - [`life`]: signals, drain and end.
 //! - [`flags`]: the figures that operators may set.
@@ -55,6 +56,7 @@
 pub mod settings;
 pub mod state;
 pub mod strain;
+pub mod targets;
 pub mod tell;
 pub mod view;
 pub mod wake;
