--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -26,7 +26,8 @@
     pub domain: Arc<str>,
     /// Whether its targets are to get nothing.
     pub evacuated: bool,
-    /// Where that was said.
+    /// Where the log went on once that was said: just behind its record, or where the list ended
+    /// that lacked it. So the next record, which lies there, is newer.
     pub at: Position,
 }
 
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -23,7 +23,6 @@
 
 use crate::admission;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
-use crate::crowding;
 use crate::cut::Break;
 use crate::life;
 use crate::node::Node;
@@ -60,13 +59,11 @@
     node.look_for_wake();
     let arrived = node.now();
     let (head, body) = request.into_parts();
-    let (mut response, crowded) = match answer(&node, head, body, arrived).await {
-        Ok(response) => (response, false),
-        Err(refusal) => (refusal.response(), refusal.reason == Reason::Crowded),
+    let mut response = match answer(&node, head, body, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
     };
-    // Of a router that refuses half of 500 requests a second the callers kept 3,400 connections, all
-    // that it could have.
-    if crowded || node.leaving().is_some() || node.strain.behind() {
+    if node.leaving().is_some() || node.strain.behind() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -96,11 +93,6 @@
         ));
     }
     let body = read(node, &admitted.table, body).await.map_err(refused)?;
-    // Only now, as a caller whose body is not read may lose the answer.
-    if admitted.route.kind.streams() && node.crowded() {
-        let refusal = Refusal::new(Reason::Crowded).with_retry_after(crowding::RETURN);
-        return Err(refused(refusal));
-    }
     let job = Rc::new(admission::job(node, head, body, call, admitted, arrived));
     if let Some(refusal) = unsafe_to_send(node, &job) {
         tell::refusal(node, &job.id, arrived, refusal, Some(&job));
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -54,7 +54,6 @@
     loop {
         let late = timer.tick().await.elapsed();
         node.note_lateness(late);
-        node.look_at_idle();
         node.look_for_wake();
         let late = late + node.wake.take_late();
         let now = node.now();
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -17,7 +17,6 @@
 //! - [`memories`]: what engines say that they keep of prompts.
 //! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
 //! - [`courier`], [`inbox`]: messages between routers.
-//! - [`crowding`]: whether it has time left for more callers.
 //! - [`strain`]: whether the router keeps up.
 //! - [`targets`]: the list of targets, and what a change of it ends.
 //! - [`clock`], [`wake`]: time, with that of suspensions; what is done after one.
@@ -29,7 +28,6 @@
 pub mod attempt;
 pub mod clock;
 pub mod courier;
-pub mod crowding;
 pub mod cut;
 pub mod dialect;
 pub mod evacuation;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -3,7 +3,7 @@
 //! Borrows of the state end before anything is woken or dropped that could
 //! borrow it again.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +21,6 @@
 
 use crate::clock::Clock;
 use crate::courier::Courier;
-use crate::crowding::{Crowding, Idle, Look};
 use crate::dialect::Dialect;
 use crate::gossip::{self, Gossip};
 use crate::inbox::Buffer;
@@ -83,10 +82,6 @@
     pub(crate) fetching: Fetching,
     pub(crate) pending: Pending,
     pub(crate) strain: Strain,
-    /// Time for which the event loop had nothing to do, if that is measured.
-    pub(crate) idle: OnceCell<Arc<Idle>>,
-    pub(crate) idle_looked: Cell<Option<Look>>,
-    pub(crate) crowding: Crowding,
     pub(crate) state: RefCell<State>,
     /// Entries that the store is to keep.
     pub(crate) unwritten: Unwritten,
@@ -124,9 +119,6 @@
             fetching: Fetching::default(),
             pending: Pending::default(),
             strain: Strain::default(),
-            idle: OnceCell::new(),
-            idle_looked: Cell::default(),
-            crowding: Crowding::default(),
             state: RefCell::new(state),
             unwritten: Unwritten::default(),
             clock,
@@ -139,12 +131,6 @@
         })
     }
 
-    /// Says who measures for how long the event loop has nothing to do.
-    pub fn measure_idle(&self, idle: Arc<Idle>) {
-        // Set once, at the start.
-        drop(self.idle.set(idle));
-    }
-
     /// Time since the start, suspensions included.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -42,8 +42,6 @@
     TurnedAway,
     /// A target failed and the request may have run.
     TargetFailed,
-    /// The router has no processor time for it; others have.
-    Crowded,
     /// The router is about to end.
     Leaving,
     /// Targets may have ended under what it asks; that is being found out.
@@ -70,7 +68,6 @@
             Self::Expired => "expired",
             Self::TurnedAway => "turned_away",
             Self::TargetFailed => "target_failed",
-            Self::Crowded => "crowded",
             Self::Leaving => "leaving",
             Self::Suspected => "suspected",
             Self::Quarantined => "quarantined",
@@ -94,7 +91,6 @@
             | Self::OverShare
             | Self::ExpiredUnsent
             | Self::TurnedAway
-            | Self::Crowded
             | Self::Leaving
             | Self::Suspected
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
