Sight: what targets say of themselves in answers

Nothing that a target says in an answer could be seen: whether it leaves, and whether, with a refusal, it wants nothing more for some time. The adapter now decodes both and the log tells of them. No decision has changed.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::lease::Lease;
 use crate::node::Node;
 use crate::pool::{self, Connection};
+use crate::tell;
 
 /// Part of its objective for which a request waits for a connection.
 const CONNECT_PART: f64 = 0.5;
@@ -277,6 +278,7 @@
 /// Whether an answer belongs to the request and comes from the target.
 fn check(node: &Rc<Node>, job: &Job, lease: &Lease, head: &response::Parts) -> Result<(), Failure> {
     let answer = node.dialect.answer(head);
+    tell::said(node, job, lease, head.status, &answer);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         node.replaced(&lease.target);
         lease.not_run();
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -59,6 +59,11 @@
     pub genuine: bool,
     /// Whether it says that the request has not run.
     pub not_run: bool,
+    /// Whether its target says that it is about to end.
+    pub leaving: bool,
+    /// For how long its target, which turned the request away, wants nothing more from this router;
+    /// none if it names no time.
+    pub backoff: Result<Option<Duration>, Malformed>,
 }
 
 /// Translates heads.
--- a/crates/path/src/tell.rs
+++ b/crates/path/src/tell.rs
@@ -6,9 +6,11 @@
 
 use dunlinward_dispatch::prefix::Prompt;
 use dunlinward_dispatch::share::Standing;
+use hyper::StatusCode;
 
 use crate::attempt::{Failure, Job};
-use crate::journal::Line;
+use crate::dialect::Answer;
+use crate::journal::{Line, millis};
 use crate::lease::Lease;
 use crate::node::Node;
 use crate::reply::Refusal;
@@ -94,6 +96,26 @@
     drop(node.views(line));
 }
 
+/// What a target says of itself in an answer, if it says anything.
+pub fn said(node: &Rc<Node>, job: &Job, lease: &Lease, status: StatusCode, answer: &Answer) {
+    if !answer.leaving && matches!(answer.backoff, Ok(None)) {
+        return;
+    }
+    let line = node.journal.line("target_says").with("id", job.id.as_ref());
+    let line = line.with("target", lease.target.id.as_ref());
+    let line = line.with("born", lease.target.born);
+    let line = line.with("status", status.as_u16());
+    let line = line.with("genuine", answer.genuine);
+    let line = line.with("not_run", answer.not_run);
+    let line = line.with("leaving", answer.leaving);
+    let line = match &answer.backoff {
+        Ok(time) => line.with("backoff_ms", time.map(millis)),
+        Err(error) => line.with("malformed", error.reason),
+    };
+    let running = node.state.borrow().usage.own(lease.target.tag()).running;
+    drop(line.with("running", running));
+}
+
 /// An attempt brought no answer.
 pub fn failure(node: &Rc<Node>, job: &Job, target: &str, failed: Failure) {
     node.metrics.add("failures", failed.reason, 1);
