--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod evacuation;
 pub mod grants;
 pub mod health;
+pub mod leaving;
 pub mod member;
 pub mod membership;
 pub mod placement;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -10,12 +10,16 @@
 //! A server may start again under its identity. Its newest start is remembered for longer than any
 //! word of an earlier one is on its way, so such word changes nothing, whoever brings it. An entry
 //! that can't be read suspends its target; what was heard of a drain stays.
+//!
+//! What a target says of itself goes before its entry, which may be old: one that has said that it
+//! leaves ([`crate::leaving`]) does so in every list.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::cell::{self, Cell, ServiceTag};
+use crate::leaving::{Leaving, Word};
 use crate::target::{State, Tag, Target};
 
 mod copy;
@@ -84,6 +88,8 @@
     copy: Copy,
     /// Newest starts of servers that say when they started.
     starts: Starts,
+    /// Targets that have said themselves that they leave.
+    leaving: Leaving,
     digest: u64,
 }
 
@@ -108,6 +114,7 @@
             replaced: HashSet::new(),
             copy: Copy::default(),
             starts: Starts::default(),
+            leaving: Leaving::default(),
             digest: 0,
         }
     }
@@ -186,6 +193,7 @@
         } = listing;
         self.starts.prune(as_of);
         self.copy.prune(as_of);
+        self.leaving.prune(as_of);
         let mut list = Vec::with_capacity(targets.len());
         for target in targets {
             match self.newest_start(target, as_of) {
@@ -198,8 +206,10 @@
         }
         for target in &mut list {
             // Nothing that leaves stays after all: a list that says so is older than it seems.
-            let known = self.targets.get(&target.tag());
-            if known.is_some_and(|it| it.state == State::Leaving) {
+            let tag = target.tag();
+            let known = self.targets.get(&tag);
+            let leaves = known.is_some_and(|it| it.state == State::Leaving);
+            if leaves || self.leaving.contains(tag) {
                 target.state = State::Leaving;
             }
         }
@@ -300,6 +310,37 @@
         Some(Change::Ended(old))
     }
 
+    /// A target says itself that it leaves: whether that is new, and the change that follows.
+    pub fn says_leaving(&mut self, tag: Tag, now: Duration) -> (bool, Option<Change>) {
+        let new = self.leaving.note(tag, now);
+        (new, self.leave(tag))
+    }
+
+    /// Takes what a peer tells of targets that have said that they leave: the words that are new, and
+    /// the changes that follow.
+    pub fn hear_leaving(&mut self, words: &[Word], now: Duration) -> (Vec<Word>, Vec<Change>) {
+        let new = self.leaving.hear(words, now);
+        let changes = new.iter().filter_map(|it| self.leave(it.tag)).collect();
+        (new, changes)
+    }
+
+    /// What targets have said of their leaving.
+    #[must_use]
+    pub fn leaving(&self) -> &Leaving {
+        &self.leaving
+    }
+
+    fn leave(&mut self, tag: Tag) -> Option<Change> {
+        let known = self.targets.get_mut(&tag)?;
+        if known.state == State::Leaving {
+            return None;
+        }
+        Arc::make_mut(known).state = State::Leaving;
+        let change = Change::Leaves(known.clone());
+        self.index();
+        Some(change)
+    }
+
     /// A peer had the same list, true at `as_of`.
     pub fn confirm(&mut self, digest: u64, as_of: Duration) {
         if digest == self.digest && self.read_at.is_some_and(|at| as_of > at) {
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -14,6 +14,7 @@
 use crate::cell::Cell;
 use crate::content::ContentTag;
 use crate::health::Outcome;
+use crate::leaving;
 use crate::membership::Packet;
 use crate::prefix::{Prompt, Use};
 use crate::quarantine::Finding;
@@ -75,6 +76,8 @@
     pub evacuations: u64,
     /// The newest era of the store, if anything was heard of it.
     pub era: Option<u64>,
+    /// Sum of the targets that have said that they leave.
+    pub leaving: u64,
 }
 
 /// Who is alive, and what the sender knows of the platform.
@@ -200,6 +203,8 @@
     Work(Work),
     /// What the sender has found of runs that did not end with an answer.
     Findings(Vec<Finding>),
+    /// Targets that have said that they leave.
+    Leaving(leaving::Report),
 }
 
 /// A message.
@@ -228,6 +233,7 @@
                     && customers.all(|it| few(it.asked) && few(it.granted))
             }
             Self::Greeting(greeting) => greeting.views.era.is_none_or(|it| it <= ERA_MOST),
+            Self::Leaving(report) => report.plausible(),
             Self::Wait(_) | Self::Withdraw(_) | Self::Findings(_) => true,
         }
     }
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -186,6 +186,7 @@
         quarantine: None,
         evacuations: 0,
         era: Some(era),
+        leaving: 0,
     };
     Content::Greeting(Greeting { packet, views })
 }
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -202,6 +202,7 @@
         quarantine: Some(0),
         evacuations: 0,
         era: None,
+        leaving: 0,
     };
     Greeting { packet, views }
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::cut::{self, Break};
 use crate::dialect::Dispatch;
 use crate::lease::Lease;
+use crate::leaving;
 use crate::node::Node;
 use crate::pool::{self, Connection};
 use crate::tell;
@@ -144,9 +145,11 @@
         Some(connection) => connection,
         None => connect(node, job, &lease).await?,
     };
-    if node.state.borrow().evacuated(&target) {
-        // Operators have evacuated its domain since the place was given.
-        return Err(Failure::new(Verdict::NotSent, "evacuated"));
+    // What has become known since the place was given, also while a connection was opened.
+    let barred = node.state.borrow().barred(&target);
+    if let Some(bar) = barred {
+        node.metrics.add("places_barred", bar.name(), 1);
+        return Err(Failure::new(Verdict::NotSent, bar.name()));
     }
     let (response, connection) =
         exchange(node, job, &lease, connection, resume_after, limit).await?;
@@ -287,6 +290,9 @@
     if answer.id.as_ref().is_some_and(|it| *it != job.id) {
         return Err(Failure::new(Verdict::Unknown, "other_answer"));
     }
+    if answer.own() && answer.leaving {
+        leaving::said(node, &lease.target);
+    }
     if answer.not_run {
         lease.not_run();
         return Err(Failure::new(Verdict::NotRun, "turned_away"));
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -66,6 +66,15 @@
     pub backoff: Result<Option<Duration>, Malformed>,
 }
 
+impl Answer {
+    /// Whether it is surely the target's own, so that what it says of the target counts. Refusals
+    /// bear no mark.
+    #[must_use]
+    pub fn own(&self) -> bool {
+        self.not_run || (self.genuine && self.id.is_some())
+    }
+}
+
 /// Translates heads.
 pub trait Dialect {
     /// Reads a caller's head.
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -14,11 +14,12 @@
 use dunlinward_dispatch::membership::{Change, Effects};
 use dunlinward_dispatch::report::{Content, Greeting, Views};
 
+use crate::leaving;
 use crate::node::Node;
 use crate::view::{self, Part, Wanted};
 
 /// Routers that are told of a change at once.
-const TOLD: usize = 3;
+pub(crate) const TOLD: usize = 3;
 
 /// How much younger a view must be than it was known to be for others to be told: half of the
 /// time between two reads of the list of targets.
@@ -124,6 +125,7 @@
         quarantine: state.quarantine_known.then(|| state.quarantine.digest()),
         evacuations: state.evacuations.digest(),
         era: state.store.newest(),
+        leaving: state.registry.leaving().digest(),
     }
 }
 
@@ -145,6 +147,7 @@
         // What a peer of an earlier era tells is older than what is known here, and ordered so.
         let _ = node.see_era(era, "peer");
     }
+    leaving::compare(node, card.address, views.leaving);
     let news = compare(node, views, now);
     if news.wanted != Wanted::default() {
         view::fetch(node, card.address, news.wanted);
--- a/crates/path/src/inbox.rs
+++ b/crates/path/src/inbox.rs
@@ -11,7 +11,7 @@
 
 use crate::node::Node;
 use crate::pending::Answer;
-use crate::{gossip, owner, quarantine};
+use crate::{gossip, leaving, owner, quarantine};
 
 /// Largest message in bytes; a datagram's limit.
 const LARGEST: usize = 60_000;
@@ -100,5 +100,6 @@
         Content::Return(returned) => owner::returned(node, sender, returned),
         Content::Work(work) => owner::work(node, sender, &work),
         Content::Findings(findings) => quarantine::hear(node, &findings),
+        Content::Leaving(report) => leaving::hear(node, report.words()),
     }
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`courier`], [`inbox`]: messages between routers.
 //! - [`strain`]: whether the router keeps up.
 //! - [`targets`]: the list of targets, and what a change of it ends.
+//! - `leaving`: what targets say of their own leaving.
 //! - [`clock`], [`wake`]: time, with that of suspensions; what is done after one.
 //! - [`life`]: signals, drain and end.
 //! - [`flags`]: the figures that operators may set.
@@ -38,6 +39,7 @@
 pub mod inbox;
 pub mod journal;
 pub mod lease;
+mod leaving;
 pub mod life;
 pub mod memories;
 pub mod metrics;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -13,6 +13,7 @@
 
 use dunlinward_dispatch::report::{Ask, Content, Grant, Wait};
 use dunlinward_dispatch::share::Standing;
+use dunlinward_dispatch::target::Tag;
 use tokio::sync::mpsc;
 
 use crate::inbox;
@@ -20,7 +21,7 @@
 use crate::node::Node;
 use crate::pending::Answer;
 use crate::reply::{Reason, Refusal};
-use crate::state::{Claim, Wish};
+use crate::state::{Bar, Claim, Wish};
 
 /// Part of its objective within which a request must be answered by an owner.
 const ANSWER_PART: f64 = 0.1;
@@ -45,6 +46,8 @@
     Placed(Lease),
     GivenUp(Option<Wait>),
     Unanswered,
+    /// The owner gave a place at a target of which this router knows better.
+    Barred(Tag),
 }
 
 impl Node {
@@ -54,7 +57,11 @@
     ///
     /// A refusal if there is no room in time.
     pub async fn place(self: &Rc<Self>, mut wish: Wish) -> Result<Lease, Refusal> {
-        for _ in 0..OWNERS {
+        if self.state.borrow().closed(wish.cell) {
+            return Err(Refusal::new(Reason::NoTarget));
+        }
+        let mut unanswered = 0;
+        while unanswered < OWNERS {
             let owner = self.owner(&wish);
             if owner == self.settings.link {
                 return self.place_here(wish).await;
@@ -62,7 +69,9 @@
             match self.ask(owner, &wish).await {
                 Asked::Placed(lease) => return Ok(lease),
                 Asked::GivenUp(wait) => return Err(refusal(wait).with_owner(owner)),
-                Asked::Unanswered => {}
+                // Each names another target, so this ends.
+                Asked::Barred(tag) if !wish.avoid.contains(&tag) => wish.avoid.push(tag),
+                Asked::Barred(_) | Asked::Unanswered => unanswered += 1,
             }
             wish.counted = true;
         }
@@ -220,19 +229,24 @@
 
     fn accept(mut self, wish: &Wish, grant: Grant) -> Asked {
         self.accepted = true;
-        let (target, fetch) = {
+        let (target, bar, fetch) = {
             let mut state = self.node.state.borrow_mut();
             let target = state.registry.get(grant.tag).cloned();
-            let target = target.filter(|it| !state.evacuated(it));
+            let bar = target.as_ref().and_then(|it| state.barred(it));
+            let target = target.filter(|_| bar.is_none());
             let source = grant.fetch.and_then(|it| state.registry.get(it));
             let fetch = source.map(|it| it.address);
             if target.is_some() {
                 state.take_place(wish, &grant, self.node.now());
             }
-            (target, fetch)
+            (target, bar, fetch)
         };
+        // The views of routers differ for the time of a greeting.
+        if let Some(bar) = bar {
+            self.refuse(&grant, bar);
+            return Asked::Barred(grant.tag);
+        }
         let Some(target) = target else {
-            // The views of routers differ for the time of a greeting.
             self.node.metrics.add("places_unknown", "target", 1);
             self.node.give_back(self.owner, Answer::Grant(grant));
             return Asked::Unanswered;
@@ -256,6 +270,19 @@
     }
 }
 
+impl Question<'_> {
+    /// Gives a place back that must not be used.
+    fn refuse(&self, grant: &Grant, bar: Bar) {
+        let node = self.node;
+        node.metrics.add("places_barred", bar.name(), 1);
+        let line = node.journal.line("place_refused");
+        let line = line.with("owner", self.owner.to_string());
+        let line = line.with("target_tag", grant.tag.0);
+        drop(line.with("reason", bar.name()));
+        node.give_back(self.owner, Answer::Grant(*grant));
+    }
+}
+
 impl Drop for Question<'_> {
     fn drop(&mut self) {
         self.node.pending.close(self.number);
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -8,7 +8,7 @@
 
 use dunlinward_dispatch::budget::Budget;
 use dunlinward_dispatch::cache::Caches;
-use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
+use dunlinward_dispatch::cell::Cell;
 use dunlinward_dispatch::cold::{self, Cold, Peak};
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::content::ContentTag;
@@ -19,7 +19,7 @@
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::member::{Card, Members};
 use dunlinward_dispatch::membership::{Change as MemberChange, Effects, Membership};
-use dunlinward_dispatch::prefix::{Memory, Prefix, Prompt};
+use dunlinward_dispatch::prefix::{Memory, Prompt};
 use dunlinward_dispatch::quarantine::Ledger;
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::reading::{Reading, Readings};
@@ -36,12 +36,15 @@
 use crate::queue::Waiter;
 use crate::settings::Settings;
 
+mod barred;
 mod candidates;
 mod placing;
 mod suspects;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use barred::Bar;
+
 /// At most one in so many targets of a service is ejected for failures.
 const EJECTED_PART: usize = 3;
 
@@ -289,11 +292,6 @@
         changes
     }
 
-    /// Whether a target's failure domain is evacuated.
-    pub(crate) fn evacuated(&self, target: &Target) -> bool {
-        self.evacuations.evacuated(&target.domain)
-    }
-
     /// Name of a customer; none if the configuration in force doesn't have it.
     pub(crate) fn customer_name(&self, tag: CustomerTag) -> Option<Arc<str>> {
         let customers = &self.table.as_ref()?.configuration().customers;
@@ -341,14 +339,6 @@
         let tags = targets.iter().map(|it| it.tag());
         tags.filter(|it| self.health.ejected(*it, now)).collect()
     }
-
-    /// The cell that is home to a prefix, or to a request without one.
-    pub(crate) fn home(&self, service: &str, prefix: Prefix) -> Cell {
-        let service = ServiceTag::new(service);
-        let sizes: Vec<_> = self.registry.cells(service).iter().map(Vec::len).collect();
-        let index = cell::home(prefix, &sizes).unwrap_or_default();
-        Cell { service, index }
-    }
 }
 
 fn note(
--- a/crates/path/src/state/candidates.rs
+++ b/crates/path/src/state/candidates.rs
@@ -6,7 +6,7 @@
 use dunlinward_dispatch::cold;
 use dunlinward_dispatch::placement::Candidate;
 use dunlinward_dispatch::prefix::Prompt;
-use dunlinward_dispatch::target::{State as TargetState, Target};
+use dunlinward_dispatch::target::Target;
 
 use super::{Claim, State, Wish};
 use crate::settings::Settings;
@@ -24,10 +24,7 @@
         let prefix = prompt.and_then(Prompt::prefix);
         let usable = |target: &&Arc<Target>| {
             let tag = target.tag();
-            target.state == TargetState::Ready
-                && !self.evacuated(target)
-                && !self.reported.ejected(tag, now)
-                && !wish.avoid.contains(&tag)
+            self.open(target) && !self.reported.ejected(tag, now) && !wish.avoid.contains(&tag)
         };
         let usable = self.registry.of_cell(wish.cell).iter().filter(usable);
         let usable = self.apart(wish, usable.collect(), now);
--- a/crates/path/src/targets.rs
+++ b/crates/path/src/targets.rs
@@ -44,7 +44,7 @@
     }
 
     /// Carries out a change of the list of targets.
-    fn tell_change(&self, change: &Change, source: &str, as_of: Duration) {
+    pub(crate) fn tell_change(&self, change: &Change, source: &str, as_of: Duration) {
         let (event, target) = match change {
             Change::Came(target) => ("target_came", target),
             Change::Leaves(target) => ("target_leaves", target),
