--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`reading`]: when views were read, as routers tell each other.
 //! - [`report`]: what routers tell each other.
 
+pub mod backoff;
 pub mod budget;
 pub mod cache;
 pub mod cell;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::backoff::Refusal;
 use crate::cell::Cell;
 use crate::content::ContentTag;
 use crate::health::Outcome;
@@ -146,6 +147,9 @@
     pub waiting: u32,
     /// How its customer stands.
     pub standing: Option<Standing>,
+    /// How long no target of the cell will take it, if it is given up before that; it does not wait
+    /// then.
+    pub closed_for: Option<Duration>,
 }
 
 /// A place that was used is free.
@@ -162,6 +166,8 @@
     pub not_run: Option<u64>,
     /// What it asked, if the place was asked for with it.
     pub content: Option<ContentTag>,
+    /// The target's refusal, if it turned the request away.
+    pub refusal: Option<Refusal>,
 }
 
 /// What the sender has at the targets of the receiver's cells.
@@ -175,6 +181,8 @@
     pub customers: Vec<CustomerUse>,
     /// Numbers of the requests for which the sender uses places that the receiver gave it lately.
     pub accepted: Vec<u64>,
+    /// Targets that have named a time to the sender, for an owner that is new.
+    pub refusals: Vec<(Tag, Refusal)>,
 }
 
 /// A message's content.
@@ -225,16 +233,20 @@
             Self::Ask(ask) => ask.plausible(),
             Self::Grant(grant) => few(grant.unread),
             Self::Read { unread, .. } => few(*unread),
-            Self::Return(returned) => few(returned.unread),
+            Self::Return(returned) => {
+                few(returned.unread) && returned.refusal.is_none_or(|it| it.plausible())
+            }
             Self::Work(work) => {
                 let mut loads = work.loads.iter();
                 let mut customers = work.customers.iter();
                 loads.all(|it| few(it.load.unread))
                     && customers.all(|it| few(it.asked) && few(it.granted))
+                    && work.refusals.iter().all(|(_, it)| it.plausible())
             }
             Self::Greeting(greeting) => greeting.views.era.is_none_or(|it| it <= ERA_MOST),
             Self::Leaving(report) => report.plausible(),
-            Self::Wait(_) | Self::Withdraw(_) | Self::Findings(_) => true,
+            Self::Wait(wait) => wait.closed_for.is_none_or(|it| it <= LONGEST),
+            Self::Withdraw(_) | Self::Findings(_) => true,
         }
     }
 }
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -81,6 +81,7 @@
         outcome: None,
         not_run: Some(7),
         content: None,
+        refusal: None,
     })
 }
 
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -126,6 +126,7 @@
             outcome: None,
             not_run: None,
             content: Some(ContentTag(u64::MAX / 5)),
+            refusal: None,
         };
         Self {
             greeting: length(Content::Greeting(greeting())),
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dunlinward_dispatch::backoff::Refusal;
 use dunlinward_dispatch::configuration::Route;
 use dunlinward_dispatch::content::Digest;
 use dunlinward_dispatch::health::Outcome;
@@ -15,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::cut::{self, Break};
-use crate::dialect::Dispatch;
+use crate::dialect::{Answer, Dispatch};
 use crate::lease::Lease;
 use crate::leaving;
 use crate::node::Node;
@@ -146,7 +147,7 @@
         None => connect(node, job, &lease).await?,
     };
     // What has become known since the place was given, also while a connection was opened.
-    let barred = node.state.borrow().barred(&target);
+    let barred = node.state.borrow().barred(&target, node.now());
     if let Some(bar) = barred {
         node.metrics.add("places_barred", bar.name(), 1);
         return Err(Failure::new(Verdict::NotSent, bar.name()));
@@ -278,6 +279,25 @@
     request
 }
 
+/// Takes what a target says of itself in an answer that is surely its own.
+fn hear(node: &Rc<Node>, lease: &Lease, status: StatusCode, answer: &Answer) {
+    if !answer.own() {
+        return;
+    }
+    if answer.leaving {
+        leaving::said(node, &lease.target);
+    }
+    // A time that can't be read is none: the refusal counts as a plain one.
+    let named = *answer.backoff.as_ref().unwrap_or(&None);
+    let full = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if full.contains(&status) && (answer.not_run || named.is_some()) {
+        lease.refused(Refusal { named });
+    }
+}
+
 /// Whether an answer belongs to the request and comes from the target.
 fn check(node: &Rc<Node>, job: &Job, lease: &Lease, head: &response::Parts) -> Result<(), Failure> {
     let answer = node.dialect.answer(head);
@@ -290,9 +310,7 @@
     if answer.id.as_ref().is_some_and(|it| *it != job.id) {
         return Err(Failure::new(Verdict::Unknown, "other_answer"));
     }
-    if answer.own() && answer.leaving {
-        leaving::said(node, &lease.target);
-    }
+    hear(node, lease, head.status, &answer);
     if answer.not_run {
         lease.not_run();
         return Err(Failure::new(Verdict::NotRun, "turned_away"));
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -144,11 +144,12 @@
     let content = (known || !state.answered.contains(job.content)).then(|| job.content.tag());
     // All that run a content that was not answered yet are placed by one owner.
     let spread = content.map_or(draw, |it| it.0);
-    let cell = state.home(&job.service, prefix.unwrap_or(Prefix(spread)));
+    let cell = state.home(&job.service, prefix.unwrap_or(Prefix(spread)), now);
     let mut avoid = state.avoided(cell, now);
     avoid.extend(failed);
     Wish {
         cell,
+        router: node.peer,
         domain: node.settings.domain.clone(),
         content,
         prompt: job.prompt.clone(),
@@ -263,7 +264,8 @@
 }
 
 fn with_return(node: &Rc<Node>, job: &Job, refusal: Refusal) -> Refusal {
-    if refusal.reason.status() != hyper::StatusCode::SERVICE_UNAVAILABLE {
+    let unavailable = refusal.reason.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
+    if !unavailable || refusal.retry_after.is_some() {
         return refusal;
     }
     let part = node.settings.patience.come_back;
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dunlinward_dispatch::backoff::Refusal;
 use dunlinward_dispatch::cell;
 use dunlinward_dispatch::content::{ContentTag, Digest};
 use dunlinward_dispatch::health::Outcome;
@@ -89,6 +90,7 @@
     /// Whether the target may run the request or has run it.
     used: Cell<bool>,
     outcome: Cell<Option<Outcome>>,
+    refusal: Cell<Option<Refusal>>,
 }
 
 impl Lease {
@@ -109,6 +111,7 @@
             run: Cell::new(None),
             used: Cell::new(false),
             outcome: Cell::new(None),
+            refusal: Cell::new(None),
         }
     }
 
@@ -178,6 +181,18 @@
         self.run.set(None);
     }
 
+    /// The target has turned the request away: this router knows it at once, the owner of the cell with
+    /// the place that comes back.
+    pub fn refused(&self, refusal: Refusal) {
+        self.refusal.set(Some(refusal));
+        if let Some(node) = self.node.upgrade() {
+            let (tag, now) = (self.target.tag(), node.now());
+            let mut state = node.state.borrow_mut();
+            let own = node.peer;
+            state.backoffs.refused(own, tag, refusal, now);
+        }
+    }
+
     /// The target has read the prompt.
     pub fn read(&self) {
         let unread = self.unread.take();
@@ -188,7 +203,11 @@
             return;
         }
         let tag = self.target.tag();
-        node.state.borrow_mut().usage.read(tag, unread);
+        {
+            let mut state = node.state.borrow_mut();
+            state.usage.read(tag, unread);
+            state.backoffs.runs(tag);
+        }
         self.tell(&node, Content::Read { tag, unread });
         node.room_came();
     }
@@ -247,6 +266,7 @@
             outcome: self.outcome.get(),
             not_run: self.not_run_at(owner),
             content: self.content,
+            refusal: self.refusal.get(),
         };
         if !self.used.get() {
             self.take_back(&node, owner);
--- a/crates/path/src/memories.rs
+++ b/crates/path/src/memories.rs
@@ -202,7 +202,7 @@
         let cells = state.registry.all_cells();
         let own = cells.filter(|(cell, _)| state.members.owner(*cell, now) == self.settings.link);
         let own = own.flat_map(|(_, targets)| targets);
-        let own = own.filter(|it| !state.evacuated(it));
+        let own = own.filter(|it| state.barred(it, now).is_none());
         let engines = own.filter(|target| {
             let service = table.service(&target.service);
             service.is_some_and(|it| it.engine.is_some())
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -150,6 +150,13 @@
         xxhash_rust::xxh64::xxh64(&next.to_le_bytes(), 0)
     }
 
+    /// A part of one, drawn anew, in thousandths.
+    pub fn draw_part(&self) -> f64 {
+        const STEPS: u32 = 1_000;
+        let step = u32::try_from(self.draw() % u64::from(STEPS)).unwrap_or_default();
+        f64::from(step) / f64::from(STEPS)
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn table(&self) -> Option<Rc<Table>> {
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -52,6 +52,7 @@
         let domain = state.members.domain(address);
         let wish = Wish {
             cell: ask.cell,
+            router: peer,
             domain: domain.unwrap_or_else(|| node.settings.domain.clone()),
             content: ask.content,
             prompt: ask.prompt.map(Rc::new),
@@ -110,6 +111,9 @@
             state.memory.hear(*used, now);
         }
         state.confirm(peer, &work.accepted, now);
+        for (tag, refusal) in &work.refusals {
+            state.backoffs.name(peer, *tag, *refusal, now);
+        }
         if !work.customers.is_empty() {
             state.shares.hear(peer, &work.customers, now);
         }
@@ -153,7 +157,11 @@
     loop {
         timer.tick().await;
         let now = node.now();
-        node.state.borrow_mut().prune(now);
+        let over = node.state.borrow_mut().prune(now);
+        for target in over {
+            let line = node.journal.line("backoff_over");
+            drop(line.with("target", target.id.as_ref()));
+        }
         if now.saturating_sub(unused_told) >= UNUSED_TOLD {
             unused_told = now;
             tell_unused(&node);
@@ -223,6 +231,7 @@
         let mut reports: HashMap<SocketAddr, Work> = HashMap::new();
         let mut owners = HashSet::new();
         let recent = state.memory.recent(USES_TOLD, now);
+        let refusals: Vec<_> = state.backoffs.of(node.peer, now).collect();
         for (cell, targets) in state.registry.all_cells() {
             let owner = state.members.owner(cell, now);
             let before = self.owners.insert(cell, owner);
@@ -244,7 +253,10 @@
                 let uses = recent.iter().filter(|it| tags.contains(&it.tag));
                 let uses: HashSet<Use> = uses.copied().collect();
                 let uses = uses.into_iter().take(USES_MOST);
-                reports.entry(owner).or_default().uses.extend(uses);
+                let refusals = refusals.iter().filter(|(tag, _)| tags.contains(tag));
+                let report = reports.entry(owner).or_default();
+                report.uses.extend(uses);
+                report.refusals.extend(refusals.copied());
             }
         }
         let customers = state.shares.report(now);
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -21,7 +21,7 @@
 use crate::node::Node;
 use crate::pending::Answer;
 use crate::reply::{Reason, Refusal};
-use crate::state::{Bar, Claim, Wish};
+use crate::state::{Bar, Claim, Opening, Wish};
 
 /// Part of its objective within which a request must be answered by an owner.
 const ANSWER_PART: f64 = 0.1;
@@ -41,6 +41,9 @@
 /// How often a request that waits is put to its owner again.
 const RENEWAL: Duration = Duration::from_millis(100);
 
+/// Time over which callers come back to targets that want nothing until some moment.
+const RETURN_SPREAD: Duration = Duration::from_millis(300);
+
 /// How asking an owner ended.
 enum Asked {
     Placed(Lease),
@@ -57,8 +60,8 @@
     ///
     /// A refusal if there is no room in time.
     pub async fn place(self: &Rc<Self>, mut wish: Wish) -> Result<Lease, Refusal> {
-        if self.state.borrow().closed(wish.cell) {
-            return Err(Refusal::new(Reason::NoTarget));
+        if let Some(refusal) = self.in_vain(&wish) {
+            return Err(refusal);
         }
         let mut unanswered = 0;
         while unanswered < OWNERS {
@@ -68,9 +71,9 @@
             }
             match self.ask(owner, &wish).await {
                 Asked::Placed(lease) => return Ok(lease),
-                Asked::GivenUp(wait) => return Err(refusal(wait).with_owner(owner)),
+                Asked::GivenUp(wait) => return Err(self.refusal(wait).with_owner(owner)),
                 // Each names another target, so this ends.
-                Asked::Barred(tag) if !wish.avoid.contains(&tag) => wish.avoid.push(tag),
+                Asked::Barred(tag) if !wish.avoid.contains(&tag) => self.avoid(&mut wish, tag),
                 Asked::Barred(_) | Asked::Unanswered => unanswered += 1,
             }
             wish.counted = true;
@@ -80,6 +83,35 @@
         self.place_here(wish).await
     }
 
+    /// The refusal of a request for which no target can be had in its time. Callers come back one after
+    /// the other once one can.
+    fn in_vain(&self, wish: &Wish) -> Option<Refusal> {
+        let now = self.now();
+        let opening = self.state.borrow().opening(wish.cell, now);
+        match opening {
+            Opening::Never => Some(Refusal::new(Reason::NoTarget)),
+            Opening::Now | Opening::At(_) => {
+                let closed_for = opening.closed_for(wish, now);
+                closed_for.map(|it| self.backed_off(it))
+            }
+        }
+    }
+
+    /// The refusal of a request whose targets want nothing for a time.
+    pub(crate) fn backed_off(&self, time: Duration) -> Refusal {
+        let spread = RETURN_SPREAD.mul_f64(self.draw_part());
+        Refusal::new(Reason::BackedOff).with_retry_after(time + spread)
+    }
+
+    /// The owner does not know of a target that must get nothing of this router, so it may not know of
+    /// the others either.
+    fn avoid(&self, wish: &mut Wish, tag: Tag) {
+        wish.avoid.push(tag);
+        let backed_off = self.state.borrow().backed_off(wish.cell, self.now());
+        let more = backed_off.into_iter().filter(|it| *it != tag);
+        wish.avoid.extend(more);
+    }
+
     fn owner(&self, wish: &Wish) -> SocketAddr {
         let state = self.state.borrow();
         state.members.owner(wish.cell, self.now())
@@ -94,6 +126,9 @@
             question.put(wish);
             match question.listen(time, wish.until).await {
                 Some(Answer::Grant(grant)) => return question.accept(wish, grant),
+                Some(Answer::Wait(wait)) if wait.closed_for.is_some() => {
+                    return Asked::GivenUp(Some(wait));
+                }
                 Some(Answer::Wait(wait)) => {
                     silent = 0;
                     waits = Some(wait);
@@ -116,6 +151,17 @@
         }
     }
 
+    /// The refusal of a request that its owner had no place for.
+    fn refusal(&self, wait: Option<Wait>) -> Refusal {
+        let standing = wait.and_then(|it| it.standing);
+        let closed_for = wait.and_then(|it| it.closed_for);
+        let refusal = match closed_for {
+            Some(time) => self.backed_off(time),
+            None => Refusal::new(reason(standing)),
+        };
+        refusal.with_standing(standing)
+    }
+
     fn missed(&self, owner: SocketAddr) -> bool {
         self.metrics.add("owner_misses", "unanswered", 1);
         let passed = self.state.borrow_mut().members.missed(owner, self.now());
@@ -152,11 +198,6 @@
     time.clamp(ANSWER_LEAST, ANSWER_MOST)
 }
 
-fn refusal(wait: Option<Wait>) -> Refusal {
-    let standing = wait.and_then(|it| it.standing);
-    Refusal::new(reason(standing)).with_standing(standing)
-}
-
 /// Why a request that found no room is refused.
 #[must_use]
 pub fn reason(standing: Option<Standing>) -> Reason {
@@ -232,7 +273,9 @@
         let (target, bar, fetch) = {
             let mut state = self.node.state.borrow_mut();
             let target = state.registry.get(grant.tag).cloned();
-            let bar = target.as_ref().and_then(|it| state.barred(it));
+            let bar = target
+                .as_ref()
+                .and_then(|it| state.barred(it, self.node.now()));
             let target = target.filter(|_| bar.is_none());
             let source = grant.fetch.and_then(|it| state.registry.get(it));
             let fetch = source.map(|it| it.address);
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -90,6 +90,11 @@
         if let Some(lease) = self.place_now(&wish) {
             return Ok(lease);
         }
+        let now = self.now();
+        let opening = self.state.borrow().opening_for(&wish, now);
+        if let Some(time) = opening.closed_for(&wish, now) {
+            return Err(self.backed_off(time));
+        }
         let until = wish.until;
         let customer = wish.customer;
         let (reply, receiver) = oneshot::channel();
@@ -112,12 +117,28 @@
     /// Serves the queue for as long as the router runs.
     pub async fn serve_queue(self: Rc<Self>) {
         loop {
-            self.room.notified().await;
+            self.room_may_be().await;
             self.fill();
             tokio::time::sleep(FILL_PAUSE).await;
         }
     }
 
+    /// Waits until room may have come for what waits: something has changed, or a target that refused
+    /// requests may be asked again.
+    async fn room_may_be(&self) {
+        let end = {
+            let state = self.state.borrow();
+            let waits = !state.queue.is_empty();
+            let end = state.backoffs.next_end(self.now());
+            end.filter(|_| waits)
+        };
+        match end {
+            // Whichever comes first: the queue is gone through either way.
+            Some(end) => drop(self.until(end, self.room.notified()).await),
+            None => self.room.notified().await,
+        }
+    }
+
     fn fill(self: &Rc<Self>) {
         let now = self.now();
         let pass = self.state.borrow_mut().pass(&self.settings, now);
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -13,10 +13,11 @@
 use bytes::Bytes;
 use dunlinward_dispatch::configuration::Kind;
 use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::target::Tag;
 use http_body_util::BodyExt;
 use snafu::Snafu;
 
-use crate::attempt::{self, Attempt, Job};
+use crate::attempt::{self, Attempt, Job, Verdict};
 use crate::cut::Break;
 use crate::event::Splitter;
 use crate::exchange;
@@ -26,6 +27,9 @@
 /// Silence of a stream, in objectives, after which it goes on elsewhere if it may.
 const SILENCE: f64 = 2.0;
 
+/// Places that a stream which goes on is given at the most, where targets turn it away.
+const PLACES: u32 = 3;
+
 /// Why a stream failed whose connection was closed.
 const CLOSED: &str = "broken_off";
 
@@ -258,47 +262,70 @@
         drop(line.with("reason", reason));
     }
 
-    /// Goes on at another target, or says why that can't be.
+    /// Goes on at another target, or says why that can't be. A target that turns it away has run
+    /// nothing, so the next one is asked.
     async fn go_on(&mut self, reason: &'static str) -> Result<(), Broken> {
         drop(self.splitter.take_rest());
-        let failed = self.attempt.take().map(|it| {
-            if reason != "expired" {
-                it.lease.note(Outcome::Bad);
-                it.lease.cut(if reason == CLOSED {
-                    Break::Closed
-                } else {
-                    Break::Silent
-                });
-            }
-            it.lease.target.clone()
-        });
-        let expired = self.node.now() >= self.job.deadline;
-        let harmful = exchange::unsafe_to_send(&self.node, &self.job).is_some();
-        let over = expired || harmful || !self.may_go_on();
-        if over || !self.node.may_repeat(&self.job.service) {
+        let mut failed = self.end_attempt(reason);
+        let mut reason = reason;
+        if !self.may_resume() {
             return Err(Broken { reason });
         }
         self.tell("resumed", reason);
         self.sends += 1;
         self.begun = false;
-        let exclude = failed.map(|it| it.tag());
-        let wish = exchange::wish(&self.node, &self.job, exclude, self.job.deadline);
-        let Ok(lease) = self.node.place(wish).await else {
-            return Err(Broken { reason: "no_room" });
-        };
-        let limit = self.job.deadline;
-        let last = self.splitter.last();
-        match attempt::send(&self.node, &self.job, lease, last, limit).await {
-            Ok(attempt) if attempt.head.status.is_success() => {
-                self.attempt = Some(attempt);
-                Ok(())
+        for _ in 0..PLACES {
+            let wish = exchange::wish(&self.node, &self.job, failed, self.job.deadline);
+            let Ok(lease) = self.node.place(wish).await else {
+                return Err(Broken { reason: "no_room" });
+            };
+            let tag = lease.target.tag();
+            let limit = self.job.deadline;
+            let last = self.splitter.last();
+            match attempt::send(&self.node, &self.job, lease, last, limit).await {
+                Ok(attempt) if attempt.head.status.is_success() => {
+                    self.attempt = Some(attempt);
+                    return Ok(());
+                }
+                Ok(_) => {
+                    let reason = "not_resumed";
+                    return Err(Broken { reason });
+                }
+                Err(failure) => {
+                    reason = failure.reason;
+                    failed = Some(tag);
+                    let ran = !matches!(failure.verdict, Verdict::NotSent | Verdict::NotRun);
+                    if ran || !self.may_repeat() {
+                        break;
+                    }
+                }
             }
-            Ok(_) => Err(Broken {
-                reason: "not_resumed",
-            }),
-            Err(failure) => Err(Broken {
-                reason: failure.reason,
-            }),
         }
+        Err(Broken { reason })
+    }
+
+    /// Ends the work of an attempt that failed; its target.
+    fn end_attempt(&mut self, reason: &'static str) -> Option<Tag> {
+        let attempt = self.attempt.take()?;
+        if reason != "expired" {
+            attempt.lease.note(Outcome::Bad);
+            attempt.lease.cut(if reason == CLOSED {
+                Break::Closed
+            } else {
+                Break::Silent
+            });
+        }
+        Some(attempt.lease.target.tag())
+    }
+
+    fn may_resume(&self) -> bool {
+        self.may_go_on() && self.may_repeat()
+    }
+
+    /// Whether there is time to send it once more, it ends no target, and the budget allows it.
+    fn may_repeat(&self) -> bool {
+        let expired = self.node.now() >= self.job.deadline;
+        let harmful = exchange::unsafe_to_send(&self.node, &self.job).is_some();
+        !expired && !harmful && self.node.may_repeat(&self.job.service)
     }
 }
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -32,6 +32,8 @@
     NoTarget,
     /// All targets are busy.
     Busy,
+    /// All targets that could run it want nothing of this router for now.
+    BackedOff,
     /// The customer is beyond its share and all targets are busy.
     OverShare,
     /// The deadline is over and the request has not run.
@@ -63,6 +65,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
+            Self::BackedOff => "backed_off",
             Self::OverShare => "over_share",
             Self::ExpiredUnsent => "expired_unsent",
             Self::Expired => "expired",
@@ -88,6 +91,7 @@
             Self::NoConfiguration
             | Self::NoTarget
             | Self::Busy
+            | Self::BackedOff
             | Self::OverShare
             | Self::ExpiredUnsent
             | Self::TurnedAway
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dunlinward_dispatch::backoff::Backoffs;
 use dunlinward_dispatch::budget::Budget;
 use dunlinward_dispatch::cache::Caches;
 use dunlinward_dispatch::cell::Cell;
@@ -43,7 +44,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use barred::Bar;
+pub(crate) use barred::{Bar, Opening};
 
 /// At most one in so many targets of a service is ejected for failures.
 const EJECTED_PART: usize = 3;
@@ -62,7 +63,9 @@
 pub struct Wish {
     /// The cell whose targets may run it.
     pub cell: Cell,
-    /// Failure domain of the router whose caller it is.
+    /// The router whose caller it is.
+    pub router: Peer,
+    /// Its failure domain.
     pub domain: Arc<str>,
     /// What it asks, unless that was answered lately.
     pub content: Option<ContentTag>,
@@ -115,6 +118,10 @@
     /// What engines of this router's cells say that they keep.
     pub(crate) caches: Caches,
     pub(crate) health: Health,
+    /// Targets that have turned requests away.
+    pub(crate) backoffs: Backoffs,
+    /// Identity of this router's start.
+    peer: Peer,
     pub(crate) budget: Budget,
     pub(crate) shares: Shares,
     pub(crate) reach: Reach,
@@ -167,6 +174,8 @@
             memory: Memory::new(),
             caches: Caches::new(),
             health: Health::new(),
+            backoffs: Backoffs::default(),
+            peer,
             budget: Budget::new(settings.repeats),
             shares: Shares::new(settings.share_window),
             reach: Reach::new(settings.report_interval),
@@ -186,14 +195,18 @@
         }
     }
 
-    /// Forgets routers that have been silent, and answers that are no longer asked for.
-    pub(crate) fn prune(&mut self, now: Duration) {
+    /// Forgets routers that have been silent, and answers that are no longer asked for. Returns
+    /// the targets whose named time is over for this router.
+    pub(crate) fn prune(&mut self, now: Duration) -> Vec<Arc<Target>> {
         self.usage.prune(now);
         self.quarantine.prune(now);
         self.peak.note(self.members.count(), now);
         self.copies.prune(now);
         self.returns.prune(now);
         self.lapse(now);
+        let over = self.backoffs.prune(self.peer, now);
+        let over = over.into_iter().filter_map(|it| self.registry.get(it));
+        over.cloned().collect()
     }
 
     /// Takes over what changed in who is alive.
@@ -305,11 +318,15 @@
         self.caches.forget(tag);
         self.health.forget(tag);
         self.reported.forget(tag);
+        self.backoffs.forget(tag);
     }
 
     /// Notes an outcome; true if the target is ejected by it.
     pub(crate) fn note(&mut self, target: &Target, outcome: Outcome, now: Duration) -> bool {
         self.doubt_cold(target, outcome, now);
+        if outcome == Outcome::Good {
+            self.backoffs.runs(target.tag());
+        }
         let targets = self.registry.of(&target.service);
         note(&mut self.health, targets, target, outcome, now)
     }
--- a/crates/path/src/state/barred.rs
+++ b/crates/path/src/state/barred.rs
@@ -4,11 +4,13 @@
 //! learn better while it opens a connection. So what is said here holds three times: when a place is
 //! chosen, when it is taken, and before the first byte is sent.
 
+use std::time::Duration;
+
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::prefix::Prefix;
-use dunlinward_dispatch::target::{State as Condition, Target};
+use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 
-use super::State;
+use super::{State, Wish};
 
 /// Why a target must get nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +19,28 @@
     Evacuated,
     /// It is about to end.
     Leaving,
+    /// It wants nothing of this router for now.
+    BackedOff,
+}
+
+/// When a cell has a target that may get something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Opening {
+    Now,
+    /// From then on, by the times that its targets have named.
+    At(Duration),
+    /// Not before the list of targets or the operators' orders change.
+    Never,
+}
+
+impl Opening {
+    /// How long it is closed, if that is longer than a request waits.
+    pub(crate) fn closed_for(self, wish: &Wish, now: Duration) -> Option<Duration> {
+        match self {
+            Self::At(at) if at > wish.until => Some(at.saturating_sub(now)),
+            Self::Now | Self::At(_) | Self::Never => None,
+        }
+    }
 }
 
 impl Bar {
@@ -25,18 +49,24 @@
         match self {
             Self::Evacuated => "evacuated",
             Self::Leaving => "leaving",
+            Self::BackedOff => "backed_off",
         }
     }
 }
 
 impl State {
-    /// Why a target must get nothing, if it must not.
-    pub(crate) fn barred(&self, target: &Target) -> Option<Bar> {
-        let known = self.registry.get(target.tag());
+    /// Why a target must get nothing of this router's callers, if it must not.
+    pub(crate) fn barred(&self, target: &Target, now: Duration) -> Option<Bar> {
+        let tag = target.tag();
+        let known = self.registry.get(tag);
         if known.is_some_and(|it| it.state == Condition::Leaving) {
             return Some(Bar::Leaving);
         }
-        self.evacuated(target).then_some(Bar::Evacuated)
+        if self.evacuated(target) {
+            return Some(Bar::Evacuated);
+        }
+        let until = self.backoffs.until(self.peer, tag, now);
+        until.map(|_| Bar::BackedOff)
     }
 
     /// Whether a target's failure domain is evacuated.
@@ -44,37 +74,62 @@
         self.evacuations.evacuated(&target.domain)
     }
 
-    /// Whether a target may get work, as far as lists, operators and it itself say.
+    /// Whether a target may get work of any router, as far as lists, operators and it itself say.
     pub(crate) fn open(&self, target: &Target) -> bool {
-        target.state == Condition::Ready && self.barred(target).is_none()
+        target.state == Condition::Ready && !self.evacuated(target)
     }
 
-    /// Whether there are targets in a cell, and none of them may get anything: who waits for one waits
-    /// in vain.
-    pub(crate) fn closed(&self, cell: Cell) -> bool {
+    /// When the first target of a cell may get something of this router's callers, by what the targets
+    /// have told it. Who waits longer for one, or for one that never will, waits in vain.
+    pub(crate) fn opening(&self, cell: Cell, now: Duration) -> Opening {
+        self.first_opening(cell, |tag| self.backoffs.until(self.peer, tag, now))
+    }
+
+    /// The same for the callers of any router, as the owner of the cell knows.
+    pub(crate) fn opening_for(&self, wish: &Wish, now: Duration) -> Opening {
+        self.first_opening(wish.cell, |tag| {
+            let opens = self.backoffs.opens(wish.router, tag, now);
+            Some(opens).filter(|it| *it > now)
+        })
+    }
+
+    fn first_opening(&self, cell: Cell, closed: impl Fn(Tag) -> Option<Duration>) -> Opening {
         let targets = self.registry.of_cell(cell);
-        !targets.is_empty() && !targets.iter().any(|it| self.open(it))
+        if targets.is_empty() {
+            // None is known yet, or none any more.
+            return Opening::Now;
+        }
+        let open = targets.iter().filter(|it| self.open(it));
+        match open.map(|it| closed(it.tag())).min() {
+            None => Opening::Never,
+            Some(None) => Opening::Now,
+            Some(Some(until)) => Opening::At(until),
+        }
+    }
+
+    /// Targets of a cell that want nothing of this router for now.
+    pub(crate) fn backed_off(&self, cell: Cell, now: Duration) -> Vec<Tag> {
+        let targets = self.registry.of_cell(cell).iter();
+        let tags = targets.map(|it| it.tag());
+        tags.filter(|it| self.backoffs.until(self.peer, *it, now).is_some())
+            .collect()
     }
 
     /// The cell that is home to a prefix, or to a request without one. While none of its targets may
     /// get anything, that is the next one where one may.
-    pub(crate) fn home(&self, service: &str, prefix: Prefix) -> Cell {
+    pub(crate) fn home(&self, service: &str, prefix: Prefix, now: Duration) -> Cell {
         let service = ServiceTag::new(service);
         let cells = self.registry.cells(service);
         let sizes: Vec<_> = cells.iter().map(Vec::len).collect();
         let home = cell::home(prefix, &sizes).unwrap_or_default();
         let count = u16::try_from(sizes.len()).unwrap_or(u16::MAX).max(1);
-        let mut turns = (0..count).map(|turn| Cell {
+        let turn = |turn| Cell {
             service,
             index: (home + turn) % count,
-        });
-        let open = turns.find(|it| {
-            let mut targets = self.registry.of_cell(*it).iter();
-            targets.any(|it| self.open(it))
-        });
-        open.unwrap_or(Cell {
-            service,
-            index: home,
-        })
+        };
+        let has_targets = |it: &Cell| !self.registry.of_cell(*it).is_empty();
+        let turns = (0..count).map(turn).filter(has_targets);
+        let mut open = turns.filter(|it| self.opening(*it, now) == Opening::Now);
+        open.next().unwrap_or(turn(0))
     }
 }
--- a/crates/path/src/state/candidates.rs
+++ b/crates/path/src/state/candidates.rs
@@ -24,7 +24,10 @@
         let prefix = prompt.and_then(Prompt::prefix);
         let usable = |target: &&Arc<Target>| {
             let tag = target.tag();
-            self.open(target) && !self.reported.ejected(tag, now) && !wish.avoid.contains(&tag)
+            self.open(target)
+                && self.backoffs.opens(wish.router, tag, now) <= now
+                && !self.reported.ejected(tag, now)
+                && !wish.avoid.contains(&tag)
         };
         let usable = self.registry.of_cell(wish.cell).iter().filter(usable);
         let usable = self.apart(wish, usable.collect(), now);
--- a/crates/path/src/state/placing.rs
+++ b/crates/path/src/state/placing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::grants::{self, End, Reason, Request};
+use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::placement::{self, Ask, Choice};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Return, Wait};
@@ -66,14 +67,17 @@
                 return Content::Grant(self.begin_for(asker, &wish, &choice, now));
             }
             let customer = wish.customer;
-            self.queue.push(Waiter {
-                wish,
-                cover,
-                origin: Origin::Peer(asker),
-            });
-            return self.wait(number, customer, now);
+            let closed_for = self.opening_for(&wish, now).closed_for(&wish, now);
+            if closed_for.is_none() {
+                self.queue.push(Waiter {
+                    wish,
+                    cover,
+                    origin: Origin::Peer(asker),
+                });
+            }
+            return self.wait(number, customer, closed_for, now);
         }
-        self.wait(number, wish.customer, now)
+        self.wait(number, wish.customer, None, now)
     }
 
     /// Whether the caller of a request was refused before, as far as is known here.
@@ -89,11 +93,18 @@
         }
     }
 
-    fn wait(&mut self, number: u64, customer: Option<CustomerTag>, now: Duration) -> Content {
+    fn wait(
+        &mut self,
+        number: u64,
+        customer: Option<CustomerTag>,
+        closed_for: Option<Duration>,
+        now: Duration,
+    ) -> Content {
         Content::Wait(Wait {
             number,
             waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             standing: customer.map(|it| self.shares.standing(it, now)),
+            closed_for,
         })
     }
 
@@ -185,6 +196,7 @@
         let tag = choice.target.tag();
         self.usage.begin(tag, choice.unread);
         self.cold.note(tag, now);
+        self.backoffs.note(tag, now);
         if let Some(prompt) = wish.prompt.as_deref() {
             self.caches.sent(tag, prompt, now);
         }
@@ -220,6 +232,7 @@
         let tag = choice.target.tag();
         self.usage.begin_for(peer, tag, choice.unread, now);
         self.cold.note(tag, now);
+        self.backoffs.note(tag, now);
         if let Some(prompt) = wish.prompt.as_deref() {
             self.caches.sent(tag, prompt, now);
         }
@@ -322,6 +335,7 @@
     /// A target has read another router's prompt.
     pub(crate) fn read_for(&mut self, peer: Peer, tag: Tag, unread: u64) {
         self.usage.read_for(peer, tag, unread);
+        self.backoffs.runs(tag);
     }
 
     /// Another router's place is free again.
@@ -330,6 +344,11 @@
         if let Some(content) = returned.content {
             self.copies.end(content, returned.tag);
         }
+        match (returned.refusal, returned.outcome) {
+            (Some(refusal), _) => self.backoffs.refused(peer, returned.tag, refusal, now),
+            (None, Some(Outcome::Good)) => self.backoffs.runs(returned.tag),
+            (None, _) => {}
+        }
         let request = returned.not_run.map(|number| Request { peer, number });
         let end = request.and_then(|it| self.grants.end(it, Reason::NotRun));
         if let Some(end) = end {
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -360,6 +360,7 @@
             outcome: None,
             not_run: None,
             content: None,
+            refusal: None,
         };
         self.plan(now + ANSWERING, Event::Returned(number, returned));
         self.room_came(now);
@@ -429,6 +430,7 @@
             service: ServiceTag::new("pool"),
             index: 0,
         },
+        router: Peer(0),
         domain: "a".into(),
         content: None,
         prompt: Some(Rc::new(prompt)),
--- a/crates/path/src/state/tests/spared.rs
+++ b/crates/path/src/state/tests/spared.rs
@@ -62,6 +62,7 @@
             outcome: None,
             not_run: None,
             content: None,
+            refusal: None,
         };
         fleet.owner.returned(Peer(1), &returned, now);
     }
--- a/crates/path/src/state/tests/suspects.rs
+++ b/crates/path/src/state/tests/suspects.rs
@@ -80,6 +80,7 @@
         outcome: None,
         not_run: None,
         content: Some(content),
+        refusal: None,
     };
     fleet.owner.confirm(Peer(1), &[1], NOW);
     fleet.owner.returned(Peer(1), &returned, NOW);
--- a/crates/path/src/tell.rs
+++ b/crates/path/src/tell.rs
@@ -101,6 +101,12 @@
     if !answer.leaving && matches!(answer.backoff, Ok(None)) {
         return;
     }
+    let word = match (&answer.backoff, answer.leaving) {
+        (Err(_), _) => "malformed",
+        (Ok(Some(_)), _) => "backoff",
+        (Ok(None), _) => "leaving",
+    };
+    node.metrics.add("target_words", word, 1);
     let line = node.journal.line("target_says").with("id", job.id.as_ref());
     let line = line.with("target", lease.target.id.as_ref());
     let line = line.with("born", lease.target.born);
