--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -8,7 +8,7 @@
 use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::configuration::{Configuration, Engine, Limits, Service, Table};
 use dunlinward_dispatch::placement::Policy;
-use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Return};
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 use dunlinward_dispatch::usage::{Peer, Usage};
@@ -19,6 +19,7 @@
 use crate::queue::Asker;
 use crate::settings::{ColdBound, Patience};
 
+mod refusing;
 mod returns;
 mod spared;
 mod suspects;
