--- a/crates/path/src/memories.rs
+++ b/crates/path/src/memories.rs
@@ -47,6 +47,8 @@
 enum Error {
     #[snafu(display("{source}"))]
     Open { source: pool::Error },
+    #[snafu(display("it must get nothing: {reason}"))]
+    Barred { reason: &'static str },
     #[snafu(display("no answer within {} ms", TIMEOUT.as_millis()))]
     Silent,
     #[snafu(display("{source}"))]
@@ -163,6 +165,10 @@
         let opened = pool::open(engine.address, TIMEOUT).await;
         opened.context(OpenSnafu)?
     };
+    let barred = node.state.borrow().barred(engine, node.now());
+    if let Some(bar) = barred {
+        return BarredSnafu { reason: bar.name() }.fail();
+    }
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = node.dialect.cache_path(question);
     if let Ok(host) = HeaderValue::from_str(&engine.address.to_string()) {
--- a/crates/path/src/state/barred.rs
+++ b/crates/path/src/state/barred.rs
@@ -99,12 +99,17 @@
             // None is known yet, or none any more.
             return Opening::Now;
         }
-        let open = targets.iter().filter(|it| self.open(it));
-        match open.map(|it| closed(it.tag())).min() {
-            None => Opening::Never,
-            Some(None) => Opening::Now,
-            Some(Some(until)) => Opening::At(until),
+        let mut first = Opening::Never;
+        for target in targets.iter().filter(|it| self.open(it)) {
+            let Some(until) = closed(target.tag()) else {
+                return Opening::Now;
+            };
+            first = match first {
+                Opening::At(known) => Opening::At(known.min(until)),
+                Opening::Now | Opening::Never => Opening::At(until),
+            };
         }
+        first
     }
 
     /// Targets of a cell that want nothing of this router for now.
