A time that ends between two passes of the queue counts; places that ended, and words against lists, in files of their own

Found by reading: the end of a time that fell between a pass over the queue and the next wait was missed, so what waited for it was placed only with the next message. The wait now counts from the pass before. A request that is refused at once, as all targets of its cell are closed, is noted as refused, so that it counts as a later try when it comes back.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -19,11 +19,12 @@
 use std::time::Duration;
 
 use crate::cell::{self, Cell, ServiceTag};
-use crate::leaving::{Leaving, Word};
+use crate::leaving::Leaving;
 use crate::target::{State, Tag, Target};
 
 mod copy;
 mod index;
+mod leave;
 mod starts;
 
 use copy::Copy;
@@ -142,14 +143,6 @@
         self.replace(list.into(), as_of)
     }
 
-    /// The store has come back from a copy some seconds old. What the copy lacks is kept as after
-    /// an outage; what it lists again though it had ended is not taken for alive.
-    pub fn restored(&mut self, now: Duration) {
-        self.copy.restored(now);
-        self.keep_until = now + RETURN_TIME;
-        self.settled_from = now + RETURN_TIME;
-    }
-
     /// Takes the list of a peer that saw no outage: what is missing there has ended.
     pub fn take_settled(&mut self, list: impl Into<Listing>, as_of: Duration) -> Vec<Change> {
         if self.read_at.is_some_and(|at| as_of < at) {
@@ -216,12 +209,6 @@
         list
     }
 
-    /// Whether a target is listed only as a copy of the store still has it.
-    fn revived(&self, target: &Target, as_of: Duration) -> bool {
-        let tag = target.tag();
-        !self.targets.contains_key(&tag) && self.copy.revives(tag, as_of)
-    }
-
     /// What a list says of a server, if that is its newest start; else that one, if it is known. An
     /// entry that says no start though its server has said one is of another writer.
     fn newest_start(
@@ -310,37 +297,6 @@
         Some(Change::Ended(old))
     }
 
-    /// A target says itself that it leaves: whether that is new, and the change that follows.
-    pub fn says_leaving(&mut self, tag: Tag, now: Duration) -> (bool, Option<Change>) {
-        let new = self.leaving.note(tag, now);
-        (new, self.leave(tag))
-    }
-
-    /// Takes what a peer tells of targets that have said that they leave: the words that are new, and
-    /// the changes that follow.
-    pub fn hear_leaving(&mut self, words: &[Word], now: Duration) -> (Vec<Word>, Vec<Change>) {
-        let new = self.leaving.hear(words, now);
-        let changes = new.iter().filter_map(|it| self.leave(it.tag)).collect();
-        (new, changes)
-    }
-
-    /// What targets have said of their leaving.
-    #[must_use]
-    pub fn leaving(&self) -> &Leaving {
-        &self.leaving
-    }
-
-    fn leave(&mut self, tag: Tag) -> Option<Change> {
-        let known = self.targets.get_mut(&tag)?;
-        if known.state == State::Leaving {
-            return None;
-        }
-        Arc::make_mut(known).state = State::Leaving;
-        let change = Change::Leaves(known.clone());
-        self.index();
-        Some(change)
-    }
-
     /// A peer had the same list, true at `as_of`.
     pub fn confirm(&mut self, digest: u64, as_of: Duration) {
         if digest == self.digest && self.read_at.is_some_and(|at| as_of > at) {
--- a/crates/dispatch/src/registry/copy.rs
+++ b/crates/dispatch/src/registry/copy.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::RETURN_TIME;
+use super::{RETURN_TIME, Registry};
 use crate::store::RESTORE_TIME;
-use crate::target::Tag;
+use crate::target::{Tag, Target};
 
 /// Time within which the entry of a target that has ended lapses again in such a store: three
 /// heartbeats of 1.2 s, and a reading.
@@ -50,3 +50,19 @@
         self.restored_at.is_none_or(|at| as_of > at + RETURN_TIME)
     }
 }
+
+impl Registry {
+    /// The store has come back from a copy some seconds old. What the copy lacks is kept as after
+    /// an outage; what it lists again though it had ended is not taken for alive.
+    pub fn restored(&mut self, now: Duration) {
+        self.copy.restored(now);
+        self.keep_until = now + RETURN_TIME;
+        self.settled_from = now + RETURN_TIME;
+    }
+
+    /// Whether a target is listed only as a copy of the store still has it.
+    pub(super) fn revived(&self, target: &Target, as_of: Duration) -> bool {
+        let tag = target.tag();
+        !self.targets.contains_key(&tag) && self.copy.revives(tag, as_of)
+    }
+}
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -93,6 +93,7 @@
         let now = self.now();
         let opening = self.state.borrow().opening_for(&wish, now);
         if let Some(time) = opening.closed_for(&wish, now) {
+            self.state.borrow_mut().refuse(&wish, now);
             return Err(self.backed_off(time));
         }
         let until = wish.until;
@@ -116,20 +117,22 @@
 
     /// Serves the queue for as long as the router runs.
     pub async fn serve_queue(self: Rc<Self>) {
+        let mut passed_at = Duration::ZERO;
         loop {
-            self.room_may_be().await;
+            self.room_may_be(passed_at).await;
+            passed_at = self.now();
             self.fill();
             tokio::time::sleep(FILL_PAUSE).await;
         }
     }
 
     /// Waits until room may have come for what waits: something has changed, or a target that refused
-    /// requests may be asked again.
-    async fn room_may_be(&self) {
+    /// requests may be asked again. What ended since the last pass counts, also if that is over by now.
+    async fn room_may_be(&self, passed_at: Duration) {
         let end = {
             let state = self.state.borrow();
             let waits = !state.queue.is_empty();
-            let end = state.backoffs.next_end(self.now());
+            let end = state.backoffs.next_end(passed_at);
             end.filter(|_| waits)
         };
         match end {
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -39,6 +39,7 @@
 
 mod barred;
 mod candidates;
+mod ended;
 mod placing;
 mod suspects;
 #[cfg(test)]
--- a/crates/path/src/state/placing.rs
+++ b/crates/path/src/state/placing.rs
@@ -3,14 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dunlinward_dispatch::grants::{self, End, Reason, Request};
-use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::grants::{self, Request};
 use dunlinward_dispatch::placement::{self, Ask, Choice};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
-use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Return, Wait};
+use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Wait};
 use dunlinward_dispatch::share::{Charge, Standing};
-use dunlinward_dispatch::target::Tag;
-use dunlinward_dispatch::usage::Peer;
 use tokio::sync::oneshot;
 
 use super::{Claim, State, Wish};
@@ -68,14 +65,16 @@
             }
             let customer = wish.customer;
             let closed_for = self.opening_for(&wish, now).closed_for(&wish, now);
-            if closed_for.is_none() {
-                self.queue.push(Waiter {
-                    wish,
-                    cover,
-                    origin: Origin::Peer(asker),
-                });
+            if closed_for.is_some() {
+                self.refuse(&wish, now);
+                return self.wait(number, customer, closed_for, now);
             }
-            return self.wait(number, customer, closed_for, now);
+            self.queue.push(Waiter {
+                wish,
+                cover,
+                origin: Origin::Peer(asker),
+            });
+            return self.wait(number, customer, None, now);
         }
         self.wait(number, wish.customer, None, now)
     }
@@ -312,90 +311,4 @@
         }
         pass
     }
-
-    /// Another router's request no longer waits; if it was given a place, that is not used.
-    pub(crate) fn withdraw(&mut self, peer: Peer, number: u64, now: Duration) {
-        let mut queue = std::mem::take(&mut self.queue);
-        for waiter in queue.extract_if(.., |it| it.origin.is(peer, number)) {
-            self.refuse(&waiter.wish, now);
-        }
-        self.queue = queue;
-        let request = Request { peer, number };
-        let Some(end) = self.grants.end(request, Reason::Withdrawn) else {
-            return;
-        };
-        let grant = end.lease.grant;
-        self.usage.end_for(peer, grant.tag, grant.unread);
-        if let Some(content) = end.lease.content {
-            self.copies.end(content, grant.tag);
-        }
-        self.undo(end, now);
-    }
-
-    /// A target has read another router's prompt.
-    pub(crate) fn read_for(&mut self, peer: Peer, tag: Tag, unread: u64) {
-        self.usage.read_for(peer, tag, unread);
-        self.backoffs.runs(tag);
-    }
-
-    /// Another router's place is free again.
-    pub(crate) fn returned(&mut self, peer: Peer, returned: &Return, now: Duration) {
-        self.usage.end_for(peer, returned.tag, returned.unread);
-        if let Some(content) = returned.content {
-            self.copies.end(content, returned.tag);
-        }
-        match (returned.refusal, returned.outcome) {
-            (Some(refusal), _) => self.backoffs.refused(peer, returned.tag, refusal, now),
-            (None, Some(Outcome::Good)) => self.backoffs.runs(returned.tag),
-            (None, _) => {}
-        }
-        let request = returned.not_run.map(|number| Request { peer, number });
-        let end = request.and_then(|it| self.grants.end(it, Reason::NotRun));
-        if let Some(end) = end {
-            self.undo(end, now);
-        }
-    }
-
-    /// Another router uses places that it was given.
-    pub(crate) fn confirm(&mut self, peer: Peer, numbers: &[u64], now: Duration) {
-        for number in numbers {
-            let request = Request {
-                peer,
-                number: *number,
-            };
-            let lease = self.grants.confirm(request);
-            if let Some(prefix) = lease.and_then(|it| it.prefix) {
-                self.memory.sent(prefix, now);
-            }
-        }
-    }
-
-    /// Ends places of which nothing was heard. Their work is not counted any more either: a report
-    /// has come since, or the router is silent.
-    pub(crate) fn lapse(&mut self, now: Duration) {
-        for end in self.grants.lapse(now) {
-            if let Some(content) = end.lease.content {
-                self.copies.end(content, end.lease.grant.tag);
-            }
-            self.undo(end, now);
-        }
-    }
-
-    /// Undoes what was counted for a place that is not used.
-    fn undo(&mut self, end: End, now: Duration) {
-        self.take_back(end.lease.charge, now);
-        if let Some(prefix) = end.lease.prefix.filter(|_| !end.confirmed) {
-            self.memory.not_sent(prefix);
-        }
-    }
-
-    /// Takes back what was charged for a place that is not used. Otherwise a customer whose requests
-    /// are given up before their places come counts as over its share for what it never had: with
-    /// answers 5 to 60 ms late it got 13 in 100 of what another one did in six seconds, and 96 with
-    /// charges taken back (`tests`).
-    pub(crate) fn take_back(&mut self, charge: Option<Charge>, now: Duration) {
-        if let Some(charge) = charge {
-            self.shares.take_back(charge, now);
-        }
-    }
 }
