What waits at an owner is placed when places of a router that has ended count no more

What callers saw: a request that waits for room of a router that has ended got it only with the next message of anybody, or was refused.

Cause: the queue is gone through when a message brings room; forgetting the places of silent routers is no message.

--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -158,6 +158,8 @@
         timer.tick().await;
         let now = node.now();
         let over = node.state.borrow_mut().prune(now);
+        // Places of which nothing was heard for long count no more.
+        node.room_came();
         for target in over {
             let line = node.journal.line("backoff_over");
             drop(line.with("target", target.id.as_ref()));
