A target that ends what it began before it refused is not taken to run new requests

Cause: any good end took a target off trial, also that of a stream from before the refusal; an engine that turns requests away while its streams end was sent the next request at once, each time. Found by reading, then by a test that plays 64 routers and engines whose streams end every 50 ms.

Change: within a pause an end says nothing.

--- a/crates/dispatch/src/backoff.rs
+++ b/crates/dispatch/src/backoff.rs
@@ -141,9 +141,11 @@
         }
     }
 
-    /// A target runs a request.
-    pub fn runs(&mut self, tag: Tag) {
-        if let Some(record) = self.records.get_mut(&tag) {
+    /// A target runs a request. Within a pause that is one from before the refusal, which says nothing
+    /// of the next.
+    pub fn runs(&mut self, tag: Tag, now: Duration) {
+        let record = self.records.get_mut(&tag);
+        if let Some(record) = record.filter(|it| now >= it.pause) {
             record.refusals = 0;
             record.pause = Duration::ZERO;
             record.trial = Duration::ZERO;
--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -40,7 +40,7 @@
     backoffs.refused(A, TARGET, named(SECOND * 5), SECOND * 2);
     assert_eq!(backoffs.until(A, TARGET, SECOND * 6), Some(SECOND * 7));
     backoffs.refused(A, TARGET, PLAIN, SECOND * 2);
-    backoffs.runs(TARGET);
+    backoffs.runs(TARGET, SECOND * 3);
     assert_eq!(backoffs.until(A, TARGET, SECOND * 6), Some(SECOND * 7));
     assert_eq!(backoffs.until(A, TARGET, SECOND * 7), None);
 }
@@ -68,7 +68,7 @@
         now = opens;
         backoffs.note(TARGET, now);
     }
-    backoffs.runs(TARGET);
+    backoffs.runs(TARGET, now);
     assert_eq!(backoffs.opens(C, TARGET, now), now);
     backoffs.refused(A, TARGET, PLAIN, now);
     assert_eq!(backoffs.opens(C, TARGET, now), now + FIRST_PAUSE);
@@ -84,10 +84,22 @@
     backoffs.note(TARGET, now);
     assert_eq!(backoffs.opens(A, TARGET, now), now + TRIAL_INTERVAL);
     assert_eq!(backoffs.next_end(now), Some(now + TRIAL_INTERVAL));
-    backoffs.runs(TARGET);
+    backoffs.runs(TARGET, now);
     assert_eq!(backoffs.opens(A, TARGET, now), now);
 }
 
+#[test]
+fn what_a_target_began_before_it_refused_does_not_end_the_pause() {
+    let mut backoffs = Backoffs::default();
+    backoffs.refused(A, TARGET, PLAIN, SECOND);
+    let within = SECOND + FIRST_PAUSE / 2;
+    backoffs.runs(TARGET, within);
+    assert_eq!(backoffs.opens(A, TARGET, within), SECOND + FIRST_PAUSE);
+    backoffs.refused(A, TARGET, PLAIN, SECOND + FIRST_PAUSE);
+    let opens = SECOND + FIRST_PAUSE * 3;
+    assert_eq!(backoffs.opens(A, TARGET, within), opens);
+}
+
 #[test]
 fn a_target_that_has_ended_is_forgotten_and_so_is_what_is_over() {
     let mut backoffs = Backoffs::default();
@@ -171,7 +183,7 @@
                     });
                 }
             } else {
-                ledgers[owner].runs(TARGET);
+                ledgers[owner].runs(TARGET, now);
             }
         }
         let calm = now + SECOND + LONGEST_PAUSE;
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -206,7 +206,7 @@
         {
             let mut state = node.state.borrow_mut();
             state.usage.read(tag, unread);
-            state.backoffs.runs(tag);
+            state.backoffs.runs(tag, node.now());
         }
         self.tell(&node, Content::Read { tag, unread });
         node.room_came();
--- a/crates/path/src/state/ended.rs
+++ b/crates/path/src/state/ended.rs
@@ -33,9 +33,9 @@
     }
 
     /// A target has read another router's prompt.
-    pub(crate) fn read_for(&mut self, peer: Peer, tag: Tag, unread: u64) {
+    pub(crate) fn read_for(&mut self, peer: Peer, tag: Tag, unread: u64, now: Duration) {
         self.usage.read_for(peer, tag, unread);
-        self.backoffs.runs(tag);
+        self.backoffs.runs(tag, now);
     }
 
     /// Another router's place is free again.
@@ -46,7 +46,7 @@
         }
         match (returned.refusal, returned.outcome) {
             (Some(refusal), _) => self.backoffs.refused(peer, returned.tag, refusal, now),
-            (None, Some(Outcome::Good)) => self.backoffs.runs(returned.tag),
+            (None, Some(Outcome::Good)) => self.backoffs.runs(returned.tag, now),
             (None, _) => {}
         }
         let request = returned.not_run.map(|number| Request { peer, number });
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -354,7 +354,7 @@
         *self.begun.entry((customer, now.as_secs())).or_default() += PROMPT;
         self.usage(number).read(grant.tag, grant.unread);
         let peer = self.peer(number);
-        self.owner.read_for(peer, grant.tag, grant.unread);
+        self.owner.read_for(peer, grant.tag, grant.unread, now);
         let returned = Return {
             tag: grant.tag,
             unread: 0,
--- a/crates/path/src/state/tests/refusing.rs
+++ b/crates/path/src/state/tests/refusing.rs
@@ -29,8 +29,21 @@
     within: usize,
 }
 
+/// A request that ran to its end.
+fn ended(tag: Tag) -> Return {
+    Return {
+        tag,
+        unread: 0,
+        outcome: Some(Outcome::Good),
+        not_run: None,
+        content: None,
+        refusal: None,
+    }
+}
+
 /// A request in each millisecond, by turns of all routers; an engine that refuses names a time, or
-/// none. Whatever an engine runs has begun at once and ends 0.2 s later.
+/// none. Whatever an engine runs has begun at once and ends 0.2 s later. What the refusing ones began
+/// before ends by and by.
 fn play(refusal: Refusal) -> Played {
     let mut fleet = Fleet::new(&[], 0);
     let settings = fleet.settings.clone();
@@ -38,6 +51,10 @@
     let mut played = Played::default();
     let mut named: BTreeMap<(u64, Tag), Duration> = BTreeMap::new();
     let mut returns: BTreeMap<u64, Vec<(u64, Return)>> = BTreeMap::new();
+    for number in (0..u64::try_from(NAMED.as_millis()).expect("a few seconds")).step_by(50) {
+        let ends = refusing.iter().map(|tag| (0, ended(*tag)));
+        returns.insert(number, ends.collect());
+    }
     for number in 0..u64::try_from(NAMED.as_millis()).expect("a few seconds") {
         let now = START + Duration::from_millis(number);
         let router = number % ROUTERS;
