Pauses after refusals last 0.3 s at the most

A refusal costs its request some milliseconds until it runs elsewhere; a target that serves again and is left alone costs the room of all that it could run.

--- a/crates/dispatch/src/backoff.rs
+++ b/crates/dispatch/src/backoff.rs
@@ -26,11 +26,12 @@
 /// meanwhile.
 pub const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest such time, so that a target which serves again is soon found.
-pub const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Longest such time: a refusal costs its request some milliseconds until it runs elsewhere, a target
+/// that serves again and is left alone costs the room of all that it could run.
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Pauses that follow each other double so often at the most.
-const DOUBLINGS: u32 = 4;
+const DOUBLINGS: u32 = 2;
 
 /// Time between two requests to a target on trial: several round trips, so that the refusal of one is
 /// known before the next.
