Names of what is noted of refusals; a refused place is told with its target's identity

note_refused, note_named, note_running, note_sent, named_until, named_to, opens_at say what they hold. The line place_refused named a hash that operators can't map.

--- a/crates/dispatch/src/backoff.rs
+++ b/crates/dispatch/src/backoff.rs
@@ -129,13 +129,13 @@
 
 impl Backoffs {
     /// A target has refused a request of a router.
-    pub fn refused(&mut self, router: Peer, tag: Tag, refusal: Refusal, now: Duration) {
-        self.name(router, tag, refusal, now);
+    pub fn note_refused(&mut self, router: Peer, tag: Tag, refusal: Refusal, now: Duration) {
+        self.note_named(router, tag, refusal, now);
         self.records.entry(tag).or_default().refused(now);
     }
 
     /// A target has named a time to a router, as that router tells.
-    pub fn name(&mut self, router: Peer, tag: Tag, refusal: Refusal, now: Duration) {
+    pub fn note_named(&mut self, router: Peer, tag: Tag, refusal: Refusal, now: Duration) {
         if let Some(time) = refusal.named.filter(|it| !it.is_zero()) {
             let record = self.records.entry(tag).or_default();
             record.name(router, now + time);
@@ -144,7 +144,7 @@
 
     /// A target runs a request. Within a pause that is one from before the refusal, which says nothing
     /// of the next.
-    pub fn runs(&mut self, tag: Tag, now: Duration) {
+    pub fn note_running(&mut self, tag: Tag, now: Duration) {
         let record = self.records.get_mut(&tag);
         if let Some(record) = record.filter(|it| now >= it.pause) {
             record.refusals = 0;
@@ -154,7 +154,7 @@
     }
 
     /// A target is given a request.
-    pub fn note(&mut self, tag: Tag, now: Duration) {
+    pub fn note_sent(&mut self, tag: Tag, now: Duration) {
         let record = self.records.get_mut(&tag);
         if let Some(record) = record.filter(|it| it.refusals > 0) {
             record.trial = now + TRIAL_INTERVAL;
@@ -163,14 +163,14 @@
 
     /// Until when a target wants nothing of a router, if it does.
     #[must_use]
-    pub fn until(&self, router: Peer, tag: Tag, now: Duration) -> Option<Duration> {
+    pub fn named_until(&self, router: Peer, tag: Tag, now: Duration) -> Option<Duration> {
         let until = self.records.get(&tag)?.until(router);
         until.filter(|it| now < *it)
     }
 
     /// When a router's request may go to a target, as whoever places it there knows.
     #[must_use]
-    pub fn opens(&self, router: Peer, tag: Tag, now: Duration) -> Duration {
+    pub fn opens_at(&self, router: Peer, tag: Tag, now: Duration) -> Duration {
         let Some(record) = self.records.get(&tag) else {
             return now;
         };
@@ -180,10 +180,10 @@
     }
 
     /// The times that targets have named to a router, as they are now.
-    pub fn of(&self, router: Peer, now: Duration) -> impl Iterator<Item = (Tag, Refusal)> {
+    pub fn named_to(&self, router: Peer, now: Duration) -> impl Iterator<Item = (Tag, Refusal)> {
         let tags = self.records.keys();
         tags.filter_map(move |tag| {
-            let until = self.until(router, *tag, now)?;
+            let until = self.named_until(router, *tag, now)?;
             let named = Some(until.saturating_sub(now));
             Some((*tag, Refusal { named }))
         })
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`target`], [`registry`]: the targets that are known, and which may get work.
 //! - [`store`], [`evacuation`]: what the platform's store says, and failure domains that get nothing.
 //! - [`cold`]: targets that bear few requests for now.
+//! - [`leaving`], [`backoff`]: what targets say of themselves: that they end, that they want no more.
 //! - [`cell`], [`member`]: groups of targets, and the router that places requests there.
 //! - [`membership`]: which routers are alive.
 //! - [`usage`]: work at each target, this router's and its peers'.
--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -22,36 +22,45 @@
 #[test]
 fn a_time_that_is_named_binds_the_router_and_a_pause_all() {
     let mut backoffs = Backoffs::default();
-    backoffs.refused(A, TARGET, named(SECOND * 3), SECOND);
-    assert_eq!(backoffs.until(A, TARGET, SECOND), Some(SECOND * 4));
-    assert_eq!(backoffs.until(B, TARGET, SECOND), None);
-    assert_eq!(backoffs.opens(B, TARGET, SECOND), SECOND + FIRST_PAUSE);
+    backoffs.note_refused(A, TARGET, named(SECOND * 3), SECOND);
+    assert_eq!(backoffs.named_until(A, TARGET, SECOND), Some(SECOND * 4));
+    assert_eq!(backoffs.named_until(B, TARGET, SECOND), None);
+    assert_eq!(backoffs.opens_at(B, TARGET, SECOND), SECOND + FIRST_PAUSE);
     let later = SECOND * 2;
-    assert_eq!(backoffs.opens(A, TARGET, later), SECOND * 4);
-    assert_eq!(backoffs.opens(B, TARGET, later), later);
+    assert_eq!(backoffs.opens_at(A, TARGET, later), SECOND * 4);
+    assert_eq!(backoffs.opens_at(B, TARGET, later), later);
 }
 
 #[test]
 fn times_that_overlap_all_hold() {
     let mut backoffs = Backoffs::default();
-    backoffs.refused(A, TARGET, named(SECOND * 3), SECOND);
-    backoffs.refused(A, TARGET, named(SECOND), SECOND);
-    assert_eq!(backoffs.until(A, TARGET, SECOND * 3), Some(SECOND * 4));
-    backoffs.refused(A, TARGET, named(SECOND * 5), SECOND * 2);
-    assert_eq!(backoffs.until(A, TARGET, SECOND * 6), Some(SECOND * 7));
-    backoffs.refused(A, TARGET, PLAIN, SECOND * 2);
-    backoffs.runs(TARGET, SECOND * 3);
-    assert_eq!(backoffs.until(A, TARGET, SECOND * 6), Some(SECOND * 7));
-    assert_eq!(backoffs.until(A, TARGET, SECOND * 7), None);
+    backoffs.note_refused(A, TARGET, named(SECOND * 3), SECOND);
+    backoffs.note_refused(A, TARGET, named(SECOND), SECOND);
+    assert_eq!(
+        backoffs.named_until(A, TARGET, SECOND * 3),
+        Some(SECOND * 4)
+    );
+    backoffs.note_refused(A, TARGET, named(SECOND * 5), SECOND * 2);
+    assert_eq!(
+        backoffs.named_until(A, TARGET, SECOND * 6),
+        Some(SECOND * 7)
+    );
+    backoffs.note_refused(A, TARGET, PLAIN, SECOND * 2);
+    backoffs.note_running(TARGET, SECOND * 3);
+    assert_eq!(
+        backoffs.named_until(A, TARGET, SECOND * 6),
+        Some(SECOND * 7)
+    );
+    assert_eq!(backoffs.named_until(A, TARGET, SECOND * 7), None);
 }
 
 #[test]
 fn who_refuses_two_routers_with_a_time_is_left_alone_by_all_until_one_is_over() {
     let mut backoffs = Backoffs::default();
-    backoffs.refused(A, TARGET, named(SECOND * 3), SECOND);
-    backoffs.refused(B, TARGET, named(SECOND * 5), SECOND);
-    assert_eq!(backoffs.opens(C, TARGET, SECOND * 2), SECOND * 4);
-    assert_eq!(backoffs.opens(B, TARGET, SECOND * 2), SECOND * 6);
+    backoffs.note_refused(A, TARGET, named(SECOND * 3), SECOND);
+    backoffs.note_refused(B, TARGET, named(SECOND * 5), SECOND);
+    assert_eq!(backoffs.opens_at(C, TARGET, SECOND * 2), SECOND * 4);
+    assert_eq!(backoffs.opens_at(B, TARGET, SECOND * 2), SECOND * 6);
 }
 
 #[test]
@@ -59,55 +68,55 @@
     let mut backoffs = Backoffs::default();
     let mut now = SECOND;
     for pause in [1, 2, 4, 4].map(|it| LONGEST_PAUSE.min(FIRST_PAUSE * it)) {
-        backoffs.refused(A, TARGET, PLAIN, now);
+        backoffs.note_refused(A, TARGET, PLAIN, now);
         // Others that were on their way.
-        backoffs.refused(B, TARGET, PLAIN, now);
-        backoffs.refused(A, TARGET, PLAIN, now + pause / 2);
-        let opens = backoffs.opens(C, TARGET, now);
+        backoffs.note_refused(B, TARGET, PLAIN, now);
+        backoffs.note_refused(A, TARGET, PLAIN, now + pause / 2);
+        let opens = backoffs.opens_at(C, TARGET, now);
         assert_eq!(opens.saturating_sub(now), pause);
         now = opens;
-        backoffs.note(TARGET, now);
+        backoffs.note_sent(TARGET, now);
     }
-    backoffs.runs(TARGET, now);
-    assert_eq!(backoffs.opens(C, TARGET, now), now);
-    backoffs.refused(A, TARGET, PLAIN, now);
-    assert_eq!(backoffs.opens(C, TARGET, now), now + FIRST_PAUSE);
+    backoffs.note_running(TARGET, now);
+    assert_eq!(backoffs.opens_at(C, TARGET, now), now);
+    backoffs.note_refused(A, TARGET, PLAIN, now);
+    assert_eq!(backoffs.opens_at(C, TARGET, now), now + FIRST_PAUSE);
 }
 
 #[test]
 fn a_target_on_trial_gets_one_request_at_a_time_until_it_runs_one() {
     let mut backoffs = Backoffs::default();
-    backoffs.note(TARGET, SECOND);
-    assert_eq!(backoffs.opens(A, TARGET, SECOND), SECOND);
-    backoffs.refused(A, TARGET, PLAIN, SECOND);
+    backoffs.note_sent(TARGET, SECOND);
+    assert_eq!(backoffs.opens_at(A, TARGET, SECOND), SECOND);
+    backoffs.note_refused(A, TARGET, PLAIN, SECOND);
     let now = SECOND + FIRST_PAUSE;
-    backoffs.note(TARGET, now);
-    assert_eq!(backoffs.opens(A, TARGET, now), now + TRIAL_INTERVAL);
+    backoffs.note_sent(TARGET, now);
+    assert_eq!(backoffs.opens_at(A, TARGET, now), now + TRIAL_INTERVAL);
     assert_eq!(backoffs.next_end(now), Some(now + TRIAL_INTERVAL));
-    backoffs.runs(TARGET, now);
-    assert_eq!(backoffs.opens(A, TARGET, now), now);
+    backoffs.note_running(TARGET, now);
+    assert_eq!(backoffs.opens_at(A, TARGET, now), now);
 }
 
 #[test]
 fn what_a_target_began_before_it_refused_does_not_end_the_pause() {
     let mut backoffs = Backoffs::default();
-    backoffs.refused(A, TARGET, PLAIN, SECOND);
+    backoffs.note_refused(A, TARGET, PLAIN, SECOND);
     let within = SECOND + FIRST_PAUSE / 2;
-    backoffs.runs(TARGET, within);
-    assert_eq!(backoffs.opens(A, TARGET, within), SECOND + FIRST_PAUSE);
-    backoffs.refused(A, TARGET, PLAIN, SECOND + FIRST_PAUSE);
+    backoffs.note_running(TARGET, within);
+    assert_eq!(backoffs.opens_at(A, TARGET, within), SECOND + FIRST_PAUSE);
+    backoffs.note_refused(A, TARGET, PLAIN, SECOND + FIRST_PAUSE);
     let opens = SECOND + FIRST_PAUSE * 3;
-    assert_eq!(backoffs.opens(A, TARGET, within), opens);
+    assert_eq!(backoffs.opens_at(A, TARGET, within), opens);
 }
 
 #[test]
 fn a_target_that_has_ended_is_forgotten_and_so_is_what_is_over() {
     let mut backoffs = Backoffs::default();
-    backoffs.refused(A, TARGET, named(SECOND * 60), SECOND);
+    backoffs.note_refused(A, TARGET, named(SECOND * 60), SECOND);
     backoffs.forget(TARGET);
-    assert_eq!(backoffs.opens(A, TARGET, SECOND), SECOND);
-    backoffs.refused(A, TARGET, named(SECOND), SECOND);
-    assert_eq!(backoffs.of(A, SECOND).count(), 1);
+    assert_eq!(backoffs.opens_at(A, TARGET, SECOND), SECOND);
+    backoffs.note_refused(A, TARGET, named(SECOND), SECOND);
+    assert_eq!(backoffs.named_to(A, SECOND).count(), 1);
     assert_eq!(backoffs.prune(A, SECOND * 3), [TARGET]);
     assert_eq!(backoffs.prune(A, SECOND * 6), []);
     assert_eq!(backoffs.next_end(SECOND), None);
@@ -140,9 +149,9 @@
                 // A new owner hears from each router what was named to that one.
                 owner = draw.random_range(0..4);
                 for (teller, peer) in routers.iter().enumerate() {
-                    let told: Vec<_> = ledgers[teller].of(*peer, now).collect();
+                    let told: Vec<_> = ledgers[teller].named_to(*peer, now).collect();
                     for (tag, refusal) in told {
-                        ledgers[owner].name(*peer, tag, refusal, now);
+                        ledgers[owner].note_named(*peer, tag, refusal, now);
                     }
                 }
             }
@@ -153,14 +162,14 @@
                     ledger.forget(TARGET);
                 }
             }
-            if ledgers[owner].opens(router, TARGET, now) > now {
+            if ledgers[owner].opens_at(router, TARGET, now) > now {
                 continue;
             }
             // The last guard, at the router itself.
-            if ledgers[asks].until(router, TARGET, now).is_some() {
+            if ledgers[asks].named_until(router, TARGET, now).is_some() {
                 continue;
             }
-            ledgers[owner].note(TARGET, now);
+            ledgers[owner].note_sent(TARGET, now);
             let within = refusals
                 .iter()
                 .any(|it| it.router == router && it.at < now && now < it.until);
@@ -170,9 +179,9 @@
                 let refusal = Refusal {
                     named: draw.random_bool(0.7).then_some(time),
                 };
-                ledgers[asks].refused(router, TARGET, refusal, now);
+                ledgers[asks].note_refused(router, TARGET, refusal, now);
                 if asks != owner && draw.random_bool(0.9) {
-                    ledgers[owner].refused(router, TARGET, refusal, now);
+                    ledgers[owner].note_refused(router, TARGET, refusal, now);
                 }
                 if let Some(time) = refusal.named {
                     let until = now + time;
@@ -183,12 +192,12 @@
                     });
                 }
             } else {
-                ledgers[owner].runs(TARGET, now);
+                ledgers[owner].note_running(TARGET, now);
             }
         }
         let calm = now + SECOND + LONGEST_PAUSE;
         for ledger in &ledgers {
-            assert_eq!(ledger.opens(A, TARGET, calm), calm, "seed {seed}");
+            assert_eq!(ledger.opens_at(A, TARGET, calm), calm, "seed {seed}");
         }
     }
 }
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -189,7 +189,7 @@
             let (tag, now) = (self.target.tag(), node.now());
             let mut state = node.state.borrow_mut();
             let own = node.peer;
-            state.backoffs.refused(own, tag, refusal, now);
+            state.backoffs.note_refused(own, tag, refusal, now);
         }
     }
 
@@ -206,7 +206,7 @@
         {
             let mut state = node.state.borrow_mut();
             state.usage.read(tag, unread);
-            state.backoffs.runs(tag, node.now());
+            state.backoffs.note_running(tag, node.now());
         }
         self.tell(&node, Content::Read { tag, unread });
         node.room_came();
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -14,12 +14,12 @@
 //! - [`place`], [`pending`], [`owner`]: a place asked of the router that owns a cell, and given there.
 //! - [`cut`]: what became of a target under which an answer broke off; [`quarantine`]: what is known of
 //!   contents under which targets end.
+//! - `leaving`: what targets say of their own leaving, and whom it is told.
 //! - [`memories`]: what engines say that they keep of prompts.
 //! - [`gossip`], [`view`]: who is alive, and views taken over from a peer.
 //! - [`courier`], [`inbox`]: messages between routers.
 //! - [`strain`]: whether the router keeps up.
 //! - [`targets`]: the list of targets, and what a change of it ends.
-//! - `leaving`: what targets say of their own leaving.
 //! - [`clock`], [`wake`]: time, with that of suspensions; what is done after one.
 //! - [`life`]: signals, drain and end.
 //! - [`flags`]: the figures that operators may set.
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -113,7 +113,7 @@
         }
         state.confirm(peer, &work.accepted, now);
         for (tag, refusal) in &work.refusals {
-            state.backoffs.name(peer, *tag, *refusal, now);
+            state.backoffs.note_named(peer, *tag, *refusal, now);
         }
         if !work.customers.is_empty() {
             state.shares.hear(peer, &work.customers, now);
@@ -234,7 +234,7 @@
         let mut reports: HashMap<SocketAddr, Work> = HashMap::new();
         let mut owners = HashSet::new();
         let recent = state.memory.recent(USES_TOLD, now);
-        let refusals: Vec<_> = state.backoffs.of(node.peer, now).collect();
+        let refusals: Vec<_> = state.backoffs.named_to(node.peer, now).collect();
         for (cell, targets) in state.registry.all_cells() {
             let owner = state.members.owner(cell, now);
             let before = self.owners.insert(cell, owner);
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -13,7 +13,7 @@
 
 use dunlinward_dispatch::report::{Ask, Content, Grant, Wait};
 use dunlinward_dispatch::share::Standing;
-use dunlinward_dispatch::target::Tag;
+use dunlinward_dispatch::target::{Tag, Target};
 use tokio::sync::mpsc;
 
 use crate::inbox;
@@ -270,30 +270,25 @@
 
     fn accept(mut self, wish: &Wish, grant: Grant) -> Asked {
         self.accepted = true;
-        let (target, bar, fetch) = {
-            let mut state = self.node.state.borrow_mut();
-            let target = state.registry.get(grant.tag).cloned();
-            let bar = target
-                .as_ref()
-                .and_then(|it| state.barred(it, self.node.now()));
-            let target = target.filter(|_| bar.is_none());
-            let source = grant.fetch.and_then(|it| state.registry.get(it));
-            let fetch = source.map(|it| it.address);
-            if target.is_some() {
-                state.take_place(wish, &grant, self.node.now());
-            }
-            (target, bar, fetch)
-        };
+        let now = self.node.now();
+        let known = self.node.state.borrow().registry.get(grant.tag).cloned();
         // The views of routers differ for the time of a greeting.
-        if let Some(bar) = bar {
-            self.refuse(&grant, bar);
-            return Asked::Barred(grant.tag);
-        }
-        let Some(target) = target else {
+        let Some(target) = known else {
             self.node.metrics.add("places_unknown", "target", 1);
             self.node.give_back(self.owner, Answer::Grant(grant));
             return Asked::Unanswered;
         };
+        let bar = self.node.state.borrow().barred(&target, now);
+        if let Some(bar) = bar {
+            self.refuse(grant, &target, bar);
+            return Asked::Barred(grant.tag);
+        }
+        let fetch = {
+            let mut state = self.node.state.borrow_mut();
+            state.take_place(wish, &grant, now);
+            let source = grant.fetch.and_then(|it| state.registry.get(it));
+            source.map(|it| it.address)
+        };
         let place = Place {
             target,
             cell: wish.cell,
@@ -315,14 +310,14 @@
 
 impl Question<'_> {
     /// Gives a place back that must not be used.
-    fn refuse(&self, grant: &Grant, bar: Bar) {
+    fn refuse(&self, grant: Grant, target: &Target, bar: Bar) {
         let node = self.node;
         node.metrics.add("places_barred", bar.name(), 1);
         let line = node.journal.line("place_refused");
         let line = line.with("owner", self.owner.to_string());
-        let line = line.with("target_tag", grant.tag.0);
+        let line = line.with("target", target.id.as_ref());
         drop(line.with("reason", bar.name()));
-        node.give_back(self.owner, Answer::Grant(*grant));
+        node.give_back(self.owner, Answer::Grant(grant));
     }
 }
 
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -326,7 +326,7 @@
     pub(crate) fn note(&mut self, target: &Target, outcome: Outcome, now: Duration) -> bool {
         self.doubt_cold(target, outcome, now);
         if outcome == Outcome::Good {
-            self.backoffs.runs(target.tag(), now);
+            self.backoffs.note_running(target.tag(), now);
         }
         let targets = self.registry.of(&target.service);
         note(&mut self.health, targets, target, outcome, now)
--- a/crates/path/src/state/barred.rs
+++ b/crates/path/src/state/barred.rs
@@ -65,7 +65,7 @@
         if self.evacuated(target) {
             return Some(Bar::Evacuated);
         }
-        let until = self.backoffs.until(self.peer, tag, now);
+        let until = self.backoffs.named_until(self.peer, tag, now);
         until.map(|_| Bar::BackedOff)
     }
 
@@ -82,13 +82,13 @@
     /// When the first target of a cell may get something of this router's callers, by what the targets
     /// have told it. Who waits longer for one, or for one that never will, waits in vain.
     pub(crate) fn opening(&self, cell: Cell, now: Duration) -> Opening {
-        self.first_opening(cell, |tag| self.backoffs.until(self.peer, tag, now))
+        self.first_opening(cell, |tag| self.backoffs.named_until(self.peer, tag, now))
     }
 
     /// The same for the callers of any router, as the owner of the cell knows.
     pub(crate) fn opening_for(&self, wish: &Wish, now: Duration) -> Opening {
         self.first_opening(wish.cell, |tag| {
-            let opens = self.backoffs.opens(wish.router, tag, now);
+            let opens = self.backoffs.opens_at(wish.router, tag, now);
             Some(opens).filter(|it| *it > now)
         })
     }
@@ -116,7 +116,7 @@
     pub(crate) fn backed_off(&self, cell: Cell, now: Duration) -> Vec<Tag> {
         let targets = self.registry.of_cell(cell).iter();
         let tags = targets.map(|it| it.tag());
-        tags.filter(|it| self.backoffs.until(self.peer, *it, now).is_some())
+        tags.filter(|it| self.backoffs.named_until(self.peer, *it, now).is_some())
             .collect()
     }
 
--- a/crates/path/src/state/ended.rs
+++ b/crates/path/src/state/ended.rs
@@ -35,7 +35,7 @@
     /// A target has read another router's prompt.
     pub(crate) fn read_for(&mut self, peer: Peer, tag: Tag, unread: u64, now: Duration) {
         self.usage.read_for(peer, tag, unread);
-        self.backoffs.runs(tag, now);
+        self.backoffs.note_running(tag, now);
     }
 
     /// Another router's place is free again.
@@ -45,8 +45,8 @@
             self.copies.end(content, returned.tag);
         }
         match (returned.refusal, returned.outcome) {
-            (Some(refusal), _) => self.backoffs.refused(peer, returned.tag, refusal, now),
-            (None, Some(Outcome::Good)) => self.backoffs.runs(returned.tag, now),
+            (Some(refusal), _) => self.backoffs.note_refused(peer, returned.tag, refusal, now),
+            (None, Some(Outcome::Good)) => self.backoffs.note_running(returned.tag, now),
             (None, _) => {}
         }
         let request = returned.not_run.map(|number| Request { peer, number });
--- a/crates/path/src/state/tests/refusing.rs
+++ b/crates/path/src/state/tests/refusing.rs
@@ -138,7 +138,7 @@
             fleet
                 .owner
                 .backoffs
-                .name(Peer(1), target.tag(), Refusal { named }, START);
+                .note_named(Peer(1), target.tag(), Refusal { named }, START);
         }
         let wish = Wish {
             router: Peer(1),
@@ -177,7 +177,9 @@
         .map(|it| it.tag())
         .collect();
     for tag in &closed {
-        state.backoffs.refused(own, *tag, Refusal { named }, START);
+        state
+            .backoffs
+            .note_refused(own, *tag, Refusal { named }, START);
     }
     let other = state.home("pool", Prefix(1), START);
     assert_ne!(other, home);
