Regions: cells and owners within a region, time-outs by measured ways, bound routes and customers

Cause: a request may wait 0.06 of its objective for room, 18 to 24 ms, and an owner 30 ms at the most; the way to an owner in another region takes 24 ms. Nothing read the regions that operators bind routes and customers to. Change: the targets of a service are cut into cells region by region; owners are of the cell's region while it has a router. A request goes to its own region's home, and to another region's when that has no room or no open target (path::lending). Round trips are measured on probes by failure domain (RFC 6298); a wait for an owner is longer by the way, at most a quarter of the objective. AllowedRegions of routes and customers are read, both bind: home, second try, lent place, fetch and the last look before the send. Tests: owner 24 ms away, bindings through real routers, second try, lending; 3,000 drawn deployments and bindings against a naive check.

--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -1,22 +1,24 @@
 //! Cells: the targets of a service, cut into groups that one router can oversee.
 //!
-//! A service with many targets is cut into cells of about equal size by rendezvous
-//! hashing, so that every router cuts alike without a word between them and a
+//! The targets of a service are cut region by region, as the way to an owner in another one takes
+//! longer than a request may wait. Those of a region are cut into cells of about equal size by
+//! rendezvous hashing, so that every router cuts alike without a word between them and a
 //! target that comes or ends moves few others. A prompt's prefix has its home in
-//! one cell. The requests of a cell are placed by one router, its owner (see
+//! one cell of each region. The requests of a cell are placed by one router, its owner (see
 //! [`crate::member`]).
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
 use crate::prefix::Prefix;
+use crate::region::Region;
 use crate::target::Tag;
 
 /// Targets of a cell, about: the larger of two sizes that were measured on fleets of 90
 /// and 140 engines (`docs/design/cells.md`).
 pub const TARGETS: usize = 48;
 
-/// Cells of a service at the most: owners tell each other their customers, which grows
+/// Cells of a service in a region at the most: owners tell each other their customers, which grows
 /// with the square of the cells (`docs/CAPACITY.md`).
 pub const MOST: u16 = 12;
 
@@ -41,11 +43,13 @@
 pub struct Cell {
     /// Its service.
     pub service: ServiceTag,
-    /// Its number within the service.
+    /// The region of its targets.
+    pub region: Region,
+    /// Its number among the cells of the service in that region.
     pub index: u16,
 }
 
-/// How many cells a service has.
+/// How many cells a service has in a region.
 #[must_use]
 pub fn count(targets: usize, per_cell: usize) -> u16 {
     let per_cell = per_cell.max(1);
@@ -53,7 +57,7 @@
     u16::try_from(cells).unwrap_or(u16::MAX).clamp(1, MOST)
 }
 
-/// The cell of a target.
+/// The cell of a target among those of its region.
 #[must_use]
 pub fn index(tag: Tag, count: u16) -> u16 {
     let weight = |cell: &u16| xxh64(&tag.0.to_le_bytes(), u64::from(*cell));
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -63,6 +63,8 @@
     pub anonymous: bool,
     /// Services and their weights.
     pub shares: Vec<Share>,
+    /// Names of the regions in which its requests may run; any if there are none.
+    pub regions: Vec<Arc<str>>,
 }
 
 /// A service.
@@ -95,6 +97,8 @@
     pub name: Arc<str>,
     /// Keys that its requests carry.
     pub keys: Vec<Arc<str>>,
+    /// Names of the regions in which its requests may run; any if there are none.
+    pub regions: Vec<Arc<str>>,
 }
 
 /// Limits on callers, and what the model engines can do together.
@@ -134,6 +138,8 @@
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     by_key: HashMap<Arc<str>, Arc<str>>,
     services: HashMap<Arc<str>, Service>,
+    /// Regions of customers that are bound to some.
+    customer_regions: HashMap<Arc<str>, Vec<Arc<str>>>,
 }
 
 impl Table {
@@ -154,6 +160,10 @@
                 by_key.insert(key.clone(), customer.name.clone());
             }
         }
+        let bound = configuration.customers.iter();
+        let bound = bound.filter(|it| !it.regions.is_empty());
+        let bound = bound.map(|it| (it.name.clone(), it.regions.clone()));
+        let customer_regions = bound.collect();
         let services = configuration.services.iter();
         let services = services.map(|it| (it.name.clone(), it.clone())).collect();
         Self {
@@ -161,6 +171,7 @@
             by_host,
             by_key,
             services,
+            customer_regions,
         }
     }
 
@@ -204,6 +215,19 @@
         self.by_key.get(key)
     }
 
+    /// Names of the regions that a customer is bound to.
+    #[must_use]
+    pub fn regions_of(&self, customer: &str) -> Option<&[Arc<str>]> {
+        self.customer_regions.get(customer).map(Vec::as_slice)
+    }
+
+    /// Names of all regions that routes and customers are bound to.
+    pub fn named_regions(&self) -> impl Iterator<Item = &Arc<str>> {
+        let routes = self.configuration.routes.iter().flat_map(|it| &it.regions);
+        let customers = self.configuration.customers.iter();
+        routes.chain(customers.flat_map(|it| &it.regions))
+    }
+
     /// A service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`health`]: targets that fail and are left alone for a while.
 //! - [`reach`]: failure domains that may be cut off.
 //! - [`reading`]: when views were read, as routers tell each other.
+//! - [`region`], [`roundtrip`]: which failure domains are near, and how long ways take.
 //! - [`report`]: what routers tell each other.
 
 pub mod backoff;
@@ -44,9 +45,11 @@
 pub mod quarantine;
 pub mod reach;
 pub mod reading;
+pub mod region;
 pub mod registry;
 pub mod report;
 pub mod returns;
+pub mod roundtrip;
 pub mod share;
 pub mod store;
 pub mod target;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -17,6 +17,7 @@
 use xxhash_rust::xxh64::xxh64;
 
 use crate::cell::{self, Cell, ServiceTag};
+use crate::region::{Region, Regions};
 use crate::usage::Peer;
 
 /// Time for which a router that has just been heard of owns nothing.
@@ -62,6 +63,7 @@
         };
         Cell {
             service: ServiceTag::new(name),
+            region: Region::default(),
             index,
         }
     }
@@ -101,6 +103,7 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     own: Card,
+    regions: Arc<Regions>,
     condition: Condition,
     known: HashMap<SocketAddr, Record>,
     /// Owners found before, until anything changes.
@@ -121,12 +124,20 @@
     pub fn new(own: Card) -> Self {
         Self {
             own,
+            regions: Arc::default(),
             condition: Condition::Sound,
             known: HashMap::new(),
             owners: RefCell::default(),
         }
     }
 
+    /// Sets which failure domains lie near each other.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Arc<Regions>) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// This router itself.
     #[must_use]
     pub fn own(&self) -> &Card {
@@ -265,8 +276,11 @@
         for condition in [Condition::Sound, Condition::Behind] {
             let others = settled.iter().filter(|it| it.condition == condition);
             let own = (self.condition == condition).then_some(&self.own);
-            let cards = others.map(|it| &it.card).chain(own);
-            let best = cards.max_by(|a, b| score(a, cell).total_cmp(&score(b, cell)));
+            let cards: Vec<_> = others.map(|it| &it.card).chain(own).collect();
+            // From another region it only stands in for a region that has no router.
+            let near = cards.iter().copied();
+            let near = near.filter(|it| self.regions.of(&it.domain) == cell.region);
+            let best = best(near, cell).or_else(|| best(cards.iter().copied(), cell));
             if let Some(best) = best {
                 return best.address;
             }
@@ -300,11 +314,17 @@
     }
 }
 
+/// The router that comes first as the owner of a cell.
+fn best<'a>(cards: impl Iterator<Item = &'a Card>, cell: Cell) -> Option<&'a Card> {
+    cards.max_by(|a, b| score(a, cell).total_cmp(&score(b, cell)))
+}
+
 /// Score of a router as the owner of a cell. The work of an owner comes on top of that for
 /// callers, of whom a small machine gets as many as a large one, so the weight is the square
 /// of the processor's share.
 fn score(card: &Card, cell: Cell) -> f64 {
-    let seed = u64::from(cell.service.0) << 16 | u64::from(cell.index);
+    let region = u64::from(cell.region.0) << 48;
+    let seed = region | u64::from(cell.service.0) << 16 | u64::from(cell.index);
     let hash = xxh64(&card.peer.0.to_le_bytes(), seed);
     let weight = f64::from(card.millicores.max(1)).powi(2);
     cell::score(hash, weight)
--- a/crates/dispatch/src/membership/mod.rs
+++ b/crates/dispatch/src/membership/mod.rs
@@ -75,6 +75,8 @@
     pub changes: Vec<Change>,
     /// Routers that a probe of this one got no answer from in time.
     pub missed: Vec<SocketAddr>,
+    /// How long routers took to answer a probe that was sent once.
+    pub answered: Vec<(SocketAddr, Duration)>,
 }
 
 /// The routers that are alive, as far as this one knows.
--- a/crates/dispatch/src/membership/probe.rs
+++ b/crates/dispatch/src/membership/probe.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// How long its answer took, unless it was sent again and either may have been answered.
+    pub(super) fn time_of_answer(&self, now: Duration) -> Option<Duration> {
+        (!self.again).then(|| now.saturating_sub(self.sent))
+    }
+
     /// What is due, once for each.
     pub(super) fn due(&mut self, interval: Duration, now: Duration) -> Option<Due> {
         let waited = now.saturating_sub(self.sent);
--- a/crates/dispatch/src/membership/receive.rs
+++ b/crates/dispatch/src/membership/receive.rs
@@ -115,7 +115,7 @@
             Kind::Probe(number) => effects
                 .outgoing
                 .push(self.outgoing(from, Kind::Ack(number))),
-            Kind::Ack(number) => self.acknowledge(number, effects),
+            Kind::Ack(number) => self.acknowledge(number, now, effects),
             Kind::Relay { number, target } => {
                 let own = self.draws.number();
                 self.relayed.push(Relayed {
@@ -133,8 +133,12 @@
         }
     }
 
-    fn acknowledge(&mut self, number: u64, effects: &mut Effects) {
-        self.probes.retain(|it| it.number != number);
+    fn acknowledge(&mut self, number: u64, now: Duration, effects: &mut Effects) {
+        if let Some(place) = self.probes.iter().position(|it| it.number == number) {
+            let probe = self.probes.remove(place);
+            let time = probe.time_of_answer(now);
+            effects.answered.extend(time.map(|it| (probe.target, it)));
+        }
         let relayed = self.relayed.iter().position(|it| it.number == number);
         if let Some(place) = relayed {
             let relayed = self.relayed.swap_remove(place);
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -20,6 +20,7 @@
 
 use crate::cell::{self, Cell, ServiceTag};
 use crate::leaving::Leaving;
+use crate::region::{Region, Regions};
 use crate::target::{State, Tag, Target};
 
 mod copy;
@@ -84,6 +85,7 @@
     settled_from: Duration,
     /// Targets that are kept though the newest list lacks them.
     kept: HashSet<Tag>,
+    regions: Arc<Regions>,
     replaced: HashSet<Tag>,
     /// What a store that came back from a copy may tell wrongly.
     copy: Copy,
@@ -115,6 +117,7 @@
             replaced: HashSet::new(),
             copy: Copy::default(),
             starts: Starts::default(),
+            regions: Arc::default(),
             leaving: Leaving::default(),
             digest: 0,
         }
@@ -136,6 +139,13 @@
         if gap.is_some_and(|it| it > OUTAGE) {
             self.keep_until = as_of + RETURN_TIME;
         }
+    /// Sets which failure domains lie near each other.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Arc<Regions>) -> Self {
+        self.regions = regions;
+        self
+    }
+
         if gap.is_none_or(|it| it > OUTAGE) {
             // A router that has just started can't know of an outage before.
             self.settled_from = as_of + RETURN_TIME;
@@ -319,20 +329,31 @@
     }
 
     fn index(&mut self) {
-        self.index = Index::new(self.targets.values(), self.cell_targets);
+        self.index = Index::new(self.targets.values(), self.cell_targets, &self.regions);
         self.digest = digest(self.listed());
     }
 
-    /// The cells of a service.
+    /// The cells of a service in a region.
+    #[must_use]
+    pub fn cells(&self, service: ServiceTag, region: Region) -> &[Vec<Arc<Target>>] {
+        self.index.cells(service, region)
+    }
+
+    /// The regions in which a service has targets.
+    pub fn regions(&self, service: ServiceTag) -> impl Iterator<Item = Region> {
+        self.index.regions(service)
+    }
+
+    /// The region of a target.
     #[must_use]
-    pub fn cells(&self, service: ServiceTag) -> &[Vec<Arc<Target>>] {
-        self.index.cells(service)
+    pub fn region_of(&self, target: &Target) -> Region {
+        self.regions.of(&target.domain)
     }
 
     /// Targets of a cell, in the order of their identities.
     #[must_use]
     pub fn of_cell(&self, cell: Cell) -> &[Arc<Target>] {
-        let cells = self.cells(cell.service);
+        let cells = self.cells(cell.service, cell.region);
         cells
             .get(usize::from(cell.index))
             .map_or(&[], Vec::as_slice)
@@ -347,7 +368,8 @@
     #[must_use]
     pub fn cell_of(&self, target: &Target) -> Cell {
         let service = ServiceTag::new(&target.service);
-        let count = u16::try_from(self.cells(service).len()).unwrap_or(u16::MAX);
+        let region = self.region_of(target);
+        let count = u16::try_from(self.cells(service, region).len()).unwrap_or(u16::MAX);
         Cell {
             service,
             index: cell::index(target.tag(), count),
@@ -360,6 +382,7 @@
         self.index.of(service)
     }
 
+            region,
     /// Targets of the newest list, without those that are kept for a while.
     pub fn listed(&self) -> impl Iterator<Item = &Arc<Target>> {
         let targets = self.targets.iter();
--- a/crates/dispatch/tests/cells.rs
+++ b/crates/dispatch/tests/cells.rs
@@ -7,6 +7,7 @@
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
 use dunlinward_dispatch::member::{Card, Condition, Duty, Members, Scope};
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
+use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::registry::Registry;
 use dunlinward_dispatch::target::{State, Tag, Target};
 use dunlinward_dispatch::usage::{Load, Peer, Usage};
@@ -107,6 +108,7 @@
 fn a_cell(index: u16) -> Cell {
     Cell {
         service: ServiceTag::new("pool"),
+        region: Region::default(),
         index,
     }
 }
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -47,6 +47,7 @@
         attempts: 1,
         priority: 0,
         anonymous: false,
+        regions: Vec::new(),
         shares: vec![
             Share {
                 service: "x".into(),
@@ -68,6 +69,7 @@
         customers: vec![Customer {
             name: "c".into(),
             keys: vec!["k1".into(), "k2".into()],
+            regions: Vec::new(),
         }],
         limits: Limits {
             head_bytes: 1,
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -7,6 +7,7 @@
 use dunlinward_dispatch::member::Card;
 use dunlinward_dispatch::membership::{Kind, Packet, Update};
 use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::report::{
     Ask, Content, CustomerTag, CustomerUse, Grant, Greeting, Return, TargetLoad, Views, Work,
 };
@@ -19,6 +20,7 @@
         number: 7,
         cell: Cell {
             service: ServiceTag::new("pool"),
+            region: Region::default(),
             index: 0,
         },
         content: Some(ContentTag(u64::MAX)),
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -9,6 +9,7 @@
 use dunlinward_dispatch::quarantine::{
     Change, Fate, Finding, HOLD, Ledger, OPEN, QUARANTINED, SUSPECT, Standing,
 };
+use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::target::Tag;
 
 const START: Duration = Duration::from_secs(100);
@@ -240,6 +241,7 @@
 fn the_fate_of_a_target_settles_all_its_runs_and_is_told_three_times() {
     let cell = Cell {
         service: ServiceTag::new("pool"),
+        region: Region::default(),
         index: 0,
     };
     let mut cuts = Cuts::new();
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -18,6 +18,7 @@
 use dunlinward_dispatch::placement::{self, Ask as Wanted, Candidate, Policy};
 use dunlinward_dispatch::prefix::{Part, Prompt};
 use dunlinward_dispatch::reading::Reading;
+use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::registry::Registry;
 use dunlinward_dispatch::report::{
     Ask, Content, CustomerTag, CustomerUse, Grant, Greeting, Message, Return, TargetLoad, Views,
@@ -247,6 +248,7 @@
 }
 
 /// A router's report to one owner: its requests of a second, spread over the cells.
+        region: Region::default(),
 fn work(size: &Size) -> Work {
     let cells = f64::from(cells(size));
     let loads = (0u32..).take_while(|it| f64::from(*it) < size.requests / cells);
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -96,6 +96,10 @@
     let prompt = call.prompt.filter(|_| engine);
     let prompt = prompt.map(|it| Rc::new(it.brief()));
     let cost = prompt.as_deref().map_or(0, share::cost);
+    let regions = &node.settings.regions;
+    let of_customer = customer.as_deref().and_then(|it| table.regions_of(it));
+    let allowed = regions.allowed(&route.regions);
+    let allowed = allowed.and(regions.allowed(of_customer.unwrap_or_default()));
     let now = node.now();
     let returning = {
         let mut state = node.state.borrow_mut();
@@ -111,6 +115,7 @@
         route,
         service,
         customer,
+        allowed,
         prompt,
         cost,
         caller_waits: left,
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -10,6 +10,7 @@
 use dunlinward_dispatch::content::Digest;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::prefix::Prompt;
+use dunlinward_dispatch::region::Allowed;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::{request, response};
@@ -55,6 +56,8 @@
     pub service: Arc<str>,
     /// The customer that holds its key.
     pub customer: Option<Arc<str>>,
+    /// Regions in which route and customer allow it to run.
+    pub allowed: Allowed,
     /// Its prompt.
     pub prompt: Option<Rc<Prompt>>,
     /// Tokens for which its customer is charged.
@@ -147,7 +150,8 @@
         None => connect(node, job, &lease).await?,
     };
     // What has become known since the place was given, also while a connection was opened.
-    let barred = node.state.borrow().barred(&target, node.now());
+    let now = node.now();
+    let barred = node.state.borrow().barred(&target, job.allowed, now);
     if let Some(bar) = barred {
         node.metrics.add("places_barred", bar.name(), 1);
         return Err(Failure::new(Verdict::NotSent, bar.name()));
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -9,10 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dunlinward_dispatch::cell::Cell;
 use dunlinward_dispatch::configuration::{Kind, Table};
+use dunlinward_dispatch::content::ContentTag;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::prefix::{Prefix, Prompt};
 use dunlinward_dispatch::quarantine::{self, Standing};
+use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -24,11 +27,12 @@
 use crate::admission;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::cut::Break;
+use crate::lending;
 use crate::life;
 use crate::node::Node;
 use crate::relay::Relay;
 use crate::reply::{Content, Reason, Refusal};
-use crate::state::{Claim, Wish};
+use crate::state::{Claim, State, Wish};
 use crate::tell;
 
 /// Sends of one request beyond its route's attempts, where it has not run.
@@ -134,40 +138,102 @@
     }
 }
 
-/// What a request asks for.
-pub(crate) fn wish(node: &Rc<Node>, job: &Job, failed: Option<Tag>, until: Duration) -> Wish {
-    let draw = node.draw();
-    let now = node.now();
+/// What a request asks for, in the region that is its home.
+///
+/// # Errors
+///
+/// A refusal if it may run at no target.
+pub(crate) fn wish(
+    node: &Rc<Node>,
+    job: &Job,
+    failed: Option<Tag>,
+    until: Duration,
+) -> Result<Wish, Refusal> {
+    let draft = Draft::new(node, job);
     let state = node.state.borrow();
-    let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
-    let known = state.quarantine.standing(job.content, now) != Standing::Free;
-    let content = (known || !state.answered.contains(job.content)).then(|| job.content.tag());
-    // All that run a content that was not answered yet are placed by one owner.
-    let spread = content.map_or(draw, |it| it.0);
-    let cell = state.home(&job.service, prefix.unwrap_or(Prefix(spread)), now);
-    let mut avoid = state.avoided(cell, now);
-    avoid.extend(failed);
-    Wish {
-        cell,
-        router: node.peer,
-        domain: node.settings.domain.clone(),
-        content,
-        prompt: job.prompt.clone(),
-        customer: job
-            .customer
-            .as_ref()
-            .filter(|_| job.cost > 0)
-            .map(share::tag),
-        cost: job.cost,
-        objective: job.route.objective,
-        arrived: job.arrived,
-        returning: job.returning,
-        counted: failed.is_some(),
-        failed: failed.is_some(),
-        avoid,
-        until,
-        claim: Claim::All,
-        draw,
+    let home = state.home(&job.service, draft.prefix, job.allowed, node.now());
+    let cell = home.ok_or_else(|| Refusal::new(Reason::NoTarget))?;
+    Ok(draft.wish(&state, cell, failed, until))
+}
+
+/// The same in another region than that of a cell which had no room for it.
+pub(crate) fn wish_elsewhere(
+    node: &Rc<Node>,
+    job: &Job,
+    failed: Option<Tag>,
+    full: Cell,
+    until: Duration,
+) -> Option<Wish> {
+    let draft = Draft::new(node, job);
+    let state = node.state.borrow();
+    let (customer, now) = (draft.customer(), node.now());
+    let cell = state.home_elsewhere(full, draft.prefix, customer, job.allowed, now)?;
+    let wish = draft.wish(&state, cell, failed, until);
+    Some(Wish {
+        counted: true,
+        ..wish
+    })
+}
+
+/// What is known of a request before its cell is.
+struct Draft<'a> {
+    node: &'a Node,
+    job: &'a Job,
+    content: Option<ContentTag>,
+    /// Its prefix, or a number that stands for it.
+    prefix: Prefix,
+    draw: u64,
+}
+
+impl<'a> Draft<'a> {
+    fn new(node: &'a Node, job: &'a Job) -> Self {
+        let draw = node.draw();
+        let state = node.state.borrow();
+        let known = state.quarantine.standing(job.content, node.now()) != Standing::Free;
+        let asked = known || !state.answered.contains(job.content);
+        let content = asked.then(|| job.content.tag());
+        // All that run a content that was not answered yet are placed by one owner.
+        let spread = content.map_or(draw, |it| it.0);
+        let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
+        Self {
+            node,
+            job,
+            content,
+            prefix: prefix.unwrap_or(Prefix(spread)),
+            draw,
+        }
+    }
+
+    /// The customer that is charged for it.
+    fn customer(&self) -> Option<CustomerTag> {
+        let customer = self.job.customer.as_ref();
+        customer.filter(|_| self.job.cost > 0).map(share::tag)
+    }
+
+    fn wish(self, state: &State, cell: Cell, failed: Option<Tag>, until: Duration) -> Wish {
+        let customer = self.customer();
+        let Self { node, job, .. } = self;
+        let mut avoid = state.avoided(cell, node.now());
+        avoid.extend(failed);
+        Wish {
+            cell,
+            router: node.peer,
+            domain: node.settings.domain.clone(),
+            allowed: job.allowed,
+            content: self.content,
+            prompt: job.prompt.clone(),
+            customer,
+            cost: job.cost,
+            objective: job.route.objective,
+            arrived: job.arrived,
+            returning: job.returning,
+            counted: failed.is_some(),
+            failed: failed.is_some(),
+            avoid,
+            until,
+            claim: Claim::All,
+            draw: self.draw,
+        }
     }
 }
 
@@ -179,8 +245,7 @@
     let mut may_have_run: Option<Failure> = None;
     loop {
         tries += 1;
-        let wish = wish(node, job, exclude, give_up_at(node, job));
-        let lease = node.place(wish).await;
+        let lease = lending::place(node, job, exclude).await;
         let lease = lease.map_err(|refusal| match may_have_run {
             Some(failure) => final_refusal(node, job, failure),
             None => with_return(node, job, refusal),
@@ -215,7 +280,7 @@
 
 /// How long this try to place a request may last. It counts from now and not from the arrival, as a
 /// second try comes after a target has had the request for longer than that.
-fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
+pub(crate) fn give_up_at(node: &Rc<Node>, job: &Job) -> Duration {
     let patience = &node.settings.patience;
     let part = if job.returning {
         patience.returning
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod journal;
 pub mod lease;
 mod leaving;
+mod lending;
 pub mod life;
 pub mod memories;
 pub mod metrics;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -4,6 +4,7 @@
 //! borrow it again.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,6 +46,9 @@
 const UNCOMPARED: Duration = Duration::from_secs(2);
 
 /// Source of a view that this router has read from the store itself.
+/// Unknown regions that a line names.
+const NAMED: usize = 4;
+
 pub const STORE: &str = "store";
 
 /// A list of all targets.
@@ -211,6 +215,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.tries.retain(|name| table.serves(name));
+        self.tell_unknown_regions(&table);
             state.table = Some(table);
         }
         let line = self.journal.line("configuration_taken");
@@ -227,6 +232,21 @@
     /// This router has read that the configuration in force is the store's newest.
     pub fn confirm_configuration(&self) {
         let now = self.now();
+    /// Routes and customers that are bound only to regions that no failure domain is in run nowhere.
+    fn tell_unknown_regions(&self, table: &Table) {
+        let regions = &self.settings.regions;
+        let unknown = table.named_regions().filter(|it| !regions.has(it));
+        let unknown: BTreeSet<_> = unknown.map(AsRef::as_ref).collect();
+        if unknown.is_empty() {
+            return;
+        }
+        let line = self.journal.line("regions_unknown");
+        let line = line.with("count", unknown.len());
+        let named = unknown.into_iter().take(NAMED).map(ToString::to_string);
+        let named: Vec<_> = named.collect();
+        drop(line.with("first", named));
+    }
+
         self.state.borrow_mut().configuration_reads.read(now);
     }
 
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::report::{Ask, Content, Grant, Wait};
+use dunlinward_dispatch::roundtrip::RoundTrip;
 use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::{Tag, Target};
 use tokio::sync::mpsc;
@@ -32,6 +33,9 @@
 /// Longest such time: more is worth losing to a busy owner than to one that is gone.
 const ANSWER_MOST: Duration = Duration::from_millis(30);
 
+/// Part of its objective that a request may spend on the way to an owner and back.
+const WAY_PART: f64 = 0.25;
+
 /// Times that one owner is asked before the next one is.
 const TRIES: u32 = 2;
 
@@ -119,12 +123,15 @@
 
     async fn ask(self: &Rc<Self>, owner: SocketAddr, wish: &Wish) -> Asked {
         let mut question = Question::new(self, owner);
-        let time = answer_time(wish);
+        let way = self.way_to(owner);
+        let time = answer_time(wish, way);
+        // What the way takes is no waiting for room.
+        let until = wish.until + way.mean.min(longest_answer(wish));
         let mut silent = 0;
         let mut waits = None;
         loop {
             question.put(wish);
-            match question.listen(time, wish.until).await {
+            match question.listen(time, until).await {
                 Some(Answer::Grant(grant)) => return question.accept(wish, grant),
                 Some(Answer::Wait(wait)) if wait.closed_for.is_some() => {
                     return Asked::GivenUp(Some(wait));
@@ -132,14 +139,14 @@
                 Some(Answer::Wait(wait)) => {
                     silent = 0;
                     waits = Some(wait);
-                    let next = question.listen(RENEWAL, wish.until).await;
+                    let next = question.listen(RENEWAL, until).await;
                     if let Some(Answer::Grant(grant)) = next {
                         return question.accept(wish, grant);
                     }
                 }
                 None => silent += 1,
             }
-            if self.now() >= wish.until {
+            if self.now() >= until {
                 return Asked::GivenUp(waits);
             }
             if silent > 0 {
@@ -151,6 +158,14 @@
         }
     }
 
+    /// How long the way to a router and back takes; nothing as long as that is not known.
+    fn way_to(&self, owner: SocketAddr) -> RoundTrip {
+        let state = self.state.borrow();
+        let domain = state.members.domain(owner);
+        let way = domain.and_then(|it| state.round_trips.to(&it));
+        way.unwrap_or_default()
+    }
+
     /// The refusal of a request that its owner had no place for.
     fn refusal(&self, wait: Option<Wait>) -> Refusal {
         let standing = wait.and_then(|it| it.standing);
@@ -192,10 +207,16 @@
     }
 }
 
-/// How long an owner may take to answer.
-fn answer_time(wish: &Wish) -> Duration {
+/// How long an owner may take to answer: longer than usual only where the way to it is longer.
+fn answer_time(wish: &Wish, way: RoundTrip) -> Duration {
     let time = wish.objective.mul_f64(ANSWER_PART);
-    time.clamp(ANSWER_LEAST, ANSWER_MOST)
+    let time = time.clamp(ANSWER_LEAST, ANSWER_MOST);
+    time.max(way.limit.min(longest_answer(wish)))
+}
+
+/// The longest way to an owner that leaves enough of the objective for the answer itself.
+fn longest_answer(wish: &Wish) -> Duration {
+    wish.objective.mul_f64(WAY_PART)
 }
 
 /// Why a request that found no room is refused.
@@ -278,7 +299,9 @@
             self.node.give_back(self.owner, Answer::Grant(grant));
             return Asked::Unanswered;
         };
-        let bar = self.node.state.borrow().barred(&target, now);
+        let state = self.node.state.borrow();
+        let bar = state.barred(&target, wish.allowed, now);
+        drop(state);
         if let Some(bar) = bar {
             self.refuse(grant, &target, bar);
             return Asked::Barred(grant.tag);
@@ -287,6 +310,7 @@
             let mut state = self.node.state.borrow_mut();
             state.take_place(wish, &grant, now);
             let source = grant.fetch.and_then(|it| state.registry.get(it));
+            let source = source.filter(|it| wish.allowed.admits(state.registry.region_of(it)));
             source.map(|it| it.address)
         };
         let place = Place {
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -275,7 +275,12 @@
         self.sends += 1;
         self.begun = false;
         for _ in 0..PLACES {
-            let wish = exchange::wish(&self.node, &self.job, failed, self.job.deadline);
+            let until = self.job.deadline;
+            let Ok(wish) = exchange::wish(&self.node, &self.job, failed, until) else {
+                return Err(Broken {
+                    reason: "no_target",
+                });
+            };
             let Ok(lease) = self.node.place(wish).await else {
                 return Err(Broken { reason: "no_room" });
             };
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -6,6 +6,7 @@
 
 use dunlinward_dispatch::budget::Bound;
 use dunlinward_dispatch::placement::Policy;
+use dunlinward_dispatch::region::Regions;
 
 /// What a router is told at its start.
 #[derive(Clone, Debug)]
@@ -14,6 +15,8 @@
     pub name: Arc<str>,
     /// Its failure domain.
     pub domain: Arc<str>,
+    /// Which failure domains lie near each other.
+    pub regions: Arc<Regions>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the platform asks whether this router takes callers.
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -2,6 +2,7 @@
 //!
 //! No call here wakes a task or drops a lease, so the state is never borrowed twice.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,9 +25,11 @@
 use dunlinward_dispatch::quarantine::Ledger;
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::reading::{Reading, Readings};
+use dunlinward_dispatch::region::{Allowed, Region};
 use dunlinward_dispatch::registry::{Change, Listing, Registry};
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::returns::Returns;
+use dunlinward_dispatch::roundtrip::RoundTrips;
 use dunlinward_dispatch::share::{self, Shares};
 use dunlinward_dispatch::store::{Era, Sight};
 use dunlinward_dispatch::target::{Tag, Target};
@@ -40,6 +43,7 @@
 mod barred;
 mod candidates;
 mod ended;
+mod homes;
 mod placing;
 mod suspects;
 #[cfg(test)]
@@ -68,6 +72,8 @@
     pub router: Peer,
     /// Its failure domain.
     pub domain: Arc<str>,
+    /// Regions in which it may run.
+    pub allowed: Allowed,
     /// What it asks, unless that was answered lately.
     pub content: Option<ContentTag>,
     /// Its prompt.
@@ -128,6 +134,12 @@
     pub(crate) reach: Reach,
     /// Which callers come back.
     pub(crate) tries: Tries,
+    /// How long answers of other routers take.
+    pub(crate) round_trips: RoundTrips,
+    /// The region of this router.
+    region: Region,
+    /// Cells of other regions that had no room for a customer's request from here, and when.
+    short: HashMap<(Cell, Option<CustomerTag>), Duration>,
     /// Requests that found no room at this router's cells.
     pub(crate) returns: Returns,
     /// Which routers are alive.
@@ -169,7 +181,9 @@
             evacuations: Evacuations::default(),
             cold: Cold::default(),
             peak: Peak::default(),
-            registry: Registry::new().with_cell_targets(settings.cell_targets),
+            registry: Registry::new()
+                .with_cell_targets(settings.cell_targets)
+                .with_regions(settings.regions.clone()),
             registry_reads: Readings::new(peer),
             usage: Usage::new(),
             memory: Memory::new(),
@@ -183,7 +197,10 @@
             tries: Tries::new(),
             returns: Returns::default(),
             membership: Membership::new(card.clone(), &settings.seeds, settings.report_interval),
-            members: Members::new(card),
+            round_trips: RoundTrips::default(),
+            region: settings.regions.of(&settings.domain),
+            short: HashMap::new(),
+            members: Members::new(card).with_regions(settings.regions.clone()),
             queue: Vec::new(),
             reported: Health::new(),
             grants: Grants::new(settings.share_window),
@@ -223,6 +240,11 @@
         for address in &effects.missed {
             // The silence of a router that is about to end says nothing of its domain.
             if !self.members.leaves(*address)
+        for (address, time) in &effects.answered {
+            if let Some(domain) = self.members.domain(*address) {
+                self.round_trips.note(&domain, *time);
+            }
+        }
                 && let Some(domain) = self.members.domain(*address)
             {
                 self.reach.miss(&domain);
--- a/crates/path/src/state/barred.rs
+++ b/crates/path/src/state/barred.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
-use dunlinward_dispatch::prefix::Prefix;
+use dunlinward_dispatch::cell::Cell;
+use dunlinward_dispatch::region::Allowed;
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 
 use super::{State, Wish};
@@ -21,6 +21,8 @@
     Leaving,
     /// It wants nothing of this router for now.
     BackedOff,
+    /// Operators have bound the request to other regions.
+    OutOfRegion,
 }
 
 /// When a cell has a target that may get something.
@@ -50,14 +52,18 @@
             Self::Evacuated => "evacuated",
             Self::Leaving => "leaving",
             Self::BackedOff => "backed_off",
+            Self::OutOfRegion => "out_of_region",
         }
     }
 }
 
 impl State {
-    /// Why a target must get nothing of this router's callers, if it must not.
-    pub(crate) fn barred(&self, target: &Target, now: Duration) -> Option<Bar> {
+    /// Why a target must not get a request of this router's callers, if it must not.
+    pub(crate) fn barred(&self, target: &Target, allowed: Allowed, now: Duration) -> Option<Bar> {
         let tag = target.tag();
+        if !allowed.admits(self.registry.region_of(target)) {
+            return Some(Bar::OutOfRegion);
+        }
         let known = self.registry.get(tag);
         if known.is_some_and(|it| it.state == Condition::Leaving) {
             return Some(Bar::Leaving);
@@ -119,22 +125,4 @@
         tags.filter(|it| self.backoffs.named_until(self.peer, *it, now).is_some())
             .collect()
     }
-
-    /// The cell that is home to a prefix, or to a request without one. While none of its targets may
-    /// get anything, that is the next one where one may.
-    pub(crate) fn home(&self, service: &str, prefix: Prefix, now: Duration) -> Cell {
-        let service = ServiceTag::new(service);
-        let cells = self.registry.cells(service);
-        let sizes: Vec<_> = cells.iter().map(Vec::len).collect();
-        let home = cell::home(prefix, &sizes).unwrap_or_default();
-        let count = u16::try_from(sizes.len()).unwrap_or(u16::MAX).max(1);
-        let turn = |turn| Cell {
-            service,
-            index: (home + turn) % count,
-        };
-        let has_targets = |it: &Cell| !self.registry.of_cell(*it).is_empty();
-        let turns = (0..count).map(turn).filter(has_targets);
-        let mut open = turns.filter(|it| self.opening(*it, now) == Opening::Now);
-        open.next().unwrap_or(turn(0))
-    }
 }
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -9,6 +9,7 @@
 use dunlinward_dispatch::configuration::{Configuration, Engine, Limits, Service, Table};
 use dunlinward_dispatch::placement::Policy;
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
+use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::report::{Content, CustomerTag, Grant, Return};
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 use dunlinward_dispatch::usage::{Peer, Usage};
@@ -19,6 +20,7 @@
 use crate::queue::Asker;
 use crate::settings::{ColdBound, Patience};
 
+mod homes;
 mod refusing;
 mod returns;
 mod spared;
@@ -53,6 +55,7 @@
     Settings {
         name: "owner".into(),
         domain: "a".into(),
+        regions: Arc::default(),
         callers: address,
         ready: address,
         link: address,
@@ -429,10 +432,12 @@
     Wish {
         cell: Cell {
             service: ServiceTag::new("pool"),
+            region: Region::default(),
             index: 0,
         },
         router: Peer(0),
         domain: "a".into(),
+        allowed: Allowed::ANY,
         content: None,
         prompt: Some(Rc::new(prompt)),
         customer: Some(tag(customer)),
--- a/crates/path/src/state/tests/refusing.rs
+++ b/crates/path/src/state/tests/refusing.rs
@@ -167,7 +167,8 @@
     let own = Peer(7);
     let mut state = State::new(&settings, own);
     state.registry.take(targets(), START);
-    let home = state.home("pool", Prefix(1), START);
+    let home_of = |state: &State, at| state.home("pool", Prefix(1), Allowed::ANY, at).unwrap();
+    let home = home_of(&state, START);
     assert_eq!(state.opening(home, START), Opening::Now);
     let named = Some(FIRST_PAUSE);
     let closed: Vec<_> = state
@@ -181,13 +182,13 @@
             .backoffs
             .note_refused(own, *tag, Refusal { named }, START);
     }
-    let other = state.home("pool", Prefix(1), START);
+    let other = home_of(&state, START);
     assert_ne!(other, home);
     assert_eq!(state.opening(other, START), Opening::Now);
-    assert_eq!(state.home("pool", Prefix(1), START + FIRST_PAUSE), home);
+    assert_eq!(home_of(&state, START + FIRST_PAUSE), home);
     for target in targets() {
         state.registry.says_leaving(target.tag(), START);
     }
-    assert_eq!(state.home("pool", Prefix(1), START), home);
+    assert_eq!(home_of(&state, START), home);
     assert_eq!(state.opening(home, START), Opening::Never);
 }
