The list of targets is read once, then by what is written, told by differences, and called for by rank

Cause: a list of 10,000 targets has 50 pages (read: page = 200 in the site file) and takes seconds; a router that isn't first in rank read it whole itself 1.5 to 1.95 s after the last, so all 985 did, overran the store, threw away the pages they had when one failed, and went on trying each 0.8 s for good. Each change of the list went whole to each router. Change: - dispatch::turn: a router calls a step of 0.24 s after the one before it in rank, pauses double after failures; one that hears nobody is first. The same for the configuration. A view that was never known is called for in the same order. - watch::targets: pages are kept over a failure; after the first list only the store's log behind it is read. The offset goes with the list from router to router, so whoever reads next goes on there. 410 or another era: a new list. - registry::{delta, parts}: what only says that a target is there changes nothing; a router that knows of a newer list tells sums of its parts and gets those that differ. - Lines of a list that a peer has read: eight, then one with the number. - A target that another one replaced stays so for a minute instead of as long as it is listed. Tests: calls of 9, 100, 1,000, 2,000 routers under virtual time in calm, an outage of 9 s, the first three turned away, and from the failed state at a store that can be overrun (turns.rs); deltas and differences against whole lists, drawn (delta.rs); bytes of a change at 1,000 and 20,000 targets; pages, resumption, compaction, another router that goes on (lists.rs). Tests changed: the stand-in store keeps a log of targets' entries, which routers that know each other share, as they do in reality; harmful.rs waited for a number of targets that those which had ended made up too, and now waits for the ones listed (stricter). lists.rs asks the new function for the same bounds.

--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -69,6 +69,18 @@
             .retain(|tag, _| self.listed.contains_key(tag) || self.doubted.contains_key(tag));
     }
 
+    /// Takes what entries say that were written since such a list, up to `as_of`.
+    pub fn renew(&mut self, written: &[Target], as_of: Duration) {
+        for target in written {
+            let tag = target.tag();
+            if target.cold_left.is_zero() {
+                self.listed.remove(&tag);
+            } else {
+                self.listed.insert(tag, as_of + target.cold_left);
+            }
+        }
+    }
+
     /// A target may have started anew, or been emptied.
     pub fn doubt(&mut self, tag: Tag, now: Duration) {
         self.doubted.insert(tag, now + DOUBT);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`health`]: targets that fail and are left alone for a while.
 //! - [`reach`]: failure domains that may be cut off.
 //! - [`reading`]: when views were read, as routers tell each other.
+//! - [`turn`]: who calls the store for a view, and when.
 //! - [`region`], [`roundtrip`]: which failure domains are near, and how long ways take.
 //! - [`report`]: what routers tell each other.
 
@@ -54,4 +55,5 @@
 pub mod store;
 pub mod target;
 pub mod tries;
+pub mod turn;
 pub mod usage;
--- a/crates/dispatch/src/membership/mod.rs
+++ b/crates/dispatch/src/membership/mod.rs
@@ -148,6 +148,12 @@
         self.news.push(self.own.clone());
     }
 
+    /// Whether this router has heard nobody for long: it is cut off, or the others have ended.
+    #[must_use]
+    pub fn hears_nobody(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard) >= self.interval * ALONE
+    }
+
     /// Other routers that are taken to be alive.
     pub fn others(&self) -> impl Iterator<Item = &Card> {
         self.known.values().map(|it| &it.update.card)
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -1,7 +1,7 @@
 //! The targets that are known.
 //!
-//! The platform's list is read as a whole. A target that is missing has ended,
-//! with one exception: entries lapse while the store is away and come back soon
+//! The platform's list is read as a whole once, and then what is written behind it ([`Delta`]). A target
+//! that is missing has ended, with one exception: entries lapse while the store is away and come back soon
 //! after it, so after an outage a missing target is kept for [`RETURN_TIME`]. An
 //! outage is a gap between lists, whoever read them: while a peer can read, entries
 //! do not lapse for want of the store. What is kept so is this router's own guess: it
@@ -24,13 +24,17 @@
 use crate::target::{State, Tag, Target};
 
 mod copy;
+mod delta;
 mod index;
 mod leave;
+mod parts;
 mod starts;
 
 use copy::Copy;
 pub use copy::LAPSE;
+pub use delta::Delta;
 use index::{Index, digest};
+pub use parts::{Difference, Sums};
 pub use starts::START_KEPT;
 use starts::Starts;
 
@@ -42,6 +46,10 @@
 /// every 0.6 to 1.2 s; entries lapse after three heartbeats of about as long.
 pub const OUTAGE: Duration = Duration::from_secs(2);
 
+/// How long a target that another one has replaced stays so, whatever its entry says: longer than
+/// word of it is on its way.
+const REPLACED_KEPT: Duration = Duration::from_mins(1);
+
 /// A change to what is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -77,6 +85,7 @@
 #[derive(Clone, Debug)]
 pub struct Registry {
     cell_targets: usize,
+    regions: Arc<Regions>,
     targets: HashMap<Tag, Arc<Target>>,
     index: Index,
     read_at: Option<Duration>,
@@ -85,8 +94,8 @@
     settled_from: Duration,
     /// Targets that are kept though the newest list lacks them.
     kept: HashSet<Tag>,
-    regions: Arc<Regions>,
-    replaced: HashSet<Tag>,
+    /// Targets that others have replaced at their addresses, and as of which list.
+    replaced: HashMap<Tag, Duration>,
     /// What a store that came back from a copy may tell wrongly.
     copy: Copy,
     /// Newest starts of servers that say when they started.
@@ -108,16 +117,16 @@
     pub fn new() -> Self {
         Self {
             cell_targets: cell::TARGETS,
+            regions: Arc::default(),
             targets: HashMap::new(),
             index: Index::default(),
             read_at: None,
             keep_until: Duration::ZERO,
             settled_from: Duration::ZERO,
             kept: HashSet::new(),
-            replaced: HashSet::new(),
+            replaced: HashMap::new(),
             copy: Copy::default(),
             starts: Starts::default(),
-            regions: Arc::default(),
             leaving: Leaving::default(),
             digest: 0,
         }
@@ -130,6 +139,13 @@
         self
     }
 
+    /// Sets which failure domains lie near each other.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Arc<Regions>) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Takes a whole list that was true at `as_of`; an older list than the known one is ignored.
     pub fn take(&mut self, list: impl Into<Listing>, as_of: Duration) -> Vec<Change> {
         if self.read_at.is_some_and(|at| as_of < at) {
@@ -139,13 +155,6 @@
         if gap.is_some_and(|it| it > OUTAGE) {
             self.keep_until = as_of + RETURN_TIME;
         }
-    /// Sets which failure domains lie near each other.
-    #[must_use]
-    pub fn with_regions(mut self, regions: Arc<Regions>) -> Self {
-        self.regions = regions;
-        self
-    }
-
         if gap.is_none_or(|it| it > OUTAGE) {
             // A router that has just started can't know of an outage before.
             self.settled_from = as_of + RETURN_TIME;
@@ -169,12 +178,12 @@
         self.read_at = Some(as_of);
         self.kept.clear();
         let list = self.current(listing, as_of);
-        let listed: HashSet<Tag> = list.iter().map(Target::tag).collect();
-        self.replaced.retain(|tag| listed.contains(tag));
+        self.replaced
+            .retain(|_, at| as_of.saturating_sub(*at) < REPLACED_KEPT);
         let mut changes = Vec::new();
         let mut next = HashMap::with_capacity(list.len());
         for target in list {
-            if self.replaced.contains(&target.tag()) {
+            if self.replaced.contains_key(&target.tag()) {
                 continue;
             }
             let target = Arc::new(target);
@@ -322,7 +331,8 @@
 
     /// Forgets a target that another one has replaced at its address, also if it is still listed.
     pub fn forget(&mut self, tag: Tag) {
-        self.replaced.insert(tag);
+        let read_at = self.read_at.unwrap_or_default();
+        self.replaced.insert(tag, read_at);
         if self.targets.remove(&tag).is_some() {
             self.index();
         }
@@ -372,6 +382,7 @@
         let count = u16::try_from(self.cells(service, region).len()).unwrap_or(u16::MAX);
         Cell {
             service,
+            region,
             index: cell::index(target.tag(), count),
         }
     }
@@ -382,7 +393,6 @@
         self.index.of(service)
     }
 
-            region,
     /// Targets of the newest list, without those that are kept for a while.
     pub fn listed(&self) -> impl Iterator<Item = &Arc<Target>> {
         let targets = self.targets.iter();
--- a/crates/dispatch/src/registry/index.rs
+++ b/crates/dispatch/src/registry/index.rs
@@ -70,7 +70,7 @@
         });
         parts.flat_map(|(service, region, cells)| {
             let numbered = (0u16..).zip(cells).filter(|(_, it)| !it.is_empty());
-            numbered.map(|(index, targets)| {
+            numbered.map(move |(index, targets)| {
                 let cell = Cell {
                     service,
                     region,
@@ -104,18 +104,17 @@
 
 /// A short sum of a list; equal lists have equal ones.
 pub(super) fn digest<'a>(targets: impl Iterator<Item = &'a Arc<Target>>) -> u64 {
-    let mut targets: Vec<_> = targets.collect();
-    targets.sort_by_key(|it| it.tag());
-    targets.into_iter().fold(0, |seed, it| {
-        let state = match it.state {
-            State::Ready => 0,
-            State::Leaving => 1,
-            State::Unreadable => 2,
-        };
-        let cold = u64::from(!it.cold_left.is_zero()) << 34;
-        xxh64(
-            it.id.as_bytes(),
-            seed ^ u64::from(it.tag().0) << 2 ^ state ^ cold,
-        )
-    })
+    targets.fold(0, |all, it| all ^ sum(it))
+}
+
+/// A short sum of what lists are compared by.
+pub(super) fn sum(target: &Target) -> u64 {
+    let state = match target.state {
+        State::Ready => 0,
+        State::Leaving => 1,
+        State::Unreadable => 2,
+    };
+    let cold = u64::from(!target.cold_left.is_zero()) << 34;
+    let tag = u64::from(target.tag().0) << 2;
+    xxh64(target.id.as_bytes(), tag ^ state ^ cold)
 }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -21,6 +21,7 @@
 use crate::quarantine::Finding;
 use crate::reading::Reading;
 use crate::share::Standing;
+use crate::store::Position;
 use crate::target::Tag;
 use crate::usage::{Load, Peer};
 
@@ -70,6 +71,8 @@
     pub registry_read: Option<Reading>,
     /// Sum of the list of targets.
     pub registry_digest: u64,
+    /// Where the store's log goes on behind that list.
+    pub registry_position: Option<Position>,
     /// Sum of the contents under which targets ended; none if the sender doesn't know yet which
     /// the store keeps.
     pub quarantine: Option<u64>,
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -186,6 +186,7 @@
         configuration_read: None,
         registry_read: None,
         registry_digest: 0,
+        registry_position: None,
         quarantine: None,
         evacuations: 0,
         era: Some(era),
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -25,6 +25,7 @@
     Work,
 };
 use dunlinward_dispatch::share::Standing;
+use dunlinward_dispatch::store::Position;
 use dunlinward_dispatch::target::{State, Tag, Target};
 use dunlinward_dispatch::usage::{Load, Peer};
 
@@ -201,6 +202,10 @@
         configuration_read: Some(reading),
         registry_read: Some(reading),
         registry_digest: u64::MAX / 3,
+        registry_position: Some(Position {
+            era: 0,
+            offset: 1_000_000,
+        }),
         quarantine: Some(0),
         evacuations: 0,
         era: None,
@@ -243,12 +248,12 @@
 fn a_cell() -> Cell {
     Cell {
         service: ServiceTag::new("pool"),
+        region: Region::default(),
         index: 0,
     }
 }
 
 /// A router's report to one owner: its requests of a second, spread over the cells.
-        region: Region::default(),
 fn work(size: &Size) -> Work {
     let cells = f64::from(cells(size));
     let loads = (0u32..).take_while(|it| f64::from(*it) < size.requests / cells);
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -122,6 +122,7 @@
         configuration_read: state.configuration_reads.tell(now),
         registry_read: state.registry_reads.tell(now),
         registry_digest: state.registry.digest(),
+        registry_position: state.registry_position,
         quarantine: state.quarantine_known.then(|| state.quarantine.digest()),
         evacuations: state.evacuations.digest(),
         era: state.store.newest(),
@@ -203,7 +204,7 @@
     let known = state.registry.read_at();
     if views.registry_digest == state.registry.digest() {
         news.younger |= younger(at, known);
-        state.confirm_registry(views.registry_digest, reading, at);
+        state.confirm_registry(&views, reading, at);
         return news;
     }
     let later = known.is_none_or(|known| at > known + YOUNGER);
--- a/crates/path/src/leaving.rs
+++ b/crates/path/src/leaving.rs
@@ -80,7 +80,7 @@
 fn carry_out(node: &Node, changes: &[Change], source: &str) {
     let now = node.now();
     for change in changes {
-        node.tell_change(change, source, now);
+        node.apply_change(change, source, now);
         if let Change::Leaves(target) = change {
             node.metrics.add("targets_leaving", source, 1);
             node.pool.close(target.tag());
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -15,6 +15,7 @@
 use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::report::CustomerTag;
 use dunlinward_dispatch::share::Standing;
+use dunlinward_dispatch::store::Position;
 use dunlinward_dispatch::target::Target;
 use dunlinward_dispatch::usage::Peer;
 use tokio::sync::{Notify, watch};
@@ -45,10 +46,10 @@
 /// greeting, within some 0.2 s; who knows of none goes on alone.
 const UNCOMPARED: Duration = Duration::from_secs(2);
 
-/// Source of a view that this router has read from the store itself.
 /// Unknown regions that a line names.
 const NAMED: usize = 4;
 
+/// Source of a view that this router has read from the store itself.
 pub const STORE: &str = "store";
 
 /// A list of all targets.
@@ -64,6 +65,8 @@
     pub settled: bool,
     /// The reading of a peer that it comes from; none if this router has read it itself.
     pub reading: Option<Reading>,
+    /// Where the store's log goes on behind it.
+    pub position: Option<Position>,
 }
 
 /// A router.
@@ -212,10 +215,10 @@
             return;
         }
         let table = Rc::new(Table::new(configuration));
+        self.tell_unknown_regions(&table);
         {
             let mut state = self.state.borrow_mut();
             state.tries.retain(|name| table.serves(name));
-        self.tell_unknown_regions(&table);
             state.table = Some(table);
         }
         let line = self.journal.line("configuration_taken");
@@ -229,9 +232,6 @@
         self.room_came();
     }
 
-    /// This router has read that the configuration in force is the store's newest.
-    pub fn confirm_configuration(&self) {
-        let now = self.now();
     /// Routes and customers that are bound only to regions that no failure domain is in run nowhere.
     fn tell_unknown_regions(&self, table: &Table) {
         let regions = &self.settings.regions;
@@ -247,6 +247,9 @@
         drop(line.with("first", named));
     }
 
+    /// This router has read that the configuration in force is the store's newest.
+    pub fn confirm_configuration(&self) {
+        let now = self.now();
         self.state.borrow_mut().configuration_reads.read(now);
     }
 
@@ -256,11 +259,17 @@
         self.settings.seeds.contains(&self.settings.link)
     }
 
-    /// How long ago the configuration in force was the store's newest.
+    /// When the configuration in force was the store's newest.
     #[must_use]
-    pub fn configuration_age(&self) -> Option<Duration> {
+    pub fn configuration_at(&self) -> Option<Duration> {
         self.look_for_wake();
-        let at = self.state.borrow().configuration_reads.at();
+        self.state.borrow().configuration_reads.at()
+    }
+
+    /// How long ago that was.
+    #[must_use]
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let at = self.configuration_at();
         at.map(|at| self.now().saturating_sub(at))
     }
 
@@ -270,6 +279,15 @@
         self.state.borrow().members.rank(duty, scope)
     }
 
+    /// The same, but for a router that hears nobody: those before it tell it nothing.
+    #[must_use]
+    pub fn rank_heard(&self, duty: Duty, scope: Scope) -> usize {
+        if self.state.borrow().membership.hears_nobody(self.now()) {
+            return 0;
+        }
+        self.rank(duty, scope)
+    }
+
     /// Routers that are known to be alive, this one included.
     #[must_use]
     pub fn routers(&self) -> usize {
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -26,12 +26,12 @@
 use dunlinward_dispatch::reach::Reach;
 use dunlinward_dispatch::reading::{Reading, Readings};
 use dunlinward_dispatch::region::{Allowed, Region};
-use dunlinward_dispatch::registry::{Change, Listing, Registry};
-use dunlinward_dispatch::report::CustomerTag;
+use dunlinward_dispatch::registry::{Change, Delta, Listing, Registry};
+use dunlinward_dispatch::report::{CustomerTag, Views};
 use dunlinward_dispatch::returns::Returns;
 use dunlinward_dispatch::roundtrip::RoundTrips;
 use dunlinward_dispatch::share::{self, Shares};
-use dunlinward_dispatch::store::{Era, Sight};
+use dunlinward_dispatch::store::{Era, Position, Sight};
 use dunlinward_dispatch::target::{Tag, Target};
 use dunlinward_dispatch::tries::Tries;
 use dunlinward_dispatch::usage::{Peer, Usage};
@@ -120,6 +120,8 @@
     peak: Peak,
     /// Readings of the list of targets.
     pub(crate) registry_reads: Readings,
+    /// Where the store's log goes on behind that list.
+    pub(crate) registry_position: Option<Position>,
     pub(crate) usage: Usage,
     pub(crate) memory: Memory,
     /// What engines of this router's cells say that they keep.
@@ -132,14 +134,14 @@
     pub(crate) budget: Budget,
     pub(crate) shares: Shares,
     pub(crate) reach: Reach,
-    /// Which callers come back.
-    pub(crate) tries: Tries,
     /// How long answers of other routers take.
     pub(crate) round_trips: RoundTrips,
     /// The region of this router.
     region: Region,
     /// Cells of other regions that had no room for a customer's request from here, and when.
     short: HashMap<(Cell, Option<CustomerTag>), Duration>,
+    /// Which callers come back.
+    pub(crate) tries: Tries,
     /// Requests that found no room at this router's cells.
     pub(crate) returns: Returns,
     /// Which routers are alive.
@@ -185,6 +187,7 @@
                 .with_cell_targets(settings.cell_targets)
                 .with_regions(settings.regions.clone()),
             registry_reads: Readings::new(peer),
+            registry_position: None,
             usage: Usage::new(),
             memory: Memory::new(),
             caches: Caches::new(),
@@ -194,12 +197,12 @@
             budget: Budget::new(settings.repeats),
             shares: Shares::new(settings.share_window),
             reach: Reach::new(settings.report_interval),
-            tries: Tries::new(),
-            returns: Returns::default(),
-            membership: Membership::new(card.clone(), &settings.seeds, settings.report_interval),
             round_trips: RoundTrips::default(),
             region: settings.regions.of(&settings.domain),
             short: HashMap::new(),
+            tries: Tries::new(),
+            returns: Returns::default(),
+            membership: Membership::new(card.clone(), &settings.seeds, settings.report_interval),
             members: Members::new(card).with_regions(settings.regions.clone()),
             queue: Vec::new(),
             reported: Health::new(),
@@ -237,14 +240,14 @@
                 MemberChange::Lost(card) => self.members.remove(card),
             }
         }
-        for address in &effects.missed {
-            // The silence of a router that is about to end says nothing of its domain.
-            if !self.members.leaves(*address)
         for (address, time) in &effects.answered {
             if let Some(domain) = self.members.domain(*address) {
                 self.round_trips.note(&domain, *time);
             }
         }
+        for address in &effects.missed {
+            // The silence of a router that is about to end says nothing of its domain.
+            if !self.members.leaves(*address)
                 && let Some(domain) = self.members.domain(*address)
             {
                 self.reach.miss(&domain);
@@ -277,9 +280,11 @@
     }
 
     /// A peer with the same list of targets tells by which reading it has it.
-    pub(crate) fn confirm_registry(&mut self, digest: u64, reading: Reading, at: Duration) {
-        self.registry.confirm(digest, at);
+    pub(crate) fn confirm_registry(&mut self, views: &Views, reading: Reading, at: Duration) {
+        self.registry.confirm(views.registry_digest, at);
         self.registry_reads.adopt(reading, at);
+        // The same list is as complete here, up to the same place.
+        self.registry_position = self.registry_position.max(views.registry_position);
     }
 
     /// Takes a list of targets.
@@ -294,12 +299,33 @@
             self.registry.take(listing, list.as_of)
         };
         if self.registry.read_at() == Some(list.as_of) {
+            self.registry_position = list.position;
             let listed = self.registry.listed().map(AsRef::as_ref);
             self.cold.list(listed, list.as_of);
         }
         changes
     }
 
+    /// Takes what was written to the store's log behind the known list, up to `end`; none if more is
+    /// known by now.
+    pub(crate) fn take_delta(
+        &mut self,
+        delta: Delta,
+        end: Position,
+        as_of: Duration,
+    ) -> Option<Vec<Change>> {
+        let older = self.registry.read_at().is_none_or(|at| as_of < at);
+        if older || self.registry_position.is_none_or(|it| end < it) {
+            return None;
+        }
+        self.registry_reads.read(as_of);
+        self.registry_position = Some(end);
+        let written = delta.written.clone();
+        let changes = self.registry.take_delta(delta, as_of);
+        self.cold.renew(&written, as_of);
+        Some(changes)
+    }
+
     /// The store, or a peer, names an era.
     pub(crate) fn see_era(&mut self, era: u64, now: Duration) -> Sight {
         let sight = self.store.see(era, now);
--- a/crates/path/src/state/tests/spared.rs
+++ b/crates/path/src/state/tests/spared.rs
@@ -30,6 +30,7 @@
         as_of: START,
         settled: false,
         reading: None,
+        position: None,
     };
     fleet.owner.take_list(list);
     fleet
--- a/crates/path/src/targets.rs
+++ b/crates/path/src/targets.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use dunlinward_dispatch::registry::Change;
+use dunlinward_dispatch::registry::{Change, Delta};
+use dunlinward_dispatch::store::Position;
 use dunlinward_dispatch::target::{Tag, Target};
 
 use crate::cut;
 use crate::gossip;
 use crate::node::{List, Node, STORE};
 
+/// Lines on changes of a list that a peer has read.
+const LINES: usize = 8;
+
 impl Node {
     /// Takes a list of targets.
     pub fn take_targets(&self, list: List, source: &str) {
@@ -31,30 +35,72 @@
             drop(line.with_ms("age_ms", age));
         }
         // Of the first list the count says enough: its targets are nobody's change.
-        for change in changes.iter().filter(|_| !first) {
-            self.tell_change(change, source, as_of);
+        if !first {
+            self.tell_changes(&changes, source, as_of);
         }
-        if source == STORE || !changes.is_empty() {
+        self.targets_changed(!changes.is_empty(), source);
+    }
+
+    /// Takes what was written to the store's log behind the known list, up to `end`.
+    pub fn take_targets_delta(&self, delta: Delta, end: Position, as_of: Duration) {
+        let changes = self.state.borrow_mut().take_delta(delta, end, as_of);
+        let Some(changes) = changes else {
+            return;
+        };
+        self.tell_changes(&changes, STORE, as_of);
+        self.targets_changed(!changes.is_empty(), STORE);
+    }
+
+    /// The list was taken or confirmed; `changed` if anything is new.
+    fn targets_changed(&self, changed: bool, source: &str) {
+        if source == STORE || changed {
             gossip::spread(self);
         }
-        if !changes.is_empty() {
+        if changed {
             self.pool.trim(self.now(), |tag| self.gone(tag));
             self.room_came();
         }
     }
 
-    /// Carries out a change of the list of targets.
-    pub(crate) fn tell_change(&self, change: &Change, source: &str, as_of: Duration) {
+    /// Carries out the changes of a list. Its reader tells the log of each, the others of a few: in a
+    /// large fleet a release would else fill the logs of all routers.
+    fn tell_changes(&self, changes: &[Change], source: &str, as_of: Duration) {
+        let most = if source == STORE { usize::MAX } else { LINES };
+        for (number, change) in changes.iter().enumerate() {
+            self.carry_out(change);
+            if number < most {
+                self.tell_change(change, source, as_of);
+            }
+        }
+        let more = changes.len().saturating_sub(most);
+        if more > 0 {
+            let line = self.journal.line("targets_changed");
+            let line = line.with("more", more).with("source", source);
+            drop(line.with_ms("age_ms", self.now().saturating_sub(as_of)));
+        }
+    }
+
+    fn carry_out(&self, change: &Change) {
+        if let Change::Ended(target) = change {
+            cut::ended(self, target);
+            self.forget(target.tag());
+        }
+    }
+
+    /// Carries out a change that a target or a peer has told, and tells the log.
+    pub(crate) fn apply_change(&self, change: &Change, source: &str, as_of: Duration) {
+        self.carry_out(change);
+        self.tell_change(change, source, as_of);
+    }
+
+    /// The line on a change of the list of targets.
+    fn tell_change(&self, change: &Change, source: &str, as_of: Duration) {
         let (event, target) = match change {
             Change::Came(target) => ("target_came", target),
             Change::Leaves(target) => ("target_leaves", target),
             Change::Suspended(target) => ("target_suspended", target),
             Change::Ended(target) => ("target_ended", target),
         };
-        if let Change::Ended(target) = change {
-            cut::ended(self, target);
-            self.forget(target.tag());
-        }
         let age = self.now().saturating_sub(as_of);
         let line = self.journal.line(event).with("target", target.id.as_ref());
         let line = line.with("born", target.born);
@@ -72,7 +118,7 @@
             .registry
             .supersede(&target.id, born, now);
         if let Some(change) = change {
-            self.tell_change(&change, "target", now);
+            self.apply_change(&change, "target", now);
             self.pool.trim(now, |tag| self.gone(tag));
             self.room_came();
         }
@@ -99,14 +145,34 @@
         self.state.borrow().registry.all().count()
     }
 
-    /// Age of the list of targets, its own or confirmed by a peer.
+    /// When the list of targets was true, its own or confirmed by a peer.
     #[must_use]
-    pub fn targets_age(&self) -> Option<Duration> {
+    pub fn targets_at(&self) -> Option<Duration> {
         self.look_for_wake();
-        let read_at = self.state.borrow().registry.read_at();
+        self.state.borrow().registry.read_at()
+    }
+
+    /// How long ago that was.
+    #[must_use]
+    pub fn targets_age(&self) -> Option<Duration> {
+        let read_at = self.targets_at();
         read_at.map(|at| self.now().saturating_sub(at))
     }
 
+    /// Where the store's log goes on behind the list of targets; none if the list has to be read as a
+    /// whole.
+    #[must_use]
+    pub fn targets_position(&self) -> Option<Position> {
+        let state = self.state.borrow();
+        let position = state.registry_position;
+        position.filter(|it| Some(it.era) == state.store.newest())
+    }
+
+    /// The store has forgotten what lies behind the list of targets.
+    pub fn forget_targets_position(&self) {
+        self.state.borrow_mut().registry_position = None;
+    }
+
     /// Another target has this one's address.
     pub fn replaced(&self, target: &Target) {
         self.state.borrow_mut().registry.forget(target.tag());
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -14,7 +14,8 @@
 use dunlinward_dispatch::evacuation::Order;
 use dunlinward_dispatch::quarantine::Entry;
 use dunlinward_dispatch::reading::Reading;
-use dunlinward_dispatch::target::Target;
+use dunlinward_dispatch::registry::{Difference, Sums};
+use dunlinward_dispatch::store::Position;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -41,7 +42,7 @@
 }
 
 /// What is asked for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wanted(u8);
 
 impl Wanted {
@@ -58,6 +59,44 @@
     }
 }
 
+/// What a router asks a peer for.
+#[derive(Debug, Serialize, Deserialize)]
+struct Question {
+    wanted: Wanted,
+    /// The list of targets that it has, if it asks for another.
+    targets: Sums,
+}
+
+impl Question {
+    fn new(node: &Node, wanted: Wanted) -> Self {
+        let targets = if wanted.has(Part::Targets) {
+            node.state.borrow().registry.sums()
+        } else {
+            Sums::default()
+        };
+        Self { wanted, targets }
+    }
+
+    /// Its bytes, their length before them.
+    fn encode(&self) -> std::io::Result<Vec<u8>> {
+        let encoded = bincode::serde::encode_to_vec(self, standard());
+        let encoded = encoded.map_err(std::io::Error::other)?;
+        let length = u16::try_from(encoded.len()).map_err(std::io::Error::other)?;
+        let mut bytes = length.to_be_bytes().to_vec();
+        bytes.extend(encoded);
+        Ok(bytes)
+    }
+
+    async fn read(stream: &mut TcpStream) -> std::io::Result<Self> {
+        let length = stream.read_u16().await?;
+        let mut bytes = vec![0; usize::from(length)];
+        stream.read_exact(&mut bytes).await?;
+        let decoded = bincode::serde::decode_from_slice(&bytes, standard());
+        let (question, _) = decoded.map_err(std::io::Error::other)?;
+        Ok(question)
+    }
+}
+
 /// What a router knows, for a peer that does not.
 #[derive(Debug, Serialize, Deserialize)]
 struct View {
@@ -69,10 +108,13 @@
     evacuations: Option<Vec<Order>>,
 }
 
+/// A list of targets, as far as it differs from the one of whoever asks.
 #[derive(Debug, Serialize, Deserialize)]
 struct Targets {
-    list: Vec<Target>,
+    difference: Difference,
     read: Reading,
+    /// Where the store's log goes on behind it.
+    position: Option<Position>,
     /// Whether the sender saw no outage that leaves it open which targets have ended.
     settled: bool,
 }
@@ -116,7 +158,8 @@
     }
     let node = node.clone();
     tokio::task::spawn_local(async move {
-        let got = tokio::time::timeout(FETCH_TIMEOUT, read(address, wanted)).await;
+        let question = Question::new(&node, wanted);
+        let got = tokio::time::timeout(FETCH_TIMEOUT, read(address, &question)).await;
         let error = match got {
             Ok(Ok(view)) => {
                 take(&node, view);
@@ -158,20 +201,27 @@
         let Some(as_of) = heard else {
             return;
         };
+        let listing = node.state.borrow().registry.merged(targets.difference);
+        let Some(listing) = listing else {
+            // It is asked for again with the next greeting that tells of it.
+            node.metrics.add("views_not_merged", "targets", 1);
+            return;
+        };
         let list = List {
-            targets: targets.list,
+            targets: listing.targets,
             unreadable: Vec::new(),
             as_of,
             settled: targets.settled,
             reading: Some(targets.read),
+            position: targets.position,
         };
         node.take_targets(list, "peer");
     }
 }
 
-async fn read(address: SocketAddr, wanted: Wanted) -> std::io::Result<View> {
+async fn read(address: SocketAddr, question: &Question) -> std::io::Result<View> {
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_u8(wanted.0).await?;
+    stream.write_all(&question.encode()?).await?;
     let mut bytes = Vec::new();
     stream.take(LARGEST).read_to_end(&mut bytes).await?;
     let decoded = bincode::serde::decode_from_slice::<View, _>(&bytes, standard());
@@ -187,10 +237,11 @@
         };
         let node = node.clone();
         tokio::task::spawn_local(async move {
-            let Ok(Ok(wanted)) = tokio::time::timeout(FETCH_TIMEOUT, stream.read_u8()).await else {
+            let asked = tokio::time::timeout(FETCH_TIMEOUT, Question::read(&mut stream)).await;
+            let Ok(Ok(question)) = asked else {
                 return;
             };
-            let view = view(&node, Wanted(wanted));
+            let view = view(&node, &question);
             if let Ok(bytes) = bincode::serde::encode_to_vec(&view, standard()) {
                 // The peer asks again if this fails.
                 drop(stream.write_all(&bytes).await);
@@ -200,17 +251,17 @@
     }
 }
 
-fn view(node: &Rc<Node>, wanted: Wanted) -> View {
+fn view(node: &Rc<Node>, question: &Question) -> View {
+    let wanted = question.wanted;
     let state = node.state.borrow();
     let now = node.now();
     let configuration = state.table.as_ref().map(|it| it.configuration().clone());
-    let targets = state.registry_reads.tell(now).map(|read| Targets {
-        list: state
-            .registry
-            .listed()
-            .map(|it| it.as_ref().clone())
-            .collect(),
+    let reading = state.registry_reads.tell(now);
+    let reading = reading.filter(|_| wanted.has(Part::Targets));
+    let targets = reading.map(|read| Targets {
+        difference: state.registry.differing(&question.targets),
         read,
+        position: state.registry_position,
         settled: state.registry.settled(),
     });
     let quarantine = state.quarantine.entries(now);
@@ -221,6 +272,6 @@
         quarantine: wanted.has(Part::Quarantine).then(|| quarantine.collect()),
         configuration_read: state.configuration_reads.tell(now),
         configuration: configuration.filter(|_| wanted.has(Part::Configuration)),
-        targets: targets.filter(|_| wanted.has(Part::Targets)),
+        targets,
     }
 }
