Reports to owners follow from what a router has, not from how many targets there are

Cause: each 0.3 s a router went through all cells and hashed the names of all targets to find the few at which it has something: at 10,000 targets work that all 985 routers do for nothing. It did not show as long as routers knew 1,300. Change: the report is made of the router's own places; cells are gone through only for owners that have changed. Messages are the same, shown by the tests of owners and routers.

--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -235,6 +235,16 @@
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
         let mut reports: HashMap<SocketAddr, Work> = HashMap::new();
+        for (tag, load) in state.usage.all_own().filter(|(_, it)| it.running > 0) {
+            let Some(target) = state.registry.get(tag) else {
+                continue;
+            };
+            let owner = state.members.owner(state.registry.cell_of(target), now);
+            if owner != own {
+                let report = reports.entry(owner).or_default();
+                report.loads.push(TargetLoad { tag, load });
+            }
+        }
         let mut owners = HashSet::new();
         let recent = state.memory.recent(USES_TOLD, now);
         let refusals: Vec<_> = state.backoffs.named_to(node.peer, now).collect();
@@ -242,28 +252,17 @@
             let owner = state.members.owner(cell, now);
             let before = self.owners.insert(cell, owner);
             owners.insert(owner);
-            if owner == own {
+            if owner == own || before == Some(owner) {
                 continue;
             }
             let tags: HashSet<_> = targets.iter().map(|it| it.tag()).collect();
-            let loads = tags.iter().map(|tag| TargetLoad {
-                tag: *tag,
-                load: state.usage.own(*tag),
-            });
-            let loads = loads.filter(|it| it.load.running > 0);
-            let loads: Vec<_> = loads.collect();
-            if !loads.is_empty() {
-                reports.entry(owner).or_default().loads.extend(loads);
-            }
-            if before != Some(owner) {
-                let uses = recent.iter().filter(|it| tags.contains(&it.tag));
-                let uses: HashSet<Use> = uses.copied().collect();
-                let uses = uses.into_iter().take(USES_MOST);
-                let refusals = refusals.iter().filter(|(tag, _)| tags.contains(tag));
-                let report = reports.entry(owner).or_default();
-                report.uses.extend(uses);
-                report.refusals.extend(refusals.copied());
-            }
+            let uses = recent.iter().filter(|it| tags.contains(&it.tag));
+            let uses: HashSet<Use> = uses.copied().collect();
+            let uses = uses.into_iter().take(USES_MOST);
+            let refusals = refusals.iter().filter(|(tag, _)| tags.contains(tag));
+            let report = reports.entry(owner).or_default();
+            report.uses.extend(uses);
+            report.refusals.extend(refusals.copied());
         }
         let customers = state.shares.report(now);
         // Also from a router that owns nothing any more: what it granted still counts.
