Settings, messages and types for the decisions under heavy load

Cause: five parts for two deployments under heavy load are built side by side and must meet in the compiler. Ruled out: a message type for each part, which would double the datagrams of an owner. Measured: nothing decides differently yet; formatter and Clippy clean, tests of dispatch, path and the adapter pass. Conclusion: parts can begin.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`reading`]: times at which views were read, as exchanged between routers.
 //! - [`polling`]: which router reads a view from the store, and when.
 //! - [`region`], [`round_trip`]: proximity of failure domains, and round-trip times.
+//! - [`speed`]: speeds of targets.
 //! - [`message`]: messages between routers.
 
 pub mod backoff;
@@ -55,6 +56,7 @@
 pub mod retry;
 pub mod round_trip;
 pub mod share;
+pub mod speed;
 pub mod store;
 pub mod target;
 pub mod usage;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::Finding;
 use crate::reading::Reading;
 use crate::share::Standing;
+use crate::speed::Observation;
 use crate::store::Position;
 use crate::target::Tag;
 use crate::usage::{Load, Peer};
@@ -134,6 +135,8 @@
     pub tag: Tag,
     /// Prompt tokens that the target has to read.
     pub unread: u64,
+    /// Prompt tokens that the target has to read before them, for other requests.
+    pub queued: u64,
     /// Whether the target is expected to hold the prefix of the prompt.
     pub hit: bool,
     /// Target from whose cache it fetches the missing part of the prefix.
@@ -154,6 +157,8 @@
     /// Time for which no target of the cell accepts it, if the request times out before; it is not
     /// queued then.
     pub unavailable_for: Option<Duration>,
+    /// Time after which the request may be sent again if it is refused, as scheduled by the owner.
+    pub retry_after: Option<Duration>,
 }
 
 /// A place that was used is free again.
@@ -217,6 +222,8 @@
     Findings(Vec<Finding>),
     /// Targets that have announced that they leave.
     Leaving(leaving::Report),
+    /// What the sender has measured at targets of the receiver's cells.
+    Observations(Vec<Observation>),
 }
 
 /// A message.
@@ -235,7 +242,7 @@
         let in_range = |tokens: u64| tokens <= MAX_TOKENS;
         match self {
             Self::Request(request) => request.plausible(),
-            Self::Grant(grant) => in_range(grant.unread),
+            Self::Grant(grant) => in_range(grant.unread) && in_range(grant.queued),
             Self::Read { unread, .. } => in_range(*unread),
             Self::Return(returned) => {
                 in_range(returned.unread) && returned.refusal.is_none_or(|it| it.plausible())
@@ -249,7 +256,11 @@
             }
             Self::Heartbeat(heartbeat) => heartbeat.views.era.is_none_or(|it| it <= MAX_ERA),
             Self::Leaving(report) => report.plausible(),
-            Self::Wait(wait) => wait.unavailable_for.is_none_or(|it| it <= MAX_DURATION),
+            Self::Wait(wait) => {
+                let times = [wait.unavailable_for, wait.retry_after];
+                times.iter().flatten().all(|it| *it <= MAX_DURATION)
+            }
+            Self::Observations(all) => all.iter().all(Observation::is_plausible),
             Self::Withdraw(_) | Self::Findings(_) => true,
         }
     }
--- a/crates/dispatch/tests/grants.rs
+++ b/crates/dispatch/tests/grants.rs
@@ -32,6 +32,7 @@
             number,
             tag: Tag::new("i-1"),
             unread: 100,
+            queued: 0,
             hit: false,
             fetch: None,
             standing: None,
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -48,6 +48,7 @@
         number: 7,
         tag: Tag::new("i-1"),
         unread: 10,
+        queued: 0,
         hit: true,
         fetch: None,
         standing: Some(Standing {
@@ -155,6 +156,7 @@
     let contents = requests.into_iter().map(Content::Request).chain([
         Content::Grant(Grant {
             unread: max_tokens,
+            queued: 0,
             ..grant()
         }),
         Content::Read {
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -136,6 +136,7 @@
                 number: 70_000,
                 tag,
                 unread: 17_000,
+                queued: 0,
                 hit: true,
                 fetch: Some(Tag(u32::MAX / 3)),
                 standing,
--- a/crates/path/src/flags.rs
+++ b/crates/path/src/flags.rs
@@ -12,7 +12,7 @@
 use dunlinward_dispatch::cell;
 use dunlinward_dispatch::placement::Policy;
 
-use crate::settings::QueuePolicy;
+use crate::settings::{LoadPolicy, QueuePolicy};
 
 /// Parameters of the data path.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +21,8 @@
     pub policy: Policy,
     /// Parameters of the queue.
     pub queue_policy: QueuePolicy,
+    /// Parameters of the decisions under heavy load.
+    pub load_policy: LoadPolicy,
     /// Interval between heartbeats to peers.
     pub heartbeat_interval: Duration,
     /// Approximate number of targets per cell.
@@ -145,6 +147,59 @@
     ]
 }
 
+#[expect(clippy::cast_precision_loss, reason = "a small number")]
+fn load_parameters() -> [Parameter; 7] {
+    let load_policy = LoadPolicy::default();
+    let homes = parameter(
+        "prefix-homes",
+        "Maximum number of homes of a prefix in a cell",
+        64.0,
+        load_policy.max_prefix_homes as f64,
+    );
+    [
+        parameter(
+            "intake",
+            "Utilization of the event loop up to which all requests are accepted; 0 accepts all",
+            1.0,
+            load_policy.intake_utilization,
+        ),
+        parameter(
+            "throttle",
+            "Requests of a customer beyond its share that are sent to owners, as a multiple of \
+             those granted; 0 sends all",
+            100.0,
+            load_policy.throttle_ratio,
+        ),
+        parameter(
+            "event-delay-ms",
+            "Longest delay in milliseconds of a stream's event while the event loop is busy",
+            200.0,
+            load_policy.event_delay.as_secs_f64() * 1_000.0,
+        ),
+        switch(
+            "speeds",
+            "Whether targets' speeds are measured and used (1) or not (0)",
+            load_policy.learn_speeds,
+        ),
+        switch(
+            "capacity-shares",
+            "Whether shares are taken of the capacity (1) or of the tokens granted (0)",
+            load_policy.share_capacity,
+        ),
+        switch(
+            "scheduled-returns",
+            "Whether owners schedule the return of refused requests (1) or not (0)",
+            load_policy.schedule_returns,
+        ),
+        Parameter { min: 1.0, ..homes },
+    ]
+}
+
+/// A parameter that is on from a half upwards.
+fn switch(flag: &'static str, help: &'static str, default: bool) -> Parameter {
+    parameter(flag, help, 1.0, f64::from(u8::from(default)))
+}
+
 fn parameters() -> Vec<Parameter> {
     let interval = Parameter {
         min: 10.0,
@@ -173,6 +228,7 @@
     );
     let queue = queue_parameters().into_iter();
     let queue = queue.chain([interval, cell, cache_poll]);
+    let queue = queue.chain(load_parameters());
     placement_parameters().into_iter().chain(queue).collect()
 }
 
@@ -242,6 +298,15 @@
             over_share_capacity: value("over-share"),
             retry_capacity: value("again"),
         },
+        load_policy: LoadPolicy {
+            intake_utilization: value("intake"),
+            throttle_ratio: value("throttle"),
+            event_delay: Duration::from_secs_f64(value("event-delay-ms") / 1_000.0),
+            learn_speeds: value("speeds") >= 0.5,
+            share_capacity: value("capacity-shares") >= 0.5,
+            schedule_returns: value("scheduled-returns") >= 0.5,
+            max_prefix_homes: round(value("prefix-homes")),
+        },
         heartbeat_interval: Duration::from_secs_f64(value("report-ms") / 1_000.0),
         cell_targets: round(value("cell-targets")),
         cache_poll_interval: Duration::from_secs_f64(value("memory-ms") / 1_000.0),
--- a/crates/path/src/inbound.rs
+++ b/crates/path/src/inbound.rs
@@ -102,5 +102,6 @@
         Content::LoadReport(work) => owner::load_report(node, sender, &work),
         Content::Findings(findings) => quarantine::receive_findings(node, &findings),
         Content::Leaving(report) => leaving::receive(node, report.notices()),
+        Content::Observations(_) => {}
     }
 }
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -45,6 +45,8 @@
     pub cell: cell::Cell,
     /// Prompt tokens that the target has to read.
     pub unread: u64,
+    /// Prompt tokens that the target has to read before them, for other requests.
+    pub queued: u64,
     /// Whether the prompt's prefix is assumed to be cached there.
     pub hit: bool,
     /// Engine from whose memory the target is to fetch the missing part of the prefix.
@@ -73,6 +75,8 @@
     node: Weak<Node>,
     /// The target.
     pub target: Arc<Target>,
+    /// Prompt tokens that the target had to read before this prompt when the place was granted.
+    pub queued: u64,
     /// Whether the prompt's prefix is assumed to be cached there.
     pub hit: bool,
     /// Engine from whose memory the target is to fetch the missing part of the prefix.
@@ -100,6 +104,7 @@
         Self {
             node: Rc::downgrade(node),
             target: place.target,
+            queued: place.queued,
             hit: place.hit,
             fetch: place.fetch,
             owner: place.owner,
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -323,6 +323,7 @@
             target,
             cell: wish.cell,
             unread: grant.unread,
+            queued: grant.queued,
             hit: grant.hit,
             fetch,
             owner: self.owner,
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -36,6 +36,8 @@
     BackedOff,
     /// The customer has exceeded its share and all targets are busy.
     OverShare,
+    /// This router's processor is used up, and other routers have room.
+    Crowded,
     /// The deadline has passed and the request has not run.
     ExpiredUnsent,
     /// The deadline has passed and the request may have run.
@@ -67,6 +69,7 @@
             Self::Busy => "busy",
             Self::BackedOff => "backed_off",
             Self::OverShare => "over_share",
+            Self::Crowded => "crowded",
             Self::ExpiredUnsent => "expired_unsent",
             Self::Expired => "expired",
             Self::Rejected => "turned_away",
@@ -93,6 +96,7 @@
             | Self::Busy
             | Self::BackedOff
             | Self::OverShare
+            | Self::Crowded
             | Self::ExpiredUnsent
             | Self::Rejected
             | Self::Leaving
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -37,6 +37,8 @@
     pub policy: Policy,
     /// Parameters of the queue.
     pub queue_policy: QueuePolicy,
+    /// Parameters of the decisions under heavy load.
+    pub load_policy: LoadPolicy,
     /// Limit of requests to cold targets.
     pub cold: ColdBound,
     /// Interval between heartbeats to peers.
@@ -92,3 +94,43 @@
         }
     }
 }
+
+/// Parameters of the decisions under heavy load. Each decision can be turned off.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadPolicy {
+    /// Utilization of the event loop up to which an entry router accepts all requests; 0 turns
+    /// the limit off.
+    pub intake_utilization: f64,
+    /// Requests of a customer beyond its share that are sent to owners, as a multiple of those that
+    /// owners grant; 0 turns the limit off.
+    pub throttle_ratio: f64,
+    /// Longest delay of an event of a stream while the event loop is busy; zero turns it off.
+    pub event_delay: Duration,
+    /// Whether targets' speeds are measured and used.
+    pub learn_speeds: bool,
+    /// Whether shares are taken of the capacity rather than of the tokens granted.
+    pub share_capacity: bool,
+    /// Whether owners schedule the return of refused requests.
+    pub schedule_returns: bool,
+    /// Maximum number of homes of a prefix in a cell.
+    pub max_prefix_homes: usize,
+}
+
+impl LoadPolicy {
+    /// The policy with all decisions turned off.
+    pub const OFF: Self = Self {
+        intake_utilization: 0.0,
+        throttle_ratio: 0.0,
+        event_delay: Duration::ZERO,
+        learn_speeds: false,
+        share_capacity: false,
+        schedule_returns: false,
+        max_prefix_homes: 1,
+    };
+}
+
+impl Default for LoadPolicy {
+    fn default() -> Self {
+        Self::OFF
+    }
+}
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -108,6 +108,7 @@
             waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             standing: customer.map(|it| self.shares.standing(it, now)),
             unavailable_for: closed_for,
+            retry_after: None,
         })
     }
 
@@ -204,6 +205,7 @@
         now: Duration,
     ) -> Place {
         let tag = choice.target.tag();
+        let queued = self.usage.total(tag).unread;
         self.usage.begin(tag, choice.unread);
         self.cold_limiter.record_request(tag, now);
         self.backoffs.record_sent(tag, now);
@@ -221,6 +223,7 @@
             target: choice.target,
             cell: request.cell,
             unread: choice.unread,
+            queued,
             hit: choice.hit,
             fetch: choice.fetch.map(|it| it.address),
             owner: own,
@@ -240,6 +243,7 @@
     ) -> Grant {
         let Requester { peer, number, .. } = asker;
         let tag = choice.target.tag();
+        let queued = self.usage.total(tag).unread;
         self.usage.begin_for(peer, tag, choice.unread, now);
         self.cold_limiter.record_request(tag, now);
         self.backoffs.record_sent(tag, now);
@@ -259,6 +263,7 @@
             number,
             tag,
             unread: choice.unread,
+            queued,
             hit: choice.hit,
             fetch: choice.fetch.as_ref().map(|it| it.tag()),
             standing: self.standing(request, now),
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -18,7 +18,7 @@
 
 use super::*;
 use crate::queue::Requester;
-use crate::settings::{ColdBound, QueuePolicy};
+use crate::settings::{ColdBound, LoadPolicy, QueuePolicy};
 
 mod homes;
 mod limits;
@@ -74,6 +74,7 @@
         grace: Duration::from_secs(8),
         policy: Policy::default(),
         queue_policy: QueuePolicy::default(),
+        load_policy: LoadPolicy::OFF,
         heartbeat_interval: Duration::from_millis(100),
         millicores: 500,
         cell_targets: 48,
