dispatch: further homes of a prefix in demand

Cause: a prompt whose prefix is cached elsewhere may use a tenth of an engine, so requests of a popular prefix are refused beside idle engines. Ruled out: more capacity for all misses, which makes more streams late and prefills shared parts again for every request. Change: dispatch::replicas adds one home at a time after three of ten placements found the homes full; the new home fetches the prefix where engines support it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`membership`]: which routers are alive.
 //! - [`usage`]: load at each target, from this router and its peers.
 //! - [`prefix`], [`cache`], [`placement`]: choice of the target that runs a request.
+//! - [`replicas`]: further homes of prefixes in demand.
 //! - [`grants`]: places granted to other routers, and which of them are not used.
 //! - [`share`]: token usage and fair share of each customer.
 //! - [`retry`], [`refused`]: distinction of first attempts of clients from retries.
@@ -53,6 +54,7 @@
 pub mod refused;
 pub mod region;
 pub mod registry;
+pub mod replicas;
 pub mod retry;
 pub mod round_trip;
 pub mod share;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -84,6 +84,8 @@
     pub waited: Duration,
     /// Whether its prefix may be recomputed at an engine that does not cache it.
     pub allow_miss: bool,
+    /// Whether its prefix may get another home, as those that cache it are full.
+    pub allow_replica: bool,
     /// Random value that breaks ties between plain targets.
     pub tie_breaker: u64,
 }
--- a/crates/dispatch/src/placement/engine.rs
+++ b/crates/dispatch/src/placement/engine.rs
@@ -59,11 +59,14 @@
 ) -> Option<Choice> {
     let prefix = prompt.prefix();
     let cached = candidates.iter().any(|it| it.assumed_cached);
-    let home = if cached {
-        None
-    } else {
-        rendezvous_target(prefix, candidates)
+    let home = match (cached, criteria.allow_replica) {
+        (false, _) => rendezvous_target(prefix, candidates),
+        (true, true) => {
+            rendezvous_target(prefix, candidates.iter().filter(|it| !it.assumed_cached))
+        }
+        (true, false) => None,
     };
+    let replica_source = replica_source(criteria, candidates);
     let source = fetch_source(candidates);
     let remaining = criteria
         .objective
@@ -84,7 +87,10 @@
                 matched.expected,
                 source,
             ),
-            None => plan_without_report(policy, prompt, candidate, prefix, home),
+            None => {
+                let source = replica_source.filter(|_| cached);
+                plan_without_report(policy, criteria, prompt, candidate, home, source)
+            }
         };
         if plan.recompute && !criteria.allow_miss || plan.fetch.is_some() && !criteria.allow_fetch {
             continue;
@@ -170,14 +176,27 @@
 )]
 fn plan_without_report(
     policy: &Policy,
+    criteria: &Criteria<'_>,
     prompt: &Prompt,
     candidate: &Candidate,
-    prefix: Option<Prefix>,
     home: Option<Tag>,
+    source: Option<&Candidate>,
 ) -> Plan {
-    let hit = prefix.is_none() || candidate.assumed_cached;
+    let hit = prompt.prefix().is_none() || candidate.assumed_cached;
     let recompute = !hit && home != Some(candidate.target.tag());
     let shared = prompt.shared_tokens() as f64;
+    if let (false, false, Some(source), Some(seconds_per_token)) =
+        (hit, recompute, source, criteria.fetch_seconds)
+    {
+        let fetch_cost = shared * seconds_per_token * criteria.rate;
+        return Plan {
+            unread: prompt.own_tokens() as f64 + fetch_cost,
+            external_cost: fetch_cost * policy.fetch_weight,
+            hit,
+            recompute,
+            fetch: Some(source.target.clone()),
+        };
+    }
     let missing = if hit { 0.0 } else { shared };
     Plan {
         unread: prompt.own_tokens() as f64 + missing,
@@ -192,9 +211,23 @@
     }
 }
 
-/// The home of a prefix that no candidate caches, by rendezvous hashing.
-fn rendezvous_target(prefix: Option<Prefix>, candidates: &[Candidate]) -> Option<Tag> {
+/// The candidate from whose cache a new home of the prefix fetches it: the one with least to
+/// prefill among those that are assumed to cache it.
+fn replica_source<'a>(
+    criteria: &Criteria<'_>,
+    candidates: &'a [Candidate],
+) -> Option<&'a Candidate> {
+    let sources = candidates.iter().filter(|it| it.assumed_cached);
+    let sources = sources.filter(|_| criteria.allow_replica && criteria.allow_fetch);
+    sources.min_by_key(|it| it.load.unread)
+}
+
+/// The next home of a prefix among candidates that do not cache it, by rendezvous hashing.
+fn rendezvous_target<'a>(
+    prefix: Option<Prefix>,
+    candidates: impl IntoIterator<Item = &'a Candidate>,
+) -> Option<Tag> {
     let prefix = prefix?;
-    let tags = candidates.iter().map(|it| it.target.tag());
+    let tags = candidates.into_iter().map(|it| it.target.tag());
     tags.max_by_key(|tag| prefix::rendezvous_weight(prefix, *tag))
 }
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -506,6 +506,7 @@
         waited: ms(0),
         allow_fetch: true,
         allow_miss: false,
+        allow_replica: false,
         tie_breaker: 3,
     }
 }
--- a/crates/dispatch/tests/prefix_cache.rs
+++ b/crates/dispatch/tests/prefix_cache.rs
@@ -257,6 +257,7 @@
         waited: ms(0),
         allow_fetch: true,
         allow_miss: false,
+        allow_replica: false,
         tie_breaker: 3,
     }
 }
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -341,6 +341,7 @@
         waited: Duration::ZERO,
         allow_fetch: true,
         allow_miss: false,
+        allow_replica: false,
         tie_breaker: 1,
     };
     let policy = Policy::default();
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -179,6 +179,7 @@
         if now.saturating_sub(unused_logged) >= UNUSED_LOG_INTERVAL {
             unused_logged = now;
             log_unused(&node);
+            log_replicas(&node);
             log_late(&node);
         }
         let mut reports = reporter.due(&node);
@@ -213,6 +214,21 @@
     }
 }
 
+/// Logs how many prefixes got another home since the last line.
+fn log_replicas(node: &Node) {
+    let (added, prefixes) = {
+        let mut state = node.state.borrow_mut();
+        let added = std::mem::take(&mut state.replicas_added);
+        (added, state.replicas.len())
+    };
+    if added == 0 {
+        return;
+    }
+    node.metrics.add("prefix_homes", "added", added);
+    let line = node.journal.line("prefix_homes_added");
+    drop(line.with("homes", added).with("prefixes", prefixes));
+}
+
 /// Logs answers of owners that came after their requests had been abandoned.
 fn log_late(node: &Node) {
     let late = node.pending.take_late(node.now());
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -73,9 +73,12 @@
         let cover = state.share_ratio(wish, now);
         state.record_demand(wish, now);
         if state.has_queued(wish) {
+            state.record_prefix_demand(&self.settings, wish, None, now);
             return None;
         }
-        let choice = state.choose(&self.settings, wish, cover, now)?;
+        let choice = state.choose(&self.settings, wish, cover, now);
+        state.record_prefix_demand(&self.settings, wish, choice.as_ref(), now);
+        let choice = choice?;
         let place = state.grant_place(wish, choice, self.settings.link, now);
         drop(state);
         Some(Lease::new(self, place))
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -131,6 +131,9 @@
 
 impl Default for LoadPolicy {
     fn default() -> Self {
-        Self::OFF
+        Self {
+            max_prefix_homes: 4,
+            ..Self::OFF
+        }
     }
 }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -29,6 +29,7 @@
 use dunlinward_dispatch::refused::Contents;
 use dunlinward_dispatch::region::{Constraint, Region};
 use dunlinward_dispatch::registry::{Change, Delta, Listing, Registry};
+use dunlinward_dispatch::replicas::Replicas;
 use dunlinward_dispatch::retry::Detector;
 use dunlinward_dispatch::round_trip::RoundTrips;
 use dunlinward_dispatch::share::{self, Shares};
@@ -126,6 +127,10 @@
     pub(crate) registry_position: Option<Position>,
     pub(crate) usage: Usage,
     pub(crate) prefixes: History,
+    /// Demand for prefixes whose homes are full.
+    pub(crate) replicas: Replicas,
+    /// Number of further homes of prefixes since the last log line.
+    pub(crate) replicas_added: u64,
     /// Contents of engines' prefix caches, as reported by the engines of this router's cells.
     pub(crate) caches: Caches,
     pub(crate) health: Health,
@@ -194,6 +199,8 @@
             registry_position: None,
             usage: Usage::new(),
             prefixes: History::new(),
+            replicas: Replicas::default(),
+            replicas_added: 0,
             caches: Caches::new(),
             health: Health::new(),
             backoffs: Backoffs::default(),
@@ -232,6 +239,7 @@
         self.peak.record(self.members.count(), now);
         self.in_flight.prune(now);
         self.refused_contents.prune(now);
+        self.replicas.prune(now);
         self.expire_grants(now);
         let over = self.backoffs.prune(self.peer, now);
         let over = over.into_iter().filter_map(|it| self.registry.get(it));
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -59,9 +59,13 @@
             // until it has found no room.
             let cover = self.share_ratio(&wish, now);
             self.record_demand(&wish, now);
-            if !self.has_queued(&wish)
-                && let Some(choice) = self.choose(settings, &wish, cover, now)
-            {
+            let choice = if self.has_queued(&wish) {
+                None
+            } else {
+                self.choose(settings, &wish, cover, now)
+            };
+            self.record_prefix_demand(settings, &wish, choice.as_ref(), now);
+            if let Some(choice) = choice {
                 return Content::Grant(self.grant_to_peer(asker, &wish, &choice, now));
             }
             let customer = wish.customer;
@@ -146,6 +150,11 @@
         let mut candidates = self.candidates(request, retention, now);
         self.limit_cold(settings, request, &service, &mut candidates, now);
         let in_flight = self.in_flight_candidate(request, &candidates);
+        let homes = candidates.iter().filter(|it| it.assumed_cached).count();
+        let max_homes = settings.load_policy.max_prefix_homes;
+        let prefix = prompt.and_then(Prompt::prefix);
+        let allow_replica = share_ratio >= 1.0
+            && prefix.is_some_and(|it| self.replicas.may_add(it, homes, max_homes, now));
         let criteria = Criteria {
             prompt,
             objective: request.objective,
@@ -163,12 +172,38 @@
             // A customer far below its share may recompute prefixes more, as others may use all
             // room at the targets that cache its prefixes.
             miss_capacity_scale: share_ratio.max(1.0),
+            allow_replica,
             tie_breaker: request.tie_breaker,
         };
         let policy = &settings.policy;
         let choice = in_flight.and_then(|it| placement::choose(policy, &criteria, &[it]));
         // If that target is full, the request runs on another one instead of waiting.
-        choice.or_else(|| placement::choose(policy, &criteria, &candidates))
+        let choice = choice.or_else(|| placement::choose(policy, &criteria, &candidates));
+        if let (true, Some(prefix), Some(choice)) = (allow_replica, prefix, &choice)
+            && !choice.hit
+        {
+            self.replicas.record_added(prefix, now);
+            self.replicas_added += 1;
+        }
+        choice
+    }
+
+    /// Records whether the homes of a request's prefix had capacity for it, when it was first
+    /// considered: a request that waits is considered again many times.
+    pub(crate) fn record_prefix_demand(
+        &mut self,
+        settings: &Settings,
+        request: &PlaceRequest,
+        choice: Option<&Choice>,
+        now: Duration,
+    ) {
+        if settings.load_policy.max_prefix_homes <= 1 {
+            return;
+        }
+        if let Some(prefix) = request.prompt.as_deref().and_then(Prompt::prefix) {
+            let full = choice.is_none_or(|it| !it.hit);
+            self.replicas.record(prefix, full, now);
+        }
     }
 
     /// Ratio of the capacity that a request may use, 0 to 1.
