dispatch, path: admission control and throttling at entry routers

Cause: one client floods a small router, which answers everybody late; owners refuse most requests of customers far over their share at the price of datagrams and of 50 ms of waiting. Ruled out: the busy time of the event loop alone, which stays below 0.09 on a quota of 0.09 core until the quota is used up; a controller with memory, which oscillates with the streams in progress; the lateness of a timer, since the runtime's busy time is available without unstable features. Change: dispatch::intake limits units of work by their learned cost, max-min between customers; dispatch::throttle refuses by the ratio of requests to grants; refused demand travels in Request::withheld. Defaults: intake 0.75, throttle 2.0.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`grants`]: places granted to other routers, and which of them are not used.
 //! - [`share`]: token usage and fair share of each customer.
 //! - [`retry`], [`refused`]: distinction of first attempts of clients from retries.
+//! - [`intake`], [`throttle`]: requests that a router refuses by itself under heavy load.
 //! - [`budget`]: limit on how often requests are sent again.
 //! - [`health`]: failing targets that are ejected for a while.
 //! - [`reachability`]: failure domains that may be unreachable.
@@ -39,6 +40,7 @@
 pub mod grants;
 pub mod health;
 pub mod inflight;
+pub mod intake;
 pub mod interruptions;
 pub mod leaving;
 pub mod member;
@@ -59,4 +61,5 @@
 pub mod speed;
 pub mod store;
 pub mod target;
+pub mod throttle;
 pub mod usage;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -32,7 +32,7 @@
 
 /// Largest plausible number of tokens in a message: what the engines of a large fleet produce in
 /// five years, at 1.8 M tokens a second.
-const MAX_TOKENS: u64 = 1 << 48;
+pub(crate) const MAX_TOKENS: u64 = 1 << 48;
 
 /// Largest plausible era of the store. The era rises by one each time the store is restored from a
 /// copy; with an era that is too large, all answers of the store would count as outdated.
@@ -124,6 +124,9 @@
     pub failed: bool,
     /// Targets at which it, or the router that asks, has seen a failure.
     pub avoid: Vec<Tag>,
+    /// Tokens of earlier requests of the customer that the sender refused without asking an owner,
+    /// to be counted as demand.
+    pub withheld: u64,
 }
 
 /// A place at a target.
@@ -275,6 +278,7 @@
         });
         durations.iter().all(|it| *it <= MAX_DURATION)
             && self.cost <= MAX_TOKENS
+            && self.withheld <= MAX_TOKENS
             && counts.into_iter().all(|it| it <= MAX_TOKENS)
     }
 }
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -40,6 +40,7 @@
         demand_counted: false,
         failed: false,
         avoid: Vec::new(),
+        withheld: 0,
     }
 }
 
@@ -128,6 +129,10 @@
             cost: max_tokens,
             ..request()
         },
+        Request {
+            withheld: max_tokens,
+            ..request()
+        },
         Request {
             prompt: Some(Prompt {
                 tokens: max_tokens,
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -242,6 +242,7 @@
         demand_counted: false,
         failed: false,
         avoid: Vec::new(),
+        withheld: 0,
     }
 }
 
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -27,7 +27,7 @@
 pub(crate) struct Admission {
     pub(crate) table: Rc<Table>,
     pub(crate) route: Arc<Route>,
-    customer: Option<Arc<str>>,
+    pub(crate) customer: Option<Arc<str>>,
     service: Arc<str>,
 }
 
@@ -83,6 +83,14 @@
     })
 }
 
+/// Records the timeout of a request; returns whether the request is a retry.
+pub(crate) fn record_timeout(node: &Rc<Node>, call: &Call, admission: &Admission) -> bool {
+    let route = &admission.route;
+    let timeout = call.timeout.unwrap_or(route.timeout);
+    let mut state = node.state.borrow_mut();
+    state.retries.record(&route.name, timeout, route.timeout)
+}
+
 /// Creates the job of an admitted request whose body was read.
 pub(crate) fn job(
     node: &Rc<Node>,
@@ -90,6 +98,7 @@
     body: Bytes,
     call: Call,
     admission: Admission,
+    returning: bool,
     arrived: Duration,
 ) -> Job {
     let Admission {
@@ -110,11 +119,7 @@
     let allowed = regions.allowed(&route.regions);
     let allowed = allowed.and(regions.allowed(customer_regions.unwrap_or_default()));
     let now = node.now();
-    let returning = {
-        let mut state = node.state.borrow_mut();
-        state.budget.record_request(&service, now);
-        state.retries.record(&route.name, timeout, route.timeout)
-    };
+    node.state.borrow_mut().budget.record_request(&service, now);
     Job {
         id: call.id,
         content: digest(&head, customer.as_deref(), &body),
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -26,6 +26,7 @@
 
 use crate::admission;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
+use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
 use crate::relay::Relay;
@@ -100,10 +101,18 @@
             Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER),
         ));
     }
+    // Refused requests count too: without their timeouts, those of retries would be frequent.
+    let is_retry = admission::record_timeout(node, &call, &admitted);
+    let resumes = call.resume_after.is_some();
+    if let Err(refusal) = intake::admit(node, &admitted, is_retry, resumes) {
+        intake::drain(node, &admitted.table, body).await;
+        return Err(refusal);
+    }
     let body = read_body(node, &admitted.table, body)
         .await
         .map_err(refused)?;
-    let job = Rc::new(admission::job(node, head, body, call, admitted, arrived));
+    let job = admission::job(node, head, body, call, admitted, is_retry, arrived);
+    let job = Rc::new(job);
     if let Some(refusal) = quarantine_refusal(node, &job) {
         request_log::refusal(node, &job.id, arrived, refusal, Some(&job));
         return Err(refusal);
@@ -245,6 +254,7 @@
             arrived: job.arrived,
             is_retry: job.returning,
             demand_counted: failed.is_some(),
+            withheld: 0,
             failed: failed.is_some(),
             avoid,
             deadline: until,
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -8,7 +8,8 @@
 //!   the requests that wait, and places at targets.
 //! - [`server`]: clients' connections.
 //! - [`exchange`], [`reply`]: processing of one request, up to its answer; [`request_log`]: its log lines.
-//! - [`admission`]: checks of a request against the configuration in force.
+//! - [`admission`]: checks of a request against the configuration in force; [`intake`]: admission
+//!   control by the utilization of the processor.
 //! - [`pool`], [`attempt`]: connections to targets, and one attempt at a target.
 //! - [`event`], [`relay`]: event streams, and their resumption at another target.
 //! - [`place`], [`pending`], [`owner`], `lending`: placement of requests, by the router that owns a
@@ -38,6 +39,7 @@
 pub mod flags;
 pub mod gossip;
 pub mod inbound;
+pub mod intake;
 pub mod interruption;
 pub mod journal;
 pub mod lease;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -25,6 +25,7 @@
 use crate::dialect::Dialect;
 use crate::gossip::{self, Gossip};
 use crate::inbound::Buffer;
+use crate::intake::Gate;
 use crate::journal::{Journal, Line, millis};
 use crate::metrics::Metrics;
 use crate::outbound::Socket;
@@ -105,6 +106,8 @@
     pub(crate) fetches: Fetches,
     pub(crate) pending: Pending,
     pub(crate) overload: Detector,
+    /// Admission control by utilization.
+    pub intake: Gate,
     pub(crate) state: RefCell<State>,
     /// Quarantine entries that are to be written to the store.
     pub(crate) quarantine_writes: WriteQueue,
@@ -142,6 +145,7 @@
             fetches: Fetches::default(),
             pending: Pending::default(),
             overload: Detector::default(),
+            intake: Gate::new(&settings),
             state: RefCell::new(state),
             quarantine_writes: WriteQueue::default(),
             clock,
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -42,6 +42,7 @@
 
 /// Handles a router's request for a place.
 pub fn request(node: &Rc<Node>, peer: Peer, address: SocketAddr, ask: Request) {
+    node.intake.record_placement();
     let now = node.now();
     let asker = Requester {
         peer,
@@ -65,6 +66,7 @@
             arrived: now.saturating_sub(ask.waited),
             is_retry: ask.is_retry,
             demand_counted: ask.demand_counted,
+            withheld: ask.withheld,
             failed: ask.failed,
             avoid: ask.avoid,
             deadline: now + ask.max_wait,
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -74,6 +74,9 @@
             if owner == self.settings.link {
                 return self.place_locally(wish).await;
             }
+            if let Some(refusal) = self.throttle(&mut wish) {
+                return Err(refusal.with_owner(owner));
+            }
             match self.request_from(owner, &wish).await {
                 Outcome::Placed(lease) => return Ok(lease),
                 Outcome::Refused(wait) => return Err(self.refusal(wait).with_owner(owner)),
@@ -88,6 +91,40 @@
         self.place_locally(wish).await
     }
 
+    /// Refusal of a request that an owner would very likely refuse. Requests that are tried again
+    /// after a failure, or at a second owner, are not refused here.
+    fn throttle(&self, wish: &mut PlaceRequest) -> Option<Refusal> {
+        let customer = wish.customer.filter(|_| !wish.demand_counted)?;
+        let (draw, now) = (self.random_fraction(), self.now());
+        let mut state = self.state.borrow_mut();
+        let Some(throttled) = state.throttle.decide(customer, wish.cost, draw, now) else {
+            wish.withheld = state.throttle.take_withheld(customer);
+            return None;
+        };
+        self.metrics.add("throttled_requests", "over_share", 1);
+        let refusal = Refusal::new(Reason::OverShare);
+        Some(refusal.with_aged_standing(throttled.standing, throttled.age))
+    }
+
+    /// Records an owner's answer for the throttle.
+    fn record_throttle(&self, wish: &PlaceRequest, answer: &Answer) {
+        let Some(customer) = wish.customer else {
+            return;
+        };
+        let now = self.now();
+        let throttle = &mut self.state.borrow_mut().throttle;
+        let standing = match answer {
+            Answer::Grant(grant) => {
+                throttle.record_grant(customer, now);
+                grant.standing
+            }
+            Answer::Wait(wait) => wait.standing,
+        };
+        if let Some(standing) = standing {
+            throttle.record_standing(customer, standing, now);
+        }
+    }
+
     /// Refusal of a request for which no target can become available before its deadline. If one
     /// becomes available later, the callers' retry times are spread out.
     fn early_refusal(&self, wish: &PlaceRequest) -> Option<Refusal> {
@@ -132,7 +169,7 @@
         let mut last_wait = None;
         loop {
             query.send(wish);
-            match query.receive(time, until).await {
+            match query.receive(wish, time, until).await {
                 Some(Answer::Grant(grant)) => return query.accept(wish, grant),
                 Some(Answer::Wait(wait)) if wait.unavailable_for.is_some() => {
                     return Outcome::Refused(Some(wait));
@@ -140,7 +177,7 @@
                 Some(Answer::Wait(wait)) => {
                     unanswered = 0;
                     last_wait = Some(wait);
-                    let next = query.receive(RESEND_INTERVAL, until).await;
+                    let next = query.receive(wish, RESEND_INTERVAL, until).await;
                     if let Some(Answer::Grant(grant)) = next {
                         return query.accept(wish, grant);
                     }
@@ -274,13 +311,27 @@
             max_wait: wish.deadline.saturating_sub(now),
             is_retry: wish.is_retry,
             demand_counted: wish.demand_counted,
+            withheld: wish.withheld,
             failed: wish.failed,
             avoid: wish.avoid.clone(),
         };
         self.node.send(self.owner, Content::Request(request));
     }
 
-    async fn receive(&mut self, time: Duration, until: Duration) -> Option<Answer> {
+    async fn receive(
+        &mut self,
+        wish: &PlaceRequest,
+        time: Duration,
+        until: Duration,
+    ) -> Option<Answer> {
+        let answer = self.receive_answer(time, until).await;
+        if let Some(answer) = &answer {
+            self.node.record_throttle(wish, answer);
+        }
+        answer
+    }
+
+    async fn receive_answer(&mut self, time: Duration, until: Duration) -> Option<Answer> {
         let limit = until.min(self.node.now() + time);
         if let Some(answer) = self.node.timeout_at(limit, self.answers.recv()).await {
             return answer;
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -115,6 +115,8 @@
     pub retry_after: Option<Duration>,
     /// Standing of the request's customer, as known to the router that refused it.
     pub standing: Option<Standing>,
+    /// Age of that standing, if it was not reported for this request.
+    pub standing_age: Option<Duration>,
     /// Router that had no room, if it is another one.
     pub owner: Option<SocketAddr>,
 }
@@ -127,6 +129,7 @@
             reason,
             retry_after: None,
             standing: None,
+            standing_age: None,
             owner: None,
         }
     }
@@ -138,6 +141,14 @@
         self
     }
 
+    /// Sets the standing of the request's customer and its age.
+    #[must_use]
+    pub fn with_aged_standing(mut self, standing: Standing, age: Duration) -> Self {
+        self.standing = Some(standing);
+        self.standing_age = Some(age);
+        self
+    }
+
     /// Sets the router that had no room.
     #[must_use]
     pub fn with_owner(mut self, owner: SocketAddr) -> Self {
--- a/crates/path/src/request_log.rs
+++ b/crates/path/src/request_log.rs
@@ -60,6 +60,7 @@
         line = with_properties(job, refused.standing, line);
     }
     let line = line.with("owner", refused.owner.map(|it| it.to_string()));
+    let line = line.with("standing_age_ms", refused.standing_age.map(millis));
     drop(node.with_views(line));
 }
 
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -131,6 +131,10 @@
 
 impl Default for LoadPolicy {
     fn default() -> Self {
-        Self::OFF
+        Self {
+            intake_utilization: 0.75,
+            throttle_ratio: 2.0,
+            ..Self::OFF
+        }
     }
 }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -34,6 +34,7 @@
 use dunlinward_dispatch::share::{self, Shares};
 use dunlinward_dispatch::store::{Era, Observation, Position};
 use dunlinward_dispatch::target::{Tag, Target};
+use dunlinward_dispatch::throttle::Throttle;
 use dunlinward_dispatch::usage::{Peer, Usage};
 
 use crate::node::{PeerDelta, TargetList};
@@ -91,6 +92,9 @@
     pub is_retry: bool,
     /// Whether its tokens were already counted as demand.
     pub demand_counted: bool,
+    /// Tokens of the customer's requests that its router refused without asking an owner, counted
+    /// as demand with this request.
+    pub withheld: u64,
     /// Whether it has failed at a target.
     pub failed: bool,
     /// Targets on which it must not be placed: those that failed it, are ejected at its router, or
@@ -144,6 +148,8 @@
     full_cells: HashMap<(Cell, Option<CustomerTag>), Duration>,
     /// Detects retries by the timeouts that clients send.
     pub(crate) retries: Detector,
+    /// Limits requests of customers beyond their share that are sent to owners.
+    pub(crate) throttle: Throttle,
     /// Contents of requests that got no place in this router's cells, by which the owner detects
     /// retries.
     pub(crate) refused_contents: Contents,
@@ -205,6 +211,7 @@
             region: settings.regions.of(&settings.domain),
             full_cells: HashMap::new(),
             retries: Detector::new(),
+            throttle: Throttle::new(settings.load_policy.throttle_ratio),
             refused_contents: Contents::default(),
             membership: Membership::new(
                 descriptor.clone(),
@@ -231,6 +238,7 @@
         self.quarantine.prune(now);
         self.peak.record(self.members.count(), now);
         self.in_flight.prune(now);
+        self.throttle.prune(now);
         self.refused_contents.prune(now);
         self.expire_grants(now);
         let over = self.backoffs.prune(self.peer, now);
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -30,7 +30,8 @@
         if let Some(customer) = request.customer
             && !request.demand_counted
         {
-            self.shares.record_demand(customer, request.cost, now);
+            let tokens = request.cost.saturating_add(request.withheld);
+            self.shares.record_demand(customer, tokens, now);
         }
     }
 
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -452,6 +452,7 @@
         arrived,
         is_retry: false,
         demand_counted: false,
+        withheld: 0,
         failed: false,
         avoid: Vec::new(),
         deadline: arrived + OBJECTIVE.mul_f64(QueuePolicy::default().first_wait),
