--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -315,18 +315,19 @@
                 self.admit_limited(customer, units, priority, limit)
             }
         };
-        let used = if accepted { units } else { REFUSAL_UNITS };
-        if !accepted {
+        if accepted {
+            self.use_units(units, units);
+        } else {
             self.refusals.units += REFUSAL_UNITS;
+            self.use_units(REFUSAL_UNITS, self.refusal_tokens());
         }
-        self.use_units(used);
         accepted
     }
 
     /// Records the placement of another router's request.
     pub fn record_placement(&mut self) {
         self.placements.units += PLACEMENT_UNITS;
-        self.use_units(PLACEMENT_UNITS);
+        self.use_units(PLACEMENT_UNITS, PLACEMENT_UNITS);
     }
 
     /// Records the use of the event loop since the last sample.
@@ -405,13 +406,23 @@
         }
     }
 
-    fn use_units(&mut self, units: f64) {
+    fn use_units(&mut self, units: f64, tokens: f64) {
         self.current += units;
         let Some(limit) = self.limit else {
             return;
         };
-        let floor = -limit.units * MAX_DEBT;
-        self.bucket.tokens = (self.bucket.tokens - units).max(floor);
+        // Refusals continue at the largest debt, and must still reduce what is accepted.
+        let floor = -2.0 * limit.units * MAX_DEBT;
+        self.bucket.tokens = (self.bucket.tokens - tokens).max(floor);
+    }
+
+    /// Tokens that a refusal uses: its units, unless refusals would use more than all but
+    /// [`MIN_SERVED`] of the limit.
+    fn refusal_tokens(&self) -> f64 {
+        let limit = self.limit.map_or(0.0, |it| it.units);
+        let available = limit * (1.0 - MIN_SERVED);
+        let scale = available / self.refusals.mean.max(f64::EPSILON);
+        REFUSAL_UNITS * scale.min(1.0)
     }
 
     /// Learns the cost of a unit, and the utilization without requests.
--- a/crates/dispatch/tests/intake.rs
+++ b/crates/dispatch/tests/intake.rs
@@ -286,3 +286,186 @@
         assert!(on.late_samples(11) < 0.1, "{}", on.late_samples(11));
     }
 }
+
+/// Guards against a small customer that is refused because of a flooding one at the same router.
+#[test]
+fn small_customers_are_served_beside_a_flooding_one() {
+    let mut sum = [Tally::default(); 2];
+    for seed in 0..8 {
+        let router = flooded(0.75, seed);
+        for (customer, total) in sum.iter_mut().enumerate() {
+            let tally = router.tallies[&(customer + 1)];
+            total.sent += tally.sent;
+            total.in_time += tally.in_time;
+        }
+    }
+    println!("{sum:?}");
+    for total in sum {
+        assert!(total.in_time * 10 >= total.sent * 9, "{total:?}");
+    }
+}
+
+/// Guards against refusals, and thereby other decisions than without the limit, while there is
+/// room: at half of the capacity, for random mixes of customers.
+#[test]
+fn nothing_is_refused_with_headroom() {
+    for seed in 0..16 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let count = random.random_range(1..6);
+        let rate = random.random_range(2.0..20.0);
+        let loads = vec![Load::steady(rate / f64::from(count)); count as usize];
+        let (on, off) = (
+            Router::new(0.75, &loads, seed).run(60),
+            Router::new(0.0, &loads, seed).run(60),
+        );
+        assert_eq!(
+            on.tallies, off.tallies,
+            "{count} customers, {rate} per second"
+        );
+        assert!(on.tallies.values().all(|it| it.refused == 0));
+    }
+}
+
+/// Guards against a reaction that is too late for the clients of a sudden flood, and against one
+/// that oscillates: after 300 ms of a flood, the work accepted per second stays near its mean.
+#[test]
+fn limit_reacts_at_once_and_is_steady() {
+    for seed in 0..8 {
+        let router = flooded(0.75, seed);
+        let onset = Duration::from_secs(10);
+        let early = |it: &&(Duration, Duration)| it.0 >= onset && it.0 < onset + OBJECTIVE * 3;
+        let latest = router.lateness.iter().filter(early).map(|it| it.1).max();
+        assert!(latest.unwrap() < OBJECTIVE, "{latest:?}");
+        let accepted: Vec<_> = (15..40).map(|it| router.accepted[&it]).collect();
+        let mean = accepted.iter().sum::<u32>() / 25;
+        let steady = |it: &u32| (mean / 3..=mean * 2).contains(it);
+        assert!(accepted.iter().all(steady), "{accepted:?}");
+    }
+}
+
+/// Guards against a second refusal of clients that have only one retry.
+#[test]
+fn retries_resumptions_and_plain_requests_are_refused_last() {
+    for seed in 0..8 {
+        let loads = [
+            Load::steady(150.0),
+            Load::steady(8.0).with_priority(Priority::High),
+        ];
+        let mut router = Router::new(0.75, &loads, seed);
+        router.measured_from = Duration::from_secs(5);
+        let router = router.run(30);
+        let (first, again) = (router.tallies[&0], router.tallies[&1]);
+        assert!(first.refused > 0);
+        assert_eq!(again.refused, 0, "{again:?}");
+        assert!(again.in_time * 20 >= again.sent * 19, "{again:?}");
+    }
+}
+
+/// Guards against a router that is overloaded by retries alone, which it refuses last.
+#[test]
+fn requests_of_high_priority_are_limited_too() {
+    let loads = [Load::steady(300.0).with_priority(Priority::High)];
+    let mut router = Router::new(0.75, &loads, 1);
+    router.measured_from = Duration::from_secs(10);
+    let router = router.run(40);
+    let tally = router.tallies[&0];
+    let late_samples = router.late_samples(10);
+    println!(
+        "{tally:?}, late samples {late_samples} {:?}",
+        router.accepted
+    );
+    assert!(tally.refused > 0);
+    assert!(tally.late * 10 <= tally.in_time, "{tally:?}");
+}
+
+/// Guards against refusals that no neighbour can take.
+#[test]
+fn lone_router_accepts_everything() {
+    let mut router = Router::new(0.75, &[Load::steady(300.0)], 1);
+    router.has_neighbor = false;
+    let router = router.run(5);
+    assert_eq!(router.tallies[&0].refused, 0);
+}
+
+/// Guards against decisions without measurements after a restart, and against a restarted router
+/// that the flood overloads before it has measured enough.
+#[test]
+fn restarted_router_accepts_until_it_has_samples() {
+    let mut intake = Intake::new(0.75, MILLICORES);
+    let accept =
+        |intake: &mut Intake| intake.admit(None, Work::Stream, Priority::Normal, Duration::ZERO);
+    assert!((0..1_000).all(|_| accept(&mut intake)));
+    for seed in 0..4 {
+        let mut router = Router::new(0.75, &[Load::steady(300.0)], seed);
+        router.measured_from = Duration::from_secs(5);
+        let router = router.run(30);
+        println!("{:?} {:?}", router.accepted, router.tallies);
+        assert!(router.late_samples(8) < 0.1, "{}", router.late_samples(8));
+    }
+}
+
+/// Guards against refusals after a suspension, which looks like a busy or an idle interval.
+#[test]
+fn interval_with_a_suspension_is_discarded() {
+    for busy in [Duration::ZERO, Duration::from_secs(20)] {
+        let mut router = Router::new(0.75, &[Load::steady(10.0)], 1).run(20);
+        let intake = &mut router.intake;
+        let before = intake.summary();
+        let now = Duration::from_secs(40);
+        let sample = Sample {
+            elapsed: Duration::from_secs(20),
+            busy,
+            processor: Duration::from_millis(5),
+            running: 0,
+            has_neighbor: true,
+        };
+        intake.record_sample(sample, now);
+        assert_eq!(intake.summary(), before);
+        let mut burst = 0;
+        while intake.admit(None, Work::Stream, Priority::Normal, now) && burst < 1_000 {
+            burst += 1;
+        }
+        let limit = before.limit.unwrap().units;
+        assert!(
+            f64::from(burst) < limit * 1.5,
+            "{burst} of {limit} per second"
+        );
+    }
+}
+
+/// Guards against a limit that takes an owner's placements for the cost of its clients' requests.
+#[test]
+fn placements_for_other_routers_are_counted_apart() {
+    let run = |placements: u32| {
+        let mut intake = Intake::new(0.75, 1_000);
+        let mut now = Duration::ZERO;
+        for _ in 0..300 {
+            for _ in 0..placements {
+                intake.record_placement();
+            }
+            assert!(intake.admit(None, Work::Stream, Priority::Normal, now));
+            now += INTERVAL;
+            // 2 ms for a stream and 0.2 ms for a placement.
+            let used = Duration::from_micros(2_000 + 200 * u64::from(placements));
+            let sample = Sample {
+                elapsed: INTERVAL,
+                busy: used,
+                processor: used,
+                running: 1,
+                has_neighbor: true,
+            };
+            intake.record_sample(sample, now);
+        }
+        intake.summary().cost.unwrap()
+    };
+    let (alone, owner) = (run(0), run(100));
+    assert!((owner / alone - 1.0).abs() < 0.05, "{alone} {owner}");
+}
+
+/// Guards against a limit on routers that have it turned off.
+#[test]
+fn zero_turns_it_off() {
+    let router = Router::new(0.0, &[Load::steady(300.0)], 1).run(5);
+    assert_eq!(router.tallies[&0].refused, 0);
+    assert!(!router.intake.is_on());
+}
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -25,6 +25,7 @@
 mod refusals;
 mod retries;
 mod suspects;
+mod throttle;
 
 /// Number of engines.
 const ENGINES: u16 = 6;
