dispatch: a router's start does not count as its use without requests

The router had been busy without requests, so the learned cost of a stream was a difference near zero. Ruled out: no such allowance at all, which would make an owner's duties part of the cost. Change: the utilization without requests rises slowly, falls fast and is at most a quarter of the target.

--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -49,8 +49,16 @@
 /// fall into the same mean as its acceptance.
 const LEARNING_TIME: f64 = 8.0;
 
-/// Time constant of the utilization without requests, in seconds.
-const IDLE_TIME: f64 = 5.0;
+/// Time constant of a rise of the utilization without requests, in seconds: a start, with its views
+/// and lists of targets, takes a second or two and says nothing of later.
+const IDLE_RISE_TIME: f64 = 20.0;
+
+/// Time constant of its fall, in seconds.
+const IDLE_FALL_TIME: f64 = 1.0;
+
+/// Upper limit of the utilization without requests, as a fraction of the target: with a higher one,
+/// the cost of a unit would be a small difference of two large numbers.
+const MAX_IDLE: f64 = 0.25;
 
 /// Time constant of the measured utilization, in seconds: three samples, so that one garbage
 /// collection of a neighbour on the machine does not reduce the limit.
@@ -430,7 +438,7 @@
         let seconds = sample.elapsed.as_secs_f64();
         let units = std::mem::take(&mut self.current);
         if units <= 0.0 && sample.running == 0 {
-            self.idle += (utilization - self.idle) * weight(seconds, IDLE_TIME);
+            self.learn_idle(utilization, seconds);
             return;
         }
         let age = (units / LEARNING_UNITS).min(seconds / LEARNING_TIME);
@@ -439,6 +447,16 @@
         self.units = self.units * keep + units;
     }
 
+    fn learn_idle(&mut self, utilization: f64, seconds: f64) {
+        let constant = if utilization < self.idle {
+            IDLE_FALL_TIME
+        } else {
+            IDLE_RISE_TIME
+        };
+        let idle = self.idle + (utilization - self.idle) * weight(seconds, constant);
+        self.idle = idle.min(MAX_IDLE * self.target);
+    }
+
     /// Cost of a unit in seconds of the quota, if known.
     fn cost(&self) -> Option<f64> {
         let known = self.units >= MIN_UNITS && self.spent > 0.0;
@@ -451,8 +469,7 @@
             self.limit = None;
             return;
         };
-        let available = (self.target - self.idle).max(self.target * MIN_SERVED);
-        let units = available / cost * self.feedback();
+        let units = (self.target - self.idle) / cost * self.feedback();
         let duties = self.placements.mean + self.refusals.mean + self.high.mean;
         let level = self.level((units - duties).max(units * MIN_SERVED));
         match self.limit {
--- a/crates/dispatch/tests/intake.rs
+++ b/crates/dispatch/tests/intake.rs
@@ -404,6 +404,33 @@
     }
 }
 
+/// Guards against a flood that is accepted because the router was busy without requests before, as
+/// with its start: the difference to that utilization is no measure of the cost.
+#[test]
+fn work_before_the_first_request_does_not_raise_the_limit() {
+    let loads = [Load::steady(300.0).between(10, 40)];
+    let mut router = Router::new(0.75, &loads, 1);
+    for second in 0..8 {
+        let sample = Sample {
+            elapsed: Duration::from_secs(1),
+            busy: Duration::from_secs(1),
+            processor: Duration::from_millis(90),
+            running: 0,
+            has_neighbor: true,
+        };
+        let now = Duration::from_secs(second);
+        router.intake.record_sample(sample, now);
+    }
+    let router = router.run(40);
+    println!("{:?}", router.accepted);
+    assert!(router.late_samples(18) < 0.1, "{}", router.late_samples(18));
+    let accepted: Vec<_> = (20..40).map(|it| router.accepted[&it]).collect();
+    assert!(
+        accepted.iter().all(|it| (3..30).contains(it)),
+        "{accepted:?}"
+    );
+}
+
 /// Guards against refusals after a suspension, which looks like a busy or an idle interval.
 #[test]
 fn interval_with_a_suspension_is_discarded() {
