dispatch: a restarted router limits a flood sooner

Cause: a router without samples accepted 120 streams in the first second of a flood of 300/s, and was late for 6 s; it learned the cost of accepting streams, not of serving them. Ruled out: a fixed first cost, which would be wrong on other machines. Change: half of a stream's unit counts at its end; ten units instead of twenty are needed; the first bucket lacks what was just accepted; requests of high priority have a bucket for the largest debt, because first attempts of small customers were accepted before them then.

--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -19,7 +19,8 @@
 //! - Without tokens, each customer may still use a bucket of its own, filled at the max-min fair
 //!   level of what owners' duties, refusals and requests of high priority leave. So a small customer
 //!   is served beside a flooding one.
-//! - Requests of high priority are accepted up to a debt of [`MAX_DEBT`].
+//! - Requests of high priority are accepted up to a debt of [`MAX_DEBT`], and beyond it from a
+//!   bucket of their own, filled at most of what duties and refusals leave.
 //!
 //! Invariants: nothing is refused without a neighbour that can take the retry, before
 //! [`MIN_UNITS`] units were measured, or while work arrives at less than the limit.
@@ -40,7 +41,7 @@
 const PLACEMENT_UNITS: f64 = 0.1;
 
 /// Units that must be measured before the cost is used: fewer may be one stream with a cold start.
-const MIN_UNITS: f64 = 20.0;
+const MIN_UNITS: f64 = 10.0;
 
 /// Units of which the cost is the mean, unless they arrive within [`LEARNING_TIME`].
 const LEARNING_UNITS: f64 = 200.0;
@@ -49,6 +50,10 @@
 /// fall into the same mean as its acceptance.
 const LEARNING_TIME: f64 = 8.0;
 
+/// Part of a stream's cost that is still to come, on average over the streams in progress. Without
+/// it, the cost that is measured in the first seconds of a flood is that of accepting a stream.
+const UNDONE: f64 = 0.5;
+
 /// Time constant of a rise of the utilization without requests, in seconds: a start, with its views
 /// and lists of targets, takes a second or two and says nothing of later.
 const IDLE_RISE_TIME: f64 = 20.0;
@@ -217,6 +222,8 @@
     pub units: f64,
     /// First attempts of each customer.
     pub level: f64,
+    /// Requests of high priority while the debt is largest.
+    pub high: f64,
 }
 
 /// State of the decision, for a log line.
@@ -248,11 +255,14 @@
     units: f64,
     /// Units of the current interval.
     current: f64,
+    /// Requests that ran at targets at the last sample.
+    running: usize,
     placements: Rate,
     refusals: Rate,
     high: Rate,
     customers: HashMap<Option<CustomerTag>, Customer>,
     bucket: Bucket,
+    high_bucket: Bucket,
     limit: Option<Limit>,
 }
 
@@ -270,11 +280,13 @@
             spent: 0.0,
             units: 0.0,
             current: 0.0,
+            running: 0,
             placements: Rate::default(),
             refusals: Rate::default(),
             high: Rate::default(),
             customers: HashMap::new(),
             bucket: Bucket::default(),
+            high_bucket: Bucket::default(),
             limit: None,
         }
     }
@@ -319,6 +331,7 @@
             }
             Some(limit) => {
                 self.bucket.refill(limit.units, now);
+                self.high_bucket.refill(limit.high, now);
                 self.record_arrival(customer, units, priority, limit.level, now);
                 self.admit_limited(customer, units, priority, limit)
             }
@@ -350,6 +363,7 @@
         }
         let utilization = sample.utilization(self.quota);
         self.utilization += (utilization - self.utilization) * weight(seconds, UTILIZATION_TIME);
+        let accepted = self.current;
         self.learn(sample, utilization);
         self.placements.advance(seconds);
         self.refusals.advance(seconds);
@@ -358,7 +372,7 @@
             customer.arrivals.advance(seconds);
         }
         self.customers.retain(|_, it| it.arrivals.mean >= MIN_RATE);
-        self.set_limit(sample.has_neighbor, now);
+        self.set_limit(sample.has_neighbor, accepted, now);
     }
 
     /// Discards the current interval: the router was suspended for a part of it.
@@ -368,6 +382,7 @@
             rate.units = 0.0;
         }
         self.bucket.at = now;
+        self.high_bucket.at = now;
         for customer in self.customers.values_mut() {
             customer.arrivals.units = 0.0;
             customer.bucket.at = now;
@@ -404,7 +419,12 @@
         let own = self.customers.get_mut(&customer);
         match (priority, own) {
             (Priority::High, _) | (Priority::Normal, None) => {
-                self.bucket.tokens > -limit.units * MAX_DEBT
+                let is_open = self.bucket.tokens > -limit.units * MAX_DEBT;
+                let has_tokens = self.high_bucket.tokens >= units;
+                if !is_open && has_tokens {
+                    self.high_bucket.tokens -= units;
+                }
+                is_open || has_tokens
             }
             (Priority::Normal, Some(own)) if own.bucket.tokens >= units => {
                 own.bucket.tokens -= units;
@@ -437,14 +457,17 @@
     fn learn(&mut self, sample: Sample, utilization: f64) {
         let seconds = sample.elapsed.as_secs_f64();
         let units = std::mem::take(&mut self.current);
-        if units <= 0.0 && sample.running == 0 {
+        let growth = to_f64(sample.running) - to_f64(self.running);
+        self.running = sample.running;
+        if units <= 0.0 && sample.running == 0 && growth >= 0.0 {
             self.learn_idle(utilization, seconds);
             return;
         }
         let age = (units / LEARNING_UNITS).min(seconds / LEARNING_TIME);
         let keep = (-age).exp();
         self.spent = self.spent * keep + (utilization - self.idle).max(0.0) * seconds;
-        self.units = self.units * keep + units;
+        let done = units - UNDONE * growth;
+        self.units = (self.units * keep + done).max(0.0);
     }
 
     fn learn_idle(&mut self, utilization: f64, seconds: f64) {
@@ -463,23 +486,32 @@
         known.then(|| self.spent / self.units)
     }
 
-    fn set_limit(&mut self, has_neighbor: bool, now: Duration) {
+    fn set_limit(&mut self, has_neighbor: bool, accepted: f64, now: Duration) {
         let cost = self.cost().filter(|_| has_neighbor && self.is_on());
         let Some(cost) = cost else {
             self.limit = None;
             return;
         };
         let units = (self.target - self.idle) / cost * self.feedback();
-        let duties = self.placements.mean + self.refusals.mean + self.high.mean;
-        let level = self.level((units - duties).max(units * MIN_SERVED));
+        let left = units - self.placements.mean - self.refusals.mean;
+        let level = self.level((left - self.high.mean).max(units * MIN_SERVED));
+        let high = left.max(units * MIN_SERVED) * (1.0 - MIN_SERVED);
         match self.limit {
-            None => self.bucket = Bucket::full(units, now),
-            Some(limit) => self.bucket.refill(limit.units, now),
+            None => {
+                self.bucket = Bucket::full(units, now);
+                // What has just been accepted without a limit is still to be done.
+                self.bucket.tokens -= accepted;
+                self.high_bucket = Bucket::full(high, now);
+            }
+            Some(limit) => {
+                self.bucket.refill(limit.units, now);
+                self.high_bucket.refill(limit.high, now);
+            }
         }
         for customer in self.customers.values_mut() {
             customer.bucket.refill(level, now);
         }
-        self.limit = Some(Limit { units, level });
+        self.limit = Some(Limit { units, level, high });
     }
 
     /// Factor by which utilization beyond the target reduces the limit.
@@ -508,6 +540,11 @@
     (rate * 1_000.0) as u64
 }
 
+#[expect(clippy::cast_precision_loss, reason = "some thousand requests")]
+fn to_f64(count: usize) -> f64 {
+    count as f64
+}
+
 #[expect(clippy::cast_precision_loss, reason = "rates are far below 2^50")]
 fn from_thousandths(rate: u64) -> f64 {
     rate as f64 / 1_000.0
