--- a/crates/dispatch/tests/intake.rs
+++ b/crates/dispatch/tests/intake.rs
@@ -135,8 +135,8 @@
             max_refusal_time: Duration::ZERO,
             measured_from: Duration::ZERO,
         };
-        for customer in 0..loads.len() {
-            router.schedule(loads[customer].from, Event::Arrival(customer));
+        for (customer, load) in loads.iter().enumerate() {
+            router.schedule(load.from, Event::Arrival(customer));
         }
         router.schedule(INTERVAL, Event::Sample);
         router
@@ -311,9 +311,9 @@
 fn nothing_is_refused_with_headroom() {
     for seed in 0..16 {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
-        let count = random.random_range(1..6);
+        let count: u16 = random.random_range(1..6);
         let rate = random.random_range(2.0..20.0);
-        let loads = vec![Load::steady(rate / f64::from(count)); count as usize];
+        let loads = vec![Load::steady(rate / f64::from(count)); usize::from(count)];
         let (on, off) = (
             Router::new(0.75, &loads, seed).run(60),
             Router::new(0.0, &loads, seed).run(60),
--- a/crates/dispatch/tests/throttle.rs
+++ b/crates/dispatch/tests/throttle.rs
@@ -209,7 +209,10 @@
 fn only_a_recent_standing_far_over_the_level_throttles() {
     let standing = |granted, level| Some(Standing { granted, level });
     assert!(is_throttled(Some(over()), ms(0)));
-    assert!(is_throttled(Some(over()), MAX_STANDING_AGE - ms(1)));
+    assert!(is_throttled(
+        Some(over()),
+        MAX_STANDING_AGE.saturating_sub(ms(1))
+    ));
     assert!(!is_throttled(Some(over()), MAX_STANDING_AGE));
     assert!(!is_throttled(None, ms(0)));
     assert!(!is_throttled(standing(1_250, Some(1_000)), ms(0)));
