dispatch: a processor clock that exceeds the busy time is ignored

Cause: on some virtual machines the thread's processor clock returns the time of day. The utilization was then 1.0 at every router, and nearly everything was refused. Ruled out: the busy time alone, which says nothing below a quota. Change: a processor time beyond 1.25 times the busy time is no processor time; the busy time is used then.

--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -102,6 +102,10 @@
 /// Use of the processor below which a long interval was a suspension.
 const MIN_STALL_USE: f64 = 0.5;
 
+/// Ratio of processor time to busy time beyond which the clock of the processor time is not one:
+/// on some virtual machines it returns the time of day, and a loop cannot use more than it is busy.
+const MAX_CLOCK_RATIO: f64 = 1.25;
+
 /// Measured use of the event loop in an interval.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -123,8 +127,11 @@
     /// quota it is stopped while it is busy.
     fn utilization(&self, quota: f64) -> f64 {
         let elapsed = self.elapsed.as_secs_f64().max(f64::EPSILON);
-        let quota_use = self.processor.as_secs_f64() / (elapsed * quota);
         let busy = self.busy.as_secs_f64() / elapsed;
+        if self.processor.as_secs_f64() > self.busy.as_secs_f64() * MAX_CLOCK_RATIO {
+            return busy.clamp(0.0, 1.0);
+        }
+        let quota_use = self.processor.as_secs_f64() / (elapsed * quota);
         quota_use.max(busy).clamp(0.0, 1.0)
     }
 
--- a/crates/dispatch/tests/intake.rs
+++ b/crates/dispatch/tests/intake.rs
@@ -496,3 +496,27 @@
     assert_eq!(router.tallies[&0].refused, 0);
     assert!(!router.intake.is_on());
 }
+
+/// Guards against a processor clock that counts the time of day: the router would take itself for
+/// fully used and refuse nearly everything.
+#[test]
+fn processor_clock_that_exceeds_the_busy_time_is_ignored() {
+    let mut intake = Intake::new(0.75, MILLICORES);
+    let mut now = Duration::ZERO;
+    for _ in 0..200 {
+        for _ in 0..5 {
+            assert!(intake.admit(None, Work::Stream, Priority::Normal, now));
+        }
+        now += INTERVAL;
+        let sample = Sample {
+            elapsed: INTERVAL,
+            busy: INTERVAL / 5,
+            processor: INTERVAL,
+            running: 1,
+            has_neighbor: true,
+        };
+        intake.record_sample(sample, now);
+    }
+    let utilization = intake.utilization();
+    assert!((utilization - 0.2).abs() < 0.01, "{utilization}");
+}
