--- a/crates/dispatch/src/placement/engine.rs
+++ b/crates/dispatch/src/placement/engine.rs
@@ -87,10 +87,7 @@
                 matched.expected,
                 source,
             ),
-            None => {
-                let source = replica_source.filter(|_| cached);
-                plan_without_report(policy, criteria, prompt, candidate, home, source)
-            }
+            None => plan_without_report(policy, criteria, prompt, candidate, home, replica_source),
         };
         if plan.recompute && !criteria.allow_miss || plan.fetch.is_some() && !criteria.allow_fetch {
             continue;
--- a/crates/dispatch/tests/replicas.rs
+++ b/crates/dispatch/tests/replicas.rs
@@ -159,7 +159,7 @@
         };
         counts.asked += 1;
         match engines.place(prefix, now) {
-            Some((_, first)) if first - now <= OBJECTIVE => counts.in_time += 1,
+            Some((_, first)) if first <= now + OBJECTIVE => counts.in_time += 1,
             Some(_) => {}
             None => counts.refused += 1,
         }
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -132,6 +132,8 @@
 impl Default for LoadPolicy {
     fn default() -> Self {
         Self {
+            intake_utilization: 0.75,
+            throttle_ratio: 2.0,
             max_prefix_homes: 4,
             ..Self::OFF
         }
