Bound prefill after separate incidents only, and raise the bound more slowly

Cause: one stall of an engine makes most of its streams pause at once, so the number of paused streams is not binomial.

Ruled out: more standard deviations, which the pauses of one stall exceed as well.

Change: a target is bounded after three incidents at least. The bound is reduced to 0.75 instead of 0.8 and raised by 0.005 instead of 0.02 per second, and by 0.015 after 20 s without a paused stream.

--- a/crates/dispatch/src/speed/pauses.rs
+++ b/crates/dispatch/src/speed/pauses.rs
@@ -19,16 +19,23 @@
 const MIN_STREAMS: u32 = 24;
 
 /// Period over which streams are counted.
-const WINDOW: Duration = Duration::from_secs(5);
+const WINDOW: Duration = Duration::from_secs(10);
 
 /// Interval of adjustments of the bound: the prefill queue of an engine changes within a second.
 const STEP: Duration = Duration::from_secs(1);
 
 /// Factor of a reduction.
-const REDUCTION: f64 = 0.8;
+const REDUCTION: f64 = 0.75;
 
-/// Amount of a raise.
-const RAISE: f64 = 0.02;
+/// Amount of a raise within [`QUIET_TIME`] of a paused stream. One incident makes most streams of a
+/// target pause, so the bound may reach the point of the next incident only once in some 20 s.
+const RAISE: f64 = 0.005;
+
+/// Amount of a raise after that.
+const QUIET_RAISE: f64 = 0.015;
+
+/// Time without a paused stream after which the cause of the pauses is assumed to have ended.
+const QUIET_TIME: Duration = Duration::from_secs(20);
 
 /// Smallest bound, at which short prompts are still accepted.
 const MIN_BOUND: f64 = 0.15;
@@ -37,6 +44,13 @@
 /// pauses that all targets have come from links or clients, or from a load that has no better place.
 const MIN_MEDIAN_RATIO: f64 = 2.0;
 
+/// Incidents after which a target is bounded. A single one may be a short stall of the target, which
+/// makes most of its streams pause at once.
+const MIN_INCIDENTS: usize = 3;
+
+/// Time between paused streams from which they belong to different incidents.
+const INCIDENT_GAP: Duration = Duration::from_millis(900);
+
 /// Standard deviations by which the number of paused streams must exceed the allowed one before a
 /// target is bounded: chance must not bound targets that are alike.
 const ERROR_DEVIATIONS: f64 = 4.0;
@@ -48,12 +62,16 @@
     /// The reduction of the bound: the bound is 1 less this.
     reduction: f64,
     adjusted_at: Duration,
+    paused_at: Duration,
 }
 
 impl Pauses {
     pub(super) fn record(&mut self, streams: u32, paused: u32, now: Duration) {
         if streams > 0 {
             self.counts.push_back((now, streams, paused));
+            if paused > 0 {
+                self.paused_at = now;
+            }
         }
     }
 
@@ -92,7 +110,9 @@
         let too_many = if bounded {
             share > MAX_PAUSED_SHARE
         } else {
-            share > median * MIN_MEDIAN_RATIO && self.exceeds_by_error()
+            share > median * MIN_MEDIAN_RATIO
+                && self.exceeds_by_error()
+                && self.incidents() >= MIN_INCIDENTS
         };
         if too_many {
             let bound = (self.bound() * REDUCTION).max(MIN_BOUND);
@@ -101,11 +121,25 @@
             self.counts.clear();
             self.adjusted_at = now;
         } else if bounded && share < LOW_PAUSED_SHARE {
-            self.reduction = (self.reduction - RAISE).max(0.0);
+            let quiet = now.saturating_sub(self.paused_at) >= QUIET_TIME;
+            let raise = if quiet { QUIET_RAISE } else { RAISE };
+            self.reduction = (self.reduction - raise).max(0.0);
             self.adjusted_at = now;
         }
     }
 
+    /// Number of separate incidents that made streams pause.
+    fn incidents(&self) -> usize {
+        let paused = self.counts.iter().filter(|(.., paused)| *paused > 0);
+        let mut last: Option<Duration> = None;
+        let starts = paused.filter(|(at, ..)| {
+            let starts = last.is_none_or(|it| at.saturating_sub(it) >= INCIDENT_GAP);
+            last = if starts { Some(*at) } else { last };
+            starts
+        });
+        starts.count()
+    }
+
     /// Whether more streams paused than chance explains at [`MAX_PAUSED_SHARE`].
     fn exceeds_by_error(&self) -> bool {
         let (streams, paused) = self.counts();
