--- a/crates/dispatch/tests/replicas.rs
+++ b/crates/dispatch/tests/replicas.rs
@@ -7,6 +7,7 @@
 use dunlinward_dispatch::placement::{self, Candidate, Choice, Criteria, Policy};
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
 use dunlinward_dispatch::replicas::Replicas;
+use dunlinward_dispatch::speed::Rating;
 use dunlinward_dispatch::target::{State, Tag, Target};
 use dunlinward_dispatch::usage::Load;
 use rand::{Rng, SeedableRng};
@@ -90,6 +91,7 @@
                 local: false,
                 assumed_cached: self.cached.contains(&(target.tag(), prefix)),
                 prefix_match: None,
+                rating: Rating::MEDIAN,
             }
         });
         candidates.collect()
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -28,6 +28,7 @@
 use crate::intake::Gate;
 use crate::journal::{Journal, Line, millis};
 use crate::metrics::Metrics;
+use crate::observation::Collector;
 use crate::outbound::Socket;
 use crate::overload::Detector;
 use crate::pending::Pending;
@@ -108,6 +109,8 @@
     pub(crate) overload: Detector,
     /// Admission control by utilization.
     pub intake: Gate,
+    /// What it has measured at targets.
+    pub(crate) observations: RefCell<Collector>,
     pub(crate) state: RefCell<State>,
     /// Quarantine entries that are to be written to the store.
     pub(crate) quarantine_writes: WriteQueue,
@@ -146,6 +149,7 @@
             pending: Pending::default(),
             overload: Detector::default(),
             intake: Gate::new(&settings),
+            observations: RefCell::default(),
             state: RefCell::new(state),
             quarantine_writes: WriteQueue::default(),
             clock,
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::interruption::Cause;
 use crate::journal::millis;
 use crate::node::Node;
+use crate::observation::Pauses;
 
 /// Time without data after which a resumable stream is resumed at another target, in multiples of
 /// the route's objective.
@@ -70,6 +71,7 @@
             answering: false,
             ended: false,
             timing: Timing::default(),
+            pauses: Pauses::default(),
         };
         Self {
             phase: Phase::Idle(Box::new(stream)),
@@ -114,6 +116,7 @@
     answering: bool,
     ended: bool,
     timing: Timing,
+    pauses: Pauses,
 }
 
 /// Arrival times of events.
@@ -155,11 +158,16 @@
             if self.ended {
                 return None;
             }
-            match self.read_chunk().await {
+            let started = self.node.now();
+            let chunk = self.read_chunk().await;
+            let waited = self.node.now().saturating_sub(started);
+            self.pauses.record_wait(waited);
+            match chunk {
                 Chunk::Bytes(bytes) => {
                     self.record_data();
                     if let Some(events) = self.splitter.push(bytes) {
                         self.timing.record(self.node.now());
+                        self.record_pause();
                         return Some(Ok(events));
                     }
                 }
@@ -217,8 +225,23 @@
         }
     }
 
+    /// Records an event, and the stream as paused if it is the first time that it is.
+    fn record_pause(&mut self) {
+        let Some(objective) = self.job.route.pause_objective else {
+            return;
+        };
+        if self.pauses.record_event(objective)
+            && let Some(attempt) = &self.attempt
+        {
+            attempt.lease.record_stream(true, self.pauses.longest());
+        }
+    }
+
     fn finish(&mut self) {
         self.ended = true;
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| self.pauses.ends_clean()) {
+            attempt.lease.record_stream(false, self.pauses.longest());
+        }
         if let Some(attempt) = self.attempt.take() {
             attempt.lease.record_outcome(Outcome::Good);
             attempt.finish(&self.node);
@@ -275,6 +298,7 @@
         self.report("resumed", reason);
         self.sends += 1;
         self.answering = false;
+        self.pauses = Pauses::default();
         for _ in 0..MAX_RESUME_TARGETS {
             let until = self.job.deadline;
             let Ok(wish) = exchange::placement_request(&self.node, &self.job, failed, until) else {
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -135,6 +135,7 @@
             intake_utilization: 0.75,
             throttle_ratio: 2.0,
             max_prefix_homes: 4,
+            learn_speeds: true,
             ..Self::OFF
         }
     }
