path: log lines and counters are written without a map or a label per call

Cause: a refusal must cost a small fraction of a served stream. Each log line built a serde_json map with an allocated name and value per field, and each counter allocated a label and hashed it in the metrics library. Ruled out: fewer fields on a line, which operators need; another logging library, which would add the same maps. Change: fields are serialized into one reused buffer as they are added, so a line has them in that order and no longer sorted by name; counters are added up by label and given to their instruments when the metrics are read; histograms keep their labels.

--- a/crates/path/src/journal.rs
+++ b/crates/path/src/journal.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use serde_json::{Map, Value};
+use serde::Serialize;
 
 /// Limit from which lines are dropped for a slow reader.
 const MAX_BUFFER_BYTES: usize = 256 * 1024;
@@ -27,6 +27,8 @@
 struct Buffer {
     bytes: Vec<u8>,
     dropped: u64,
+    /// Memory of the last line, reused by the next one.
+    spare: Vec<u8>,
 }
 
 /// Log of one router.
@@ -40,7 +42,7 @@
 #[derive(Debug)]
 pub struct Line {
     journal: Journal,
-    fields: Map<String, Value>,
+    bytes: Vec<u8>,
 }
 
 impl Journal {
@@ -56,17 +58,20 @@
     /// Starts a line about an event; it is written when the value is dropped.
     #[must_use]
     pub fn line(&self, event: &str) -> Line {
-        let mut fields = Map::new();
-        fields.insert("at".into(), timestamp().into());
-        fields.insert("node".into(), self.node.as_ref().into());
-        fields.insert("event".into(), event.into());
-        Line {
+        let mut bytes = std::mem::take(&mut self.buffer.borrow_mut().spare);
+        bytes.clear();
+        bytes.push(b'{');
+        let line = Line {
             journal: self.clone(),
-            fields,
-        }
+            bytes,
+        };
+        line.with("at", timestamp())
+            .with("node", self.node.as_ref())
+            .with("event", event)
     }
 
-    fn push(&self, fields: &Map<String, Value>) {
+    /// Appends a line without its end.
+    fn push(&self, line: &[u8]) {
         let mut buffer = self.buffer.borrow_mut();
         if buffer.bytes.len() >= MAX_BUFFER_BYTES {
             buffer.dropped += 1;
@@ -81,9 +86,8 @@
                 .extend_from_slice(notice.to_string().as_bytes());
             buffer.bytes.push(b'\n');
         }
-        if serde_json::to_writer(&mut buffer.bytes, fields).is_ok() {
-            buffer.bytes.push(b'\n');
-        }
+        buffer.bytes.extend_from_slice(line);
+        buffer.bytes.extend_from_slice(b"}\n");
     }
 
     /// Makes standard output non-blocking.
@@ -118,13 +122,27 @@
 }
 
 impl Line {
-    /// Adds a field.
+    /// Adds a field; each name may be used once. The field is written at once and not collected
+    /// with the others: building a map of the fields took most of the time of a line.
     #[must_use]
-    pub fn with(mut self, name: &str, value: impl Into<Value>) -> Self {
-        self.fields.insert(name.into(), value.into());
+    pub fn with(mut self, name: &str, value: impl Serialize) -> Self {
+        if self.bytes.len() > 1 {
+            self.bytes.push(b',');
+        }
+        self.write(&name);
+        self.bytes.push(b':');
+        self.write(&value);
         self
     }
 
+    fn write(&mut self, value: &impl Serialize) {
+        let begin = self.bytes.len();
+        if serde_json::to_writer(&mut self.bytes, value).is_err() {
+            self.bytes.truncate(begin);
+            self.bytes.extend_from_slice(b"null");
+        }
+    }
+
     /// Adds a text from outside, truncated to a bounded length.
     #[must_use]
     pub fn with_text(self, name: &str, text: &str) -> Self {
@@ -144,7 +162,8 @@
 
 impl Drop for Line {
     fn drop(&mut self) {
-        self.journal.push(&self.fields);
+        self.journal.push(&self.bytes);
+        self.journal.buffer.borrow_mut().spare = std::mem::take(&mut self.bytes);
     }
 }
 
--- a/crates/path/src/metrics.rs
+++ b/crates/path/src/metrics.rs
@@ -25,8 +25,23 @@
     // Keeps the instruments working: they stop when their provider is dropped.
     _provider: SdkMeterProvider,
     meter: Meter,
-    counters: RefCell<HashMap<&'static str, Counter<u64>>>,
-    histograms: RefCell<HashMap<&'static str, Histogram<f64>>>,
+    counters: RefCell<HashMap<&'static str, Counts>>,
+    histograms: RefCell<HashMap<&'static str, Times>>,
+}
+
+/// A counter, and what is to be added to it when the metrics are read. An addition to the
+/// instrument itself allocates a label and hashes it.
+#[derive(Debug)]
+struct Counts {
+    instrument: Counter<u64>,
+    pending: HashMap<Box<str>, u64>,
+}
+
+/// A histogram, and its labels, which are kept as each record needs one.
+#[derive(Debug)]
+struct Times {
+    instrument: Histogram<f64>,
+    labels: HashMap<Box<str>, [KeyValue; 1]>,
 }
 
 impl Metrics {
@@ -57,28 +72,56 @@
     /// Adds to a counter; `family` ends with the unit or the items that it counts.
     pub fn add(&self, family: &'static str, label: &str, amount: u64) {
         let mut counters = self.counters.borrow_mut();
-        let counter = counters.entry(family).or_insert_with(|| {
+        let counts = counters.entry(family).or_insert_with(|| {
             let name = format!("dunlinward_{family}");
-            self.meter.u64_counter(name).build()
+            Counts {
+                instrument: self.meter.u64_counter(name).build(),
+                pending: HashMap::new(),
+            }
         });
-        counter.add(amount, &[KeyValue::new("of", label.to_owned())]);
+        if let Some(pending) = counts.pending.get_mut(label) {
+            *pending += amount;
+        } else {
+            counts.pending.insert(label.into(), amount);
+        }
     }
 
     /// Records a duration in a histogram; `family` ends with `_seconds`.
     pub fn time(&self, family: &'static str, label: &str, time: Duration) {
         let mut histograms = self.histograms.borrow_mut();
-        let histogram = histograms.entry(family).or_insert_with(|| {
+        let times = histograms.entry(family).or_insert_with(|| {
             let name = format!("dunlinward_{family}");
             let histogram = self.meter.f64_histogram(name);
-            histogram.with_boundaries(BUCKETS_S.to_vec()).build()
+            Times {
+                instrument: histogram.with_boundaries(BUCKETS_S.to_vec()).build(),
+                labels: HashMap::new(),
+            }
         });
-        let label = KeyValue::new("of", label.to_owned());
-        histogram.record(time.as_secs_f64(), &[label]);
+        let seconds = time.as_secs_f64();
+        if let Some(label) = times.labels.get(label) {
+            times.instrument.record(seconds, label);
+        } else {
+            let value = [KeyValue::new("of", label.to_owned())];
+            times.instrument.record(seconds, &value);
+            times.labels.insert(label.into(), value);
+        }
+    }
+
+    /// Adds what is pending to the counters.
+    fn flush(&self) {
+        for counts in self.counters.borrow_mut().values_mut() {
+            let instrument = &counts.instrument;
+            for (label, amount) in &mut counts.pending {
+                let value = [KeyValue::new("of", label.to_string())];
+                instrument.add(std::mem::take(amount), &value);
+            }
+        }
     }
 
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
+        self.flush();
         let families = self.registry.gather();
         let text = TextEncoder::new().encode_to_string(&families);
         text.unwrap_or_else(|error| format!("# not written: {error}\n"))
