path: refusals for lack of capacity share a summary line under load

Cause: at a flooded router, hundreds of refusals per second were each logged on a line of 20 fields. Ruled out: sampling of lines, which loses the counts by customer and route; a timer that always runs. Change: path::refusal_log: beyond 20 refusals for lack of capacity in 250 ms, they are counted and logged as one line `refusals` with counts by reason, customer and route and the age range of the standings. A refusal knows when its standing was determined. path::utilization samples the busy time of the event loop. The summary of the last 250 ms before a router ends is lost.

--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`node`]: a router; [`settings`], [`state`], [`queue`], [`lease`]: its settings, its state,
 //!   the requests that wait, and places at targets.
 //! - [`server`]: clients' connections.
-//! - [`exchange`], [`reply`]: processing of one request, up to its answer; [`request_log`]: its log lines.
+//! - [`exchange`], [`reply`]: processing of one request, up to its answer; [`request_log`], [`refusal_log`]: its log
+//!   lines, and the summary of many refusals.
 //! - [`admission`]: checks of a request against the configuration in force.
 //! - [`pool`], [`attempt`]: connections to targets, and one attempt at a target.
 //! - [`event`], [`relay`]: event streams, and their resumption at another target.
@@ -21,6 +22,7 @@
 //! - [`gossip`], [`view`]: membership, and views fetched from peers.
 //! - [`outbound`], [`inbound`]: messages between routers.
 //! - [`overload`]: detection of overload.
+//! - [`utilization`]: the share of time for which the event loop is busy.
 //! - [`targets`]: the list of targets, and the effects of its changes.
 //! - [`clock`], [`suspension`]: time including suspensions, and what follows a suspension.
 //! - [`shutdown`]: signal handling and graceful shutdown.
@@ -52,6 +54,7 @@
 pub mod pool;
 pub mod quarantine;
 pub mod queue;
+pub mod refusal_log;
 pub mod relay;
 pub mod reply;
 pub mod request_log;
@@ -62,4 +65,5 @@
 pub mod state;
 pub mod suspension;
 pub mod targets;
+pub mod utilization;
 pub mod view;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -32,6 +32,7 @@
 use crate::pending::Pending;
 use crate::pool::Pool;
 use crate::quarantine::WriteQueue;
+use crate::refusal_log;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::suspension::Monitor;
@@ -112,6 +113,10 @@
     pub(crate) suspensions: Monitor,
     pub(crate) capacity: Notify,
     draws: Cell<u64>,
+    /// Refusals for lack of capacity that are to be logged.
+    pub(crate) refusals: RefCell<refusal_log::Recorder>,
+    /// Share of the last interval for which the event loop was busy, 0 to 1.
+    pub(crate) utilization: Cell<f64>,
     /// Open connections of callers.
     pub(crate) open: Cell<usize>,
     leaving: watch::Sender<Option<Duration>>,
@@ -148,6 +153,8 @@
             suspensions: Monitor::default(),
             capacity: Notify::new(),
             draws: Cell::new(rand::random()),
+            refusals: RefCell::default(),
+            utilization: Cell::new(0.0),
             open: Cell::new(0),
             leaving: watch::Sender::new(None),
             settings,
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -52,7 +52,8 @@
 /// Result of asking an owner.
 enum Outcome {
     Placed(Lease),
-    Refused(Option<Wait>),
+    /// With the last answer of the owner and when it came, if there was one.
+    Refused(Option<(Wait, Duration)>),
     Unanswered,
     /// The owner granted a place at a target that this router must not use.
     Barred(Tag),
@@ -135,11 +136,11 @@
             match query.receive(time, until).await {
                 Some(Answer::Grant(grant)) => return query.accept(wish, grant),
                 Some(Answer::Wait(wait)) if wait.unavailable_for.is_some() => {
-                    return Outcome::Refused(Some(wait));
+                    return Outcome::Refused(Some((wait, self.now())));
                 }
                 Some(Answer::Wait(wait)) => {
                     unanswered = 0;
-                    last_wait = Some(wait);
+                    last_wait = Some((wait, self.now()));
                     let next = query.receive(RESEND_INTERVAL, until).await;
                     if let Some(Answer::Grant(grant)) = next {
                         return query.accept(wish, grant);
@@ -168,14 +169,16 @@
     }
 
     /// Refusal of a request for which its owner had no place.
-    fn refusal(&self, wait: Option<Wait>) -> Refusal {
+    fn refusal(&self, answer: Option<(Wait, Duration)>) -> Refusal {
+        let (wait, received) = answer.unzip();
         let standing = wait.and_then(|it| it.standing);
         let closed_for = wait.and_then(|it| it.unavailable_for);
         let refusal = match closed_for {
             Some(time) => self.backoff_refusal(time),
             None => Refusal::new(reason(standing)),
         };
-        refusal.with_standing(standing)
+        let refusal = refusal.with_standing(standing);
+        refusal.with_standing_at(received.unwrap_or_default())
     }
 
     fn record_unanswered(&self, owner: SocketAddr) -> bool {
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -115,7 +115,7 @@
         // Its deadline has passed, or the queue has dropped its sender.
         let standing = customer.map(|it| self.standing(it));
         let refusal = Refusal::new(place::reason(standing));
-        Err(refusal.with_standing(standing))
+        Err(refusal.with_standing(standing).with_standing_at(self.now()))
     }
 
     /// Serves the queue for as long as the router runs.
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -117,6 +117,8 @@
     pub standing: Option<Standing>,
     /// Router that had no room, if it is another one.
     pub owner: Option<SocketAddr>,
+    /// When that standing was determined, or received from the cell's owner.
+    pub standing_at: Option<Duration>,
 }
 
 impl Refusal {
@@ -128,6 +130,7 @@
             retry_after: None,
             standing: None,
             owner: None,
+            standing_at: None,
         }
     }
 
@@ -138,6 +141,13 @@
         self
     }
 
+    /// Sets when that standing was determined.
+    #[must_use]
+    pub fn with_standing_at(mut self, at: Duration) -> Self {
+        self.standing_at = self.standing.map(|_| at);
+        self
+    }
+
     /// Sets the router that had no room.
     #[must_use]
     pub fn with_owner(mut self, owner: SocketAddr) -> Self {
--- a/crates/path/src/request_log.rs
+++ b/crates/path/src/request_log.rs
@@ -13,6 +13,7 @@
 use crate::journal::{Line, millis};
 use crate::lease::Lease;
 use crate::node::Node;
+use crate::refusal_log;
 use crate::reply::Refusal;
 
 /// Logs a caller that leaves before the head of its answer.
@@ -50,6 +51,18 @@
 ) {
     let reason = refused.reason;
     node.metrics.add("refusals", reason.name(), 1);
+    if refusal_log::lacks_capacity(reason) {
+        let now = node.now();
+        let entry = refusal_log::Refused {
+            reason,
+            customer: job.and_then(|it| it.customer.clone()),
+            route: job.map(|it| it.route.name.clone()),
+            standing_age: refused.standing_at.map(|at| now.saturating_sub(at)),
+        };
+        if !refusal_log::record(node, entry) {
+            return;
+        }
+    }
     let line = node.journal.line("refused").with_text("id", id);
     let line = line
         .with("reason", reason.name())
