dispatch, path: events of streams are coalesced under pressure

Cause: each event of a stream cost a router a write to its client, a boxed future, a registered timer and a subscription to resumptions, also while its event loop had no time for requests. Ruled out: not reading from the target during a delay, which would delay the end of the stream and errors; a timer per event; one timer task for all streams, which wakes each stream through a second queue (timers with equal deadlines fire in the same turn anyway). The first event, the end, errors and streams with long pauses are not delayed. path::relay polls the target's body itself and keeps one timer per stream for its limit; a future is boxed only to resume a stream. Routes have a pause objective. Held events are written before an error closes the connection: the server drops what is not flushed when an error follows at once, which platform/tests/coalescing.rs found.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -65,6 +65,8 @@
     pub shares: Vec<Share>,
     /// Names of the regions in which its requests may run; any region if empty.
     pub regions: Vec<Arc<str>>,
+    /// Longest pause between two events of a stream that clients expect, if it is configured.
+    pub pause_objective: Option<Duration>,
 }
 
 /// A service.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,12 +26,14 @@
 //! - [`polling`]: which router reads a view from the store, and when.
 //! - [`region`], [`round_trip`]: proximity of failure domains, and round-trip times.
 //! - [`speed`]: speeds of targets.
+//! - [`coalescing`]: delays of stream events while a router is under pressure.
 //! - [`message`]: messages between routers.
 
 pub mod backoff;
 pub mod budget;
 pub mod cache;
 pub mod cell;
+pub mod coalescing;
 pub mod cold_start;
 pub mod configuration;
 pub mod content;
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -48,6 +48,7 @@
         priority: 0,
         anonymous: false,
         regions: Vec::new(),
+        pause_objective: None,
         shares: vec![
             Share {
                 service: "x".into(),
--- a/crates/path/src/clock.rs
+++ b/crates/path/src/clock.rs
@@ -79,7 +79,7 @@
     /// then.
     #[must_use]
     pub fn instant(&self, at: Duration) -> Instant {
-        Instant::now() + at.saturating_sub(self.now())
+        self.started_at + at.saturating_sub(self.suspended.get())
     }
 
     /// Measures the total time for which the instance was suspended since the start.
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -7,15 +7,17 @@
 
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use dunlinward_dispatch::coalescing::{Pace, Policy};
 use dunlinward_dispatch::configuration::Kind;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::target::Tag;
-use http_body_util::BodyExt;
+use hyper::body::{Body, Frame};
 use snafu::Snafu;
+use tokio::time::Sleep;
 
 use crate::attempt::{self, Attempt, Job, Verdict};
 use crate::event::Splitter;
@@ -31,6 +33,10 @@
 /// Limit of targets that are tried to resume a stream, if targets refuse it.
 const MAX_RESUME_TARGETS: u32 = 3;
 
+/// Limit of the bytes of events that are held; more are forwarded at once, so that a fast target
+/// does not fill the router's memory.
+const MAX_HELD_BYTES: usize = 64 * 1024;
+
 /// Reason of a failure by a closed connection.
 const CONNECTION_CLOSED: &str = "broken_off";
 
@@ -43,11 +49,11 @@
 }
 
 type Item = Option<Result<Bytes, Error>>;
-type NextFuture = Pin<Box<dyn Future<Output = (Box<Stream>, Item)>>>;
+type Resumption = Pin<Box<dyn Future<Output = (Box<Stream>, Result<(), Error>)>>>;
 
 enum Phase {
-    Idle(Box<Stream>),
-    Busy(NextFuture),
+    Forwarding(Box<Stream>),
+    Resuming(Resumption),
     Done,
 }
 
@@ -60,48 +66,40 @@
     /// Forwards the answer of `attempt`.
     #[must_use]
     pub fn new(node: Rc<Node>, job: Rc<Job>, attempt: Attempt, sends: u32) -> Self {
-        let splitter = Splitter::new(job.resume_after);
-        let stream = Stream {
-            node,
-            job,
-            attempt: Some(attempt),
-            splitter,
-            sends,
-            answering: false,
-            ended: false,
-            timing: Timing::default(),
-        };
+        let stream = Stream::new(node, job, attempt, sends);
         Self {
-            phase: Phase::Idle(Box::new(stream)),
+            phase: Phase::Forwarding(Box::new(stream)),
         }
     }
 
     /// Polls for the next bytes for the caller.
     pub fn poll_bytes(&mut self, context: &mut Context<'_>) -> Poll<Item> {
         loop {
-            match std::mem::replace(&mut self.phase, Phase::Done) {
+            match &mut self.phase {
                 Phase::Done => return Poll::Ready(None),
-                Phase::Idle(mut stream) => {
-                    self.phase = Phase::Busy(Box::pin(async move {
-                        let next = stream.next().await;
-                        (stream, next)
-                    }));
-                }
-                Phase::Busy(mut future) => match future.as_mut().poll(context) {
-                    Poll::Pending => {
-                        self.phase = Phase::Busy(future);
-                        return Poll::Pending;
-                    }
-                    Poll::Ready((stream, next)) => {
-                        if matches!(next, Some(Ok(_))) {
-                            self.phase = Phase::Idle(stream);
-                        }
-                        return Poll::Ready(next);
-                    }
+                Phase::Forwarding(stream) => match ready!(stream.poll_step(context)) {
+                    Step::Forward(bytes) => return Poll::Ready(Some(Ok(bytes))),
+                    Step::End => self.phase = Phase::Done,
+                    Step::Interrupted(reason) => self.resume(reason),
                 },
+                Phase::Resuming(resumption) => {
+                    let (stream, resumed) = ready!(resumption.as_mut().poll(context));
+                    if let Err(error) = resumed {
+                        self.phase = Phase::Done;
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                    self.phase = Phase::Forwarding(stream);
+                }
             }
         }
     }
+
+    fn resume(&mut self, reason: &'static str) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Done);
+        if let Phase::Forwarding(stream) = phase {
+            self.phase = Phase::Resuming(Box::pin(stream.resumed(reason)));
+        }
+    }
 }
 
 /// State of an answer that is being forwarded.
@@ -114,6 +112,54 @@
     answering: bool,
     ended: bool,
     timing: Timing,
+    policy: Policy,
+    held: Held,
+    /// Reason for which the answer broke off, while events that came before are forwarded.
+    interrupted: Option<&'static str>,
+    /// Whether these are still to be written.
+    flushing: bool,
+    /// Time until which data must come; set when a read begins.
+    limit: Option<Duration>,
+    alarm: Option<Pin<Box<dyn Future<Output = ()>>>>,
+}
+
+/// Events that have arrived and are not forwarded yet.
+#[derive(Default)]
+struct Held {
+    bytes: BytesMut,
+    /// Time until which they are held.
+    until: Duration,
+    /// Number of events that were held, or parts with several events that arrived together.
+    count: u64,
+    /// When events were last forwarded.
+    last_forwarded: Option<Duration>,
+    /// Wakes the stream at the end of the delay. Reused, as each tick needs one.
+    tick: Option<Pin<Box<Sleep>>>,
+}
+
+impl Held {
+    /// Takes the held events, followed by `more`.
+    fn release(&mut self, more: Bytes) -> Bytes {
+        if self.bytes.is_empty() {
+            return more;
+        }
+        self.bytes.extend_from_slice(&more);
+        self.bytes.split().freeze()
+    }
+
+    fn poll_tick(&mut self, node: &Node, context: &mut Context<'_>) -> Poll<()> {
+        if node.now() >= self.until {
+            return Poll::Ready(());
+        }
+        let at = node.instant(self.until);
+        let tick = self
+            .tick
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(at)));
+        if tick.deadline() != at {
+            tick.as_mut().reset(at);
+        }
+        tick.as_mut().poll(context)
+    }
 }
 
 /// Arrival times of events.
@@ -121,13 +167,15 @@
 struct Timing {
     first: Option<Duration>,
     last: Duration,
+    last_pause: Duration,
     longest_pause: Duration,
 }
 
 impl Timing {
     fn record(&mut self, now: Duration) {
         if self.first.is_some() {
-            self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last));
+            self.last_pause = now.saturating_sub(self.last);
+            self.longest_pause = self.longest_pause.max(self.last_pause);
         }
         self.first.get_or_insert(now);
         self.last = now;
@@ -149,52 +197,174 @@
     Failed(&'static str),
 }
 
+impl From<Option<Result<Frame<Bytes>, hyper::Error>>> for Chunk {
+    fn from(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
+        match frame {
+            None => Self::End,
+            Some(Err(_)) => Self::Failed(CONNECTION_CLOSED),
+            Some(Ok(frame)) => Self::Bytes(frame.into_data().unwrap_or_default()),
+        }
+    }
+}
+
+/// What the stream does next.
+enum Step {
+    Forward(Bytes),
+    Interrupted(&'static str),
+    End,
+}
+
 impl Stream {
-    async fn next(&mut self) -> Item {
+    fn new(node: Rc<Node>, job: Rc<Job>, attempt: Attempt, sends: u32) -> Self {
+        let load_policy = &node.settings.load_policy;
+        let policy = Policy::new(load_policy.intake_utilization, load_policy.event_delay);
+        Self {
+            splitter: Splitter::new(job.resume_after),
+            node,
+            job,
+            attempt: Some(attempt),
+            sends,
+            answering: false,
+            ended: false,
+            timing: Timing::default(),
+            policy,
+            held: Held::default(),
+            interrupted: None,
+            flushing: false,
+            limit: None,
+            alarm: None,
+        }
+    }
+
+    fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         loop {
             if self.ended {
-                return None;
+                return Poll::Ready(Step::End);
             }
-            match self.read_chunk().await {
-                Chunk::Bytes(bytes) => {
-                    self.record_data();
-                    if let Some(events) = self.splitter.push(bytes) {
-                        self.timing.record(self.node.now());
-                        return Some(Ok(events));
-                    }
-                }
-                Chunk::End => {
-                    let rest = self.splitter.take_incomplete();
-                    self.finish();
-                    return (!rest.is_empty()).then_some(Ok(rest));
-                }
-                Chunk::Failed(reason) => {
-                    self.log_interruption(reason);
-                    if let Err(error) = self.resume(reason).await {
-                        self.ended = true;
-                        self.report("broken_off", error.reason);
-                        return Some(Err(error));
-                    }
+            if self.flushing {
+                // The server writes what was forwarded only before a wait, and drops it if an error
+                // follows at once.
+                self.flushing = false;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            if let Some(reason) = self.interrupted.take() {
+                return Poll::Ready(Step::Interrupted(reason));
+            }
+            let Poll::Ready(chunk) = self.poll_chunk(context) else {
+                if self.held.bytes.is_empty() {
+                    return Poll::Pending;
                 }
+                ready!(self.held.poll_tick(&self.node, context));
+                return Poll::Ready(self.forward(Bytes::new()));
+            };
+            if let Some(step) = self.handle(chunk) {
+                return Poll::Ready(step);
+            }
+        }
+    }
+
+    /// Handles what was read; returns what to do, if anything yet.
+    fn handle(&mut self, chunk: Chunk) -> Option<Step> {
+        match chunk {
+            Chunk::Bytes(bytes) => {
+                self.record_data();
+                let events = self.splitter.push(bytes)?;
+                self.timing.record(self.node.now());
+                self.hold_or_forward(events)
+            }
+            Chunk::End => {
+                let rest = self.splitter.take_incomplete();
+                self.finish();
+                let rest = self.held.release(rest);
+                (!rest.is_empty()).then_some(Step::Forward(rest))
+            }
+            Chunk::Failed(reason) => {
+                self.log_interruption(reason);
+                self.interrupted = Some(reason);
+                self.flushing = !self.held.bytes.is_empty();
+                // Complete events are not delayed by the resumption.
+                self.flushing.then(|| self.forward(Bytes::new()))
+            }
+        }
+    }
+
+    fn hold_or_forward(&mut self, events: Bytes) -> Option<Step> {
+        let pace = Pace {
+            last_forwarded: self.held.last_forwarded,
+            last_pause: self.timing.last_pause,
+            pause_objective: self.pause_objective(),
+        };
+        let (utilization, now) = (self.node.utilization.get(), self.timing.last);
+        let until = self.policy.hold_until(&pace, utilization, now);
+        match until {
+            Some(until) if self.held.bytes.len() + events.len() <= MAX_HELD_BYTES => {
+                self.held.bytes.extend_from_slice(&events);
+                self.held.until = until;
+                self.held.count += 1;
+                None
             }
+            _ => Some(self.forward(events)),
+        }
+    }
+
+    /// Forwards the held events, followed by `more`.
+    fn forward(&mut self, more: Bytes) -> Step {
+        self.held.last_forwarded = Some(self.node.now());
+        Step::Forward(self.held.release(more))
+    }
+
+    /// Longest pause that clients expect; if the route names none, its objective for the first
+    /// event.
+    fn pause_objective(&self) -> Duration {
+        let route = &self.job.route;
+        route.pause_objective.unwrap_or(route.objective)
+    }
+
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Chunk> {
+        let limit = match self.limit {
+            Some(limit) => limit,
+            None => *self.limit.insert(self.read_limit()),
+        };
+        if let Poll::Ready(chunk) = self.poll_body(context) {
+            return Poll::Ready(chunk);
+        }
+        ready!(self.poll_limit(limit, context));
+        // Data that is ready by then counts even if this task runs late.
+        if let Poll::Ready(chunk) = self.poll_body(context) {
+            return Poll::Ready(chunk);
         }
+        let expired = limit >= self.job.deadline;
+        Poll::Ready(Chunk::Failed(if expired { "expired" } else { "silent" }))
     }
 
-    async fn read_chunk(&mut self) -> Chunk {
-        let limit = self.limit();
+    fn poll_body(&mut self, context: &mut Context<'_>) -> Poll<Chunk> {
         let Some(attempt) = &mut self.attempt else {
-            return Chunk::Failed("no_attempt");
+            return Poll::Ready(Chunk::Failed("no_attempt"));
         };
-        match self.node.timeout_at(limit, attempt.body.frame()).await {
-            None if limit >= self.job.deadline => Chunk::Failed("expired"),
-            None => Chunk::Failed("silent"),
-            Some(None) => Chunk::End,
-            Some(Some(Err(_))) => Chunk::Failed(CONNECTION_CLOSED),
-            Some(Some(Ok(frame))) => Chunk::Bytes(frame.into_data().unwrap_or_default()),
+        let frame = ready!(Pin::new(&mut attempt.body).poll_frame(context));
+        self.limit = None;
+        Poll::Ready(frame.into())
+    }
+
+    /// Waits until `limit`. The alarm of an earlier read is kept, as most reads end long before
+    /// their limit: it fires too early and is then set again.
+    fn poll_limit(&mut self, limit: Duration, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let node = &self.node;
+            let alarm = self.alarm.get_or_insert_with(|| {
+                let node = node.clone();
+                Box::pin(async move { node.sleep_until(limit).await })
+            });
+            ready!(alarm.as_mut().poll(context));
+            self.alarm = None;
+            if self.node.now() >= limit {
+                return Poll::Ready(());
+            }
         }
     }
 
-    fn limit(&self) -> Duration {
+    fn read_limit(&self) -> Duration {
         let deadline = self.job.deadline;
         if self.is_resumable() {
             let silence = self.job.route.objective.mul_f64(SILENCE_FACTOR);
@@ -226,7 +396,7 @@
         self.report("answered", "complete");
     }
 
-    fn report(&self, event: &str, reason: &str) {
+    fn report(&mut self, event: &str, reason: &str) {
         let node = &self.node;
         let line = node.journal.line(event).with("id", self.job.id.as_ref());
         let line = line.with("reason", reason).with("sends", self.sends);
@@ -237,9 +407,14 @@
             .map(|it| millis(it.saturating_sub(self.job.arrived)));
         let line = line.with("first_ms", first);
         let line = line.with_ms("longest_pause_ms", self.timing.longest_pause);
+        let held = std::mem::take(&mut self.held.count);
+        let line = line.with("held_events", held);
         drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
         node.metrics.add("streams", reason, 1);
         let route = &self.job.route.name;
+        if held > 0 {
+            node.metrics.add("held_events", route, held);
+        }
         if let Some(first) = self.timing.first {
             let time = first.saturating_sub(self.job.arrived);
             node.metrics.time("first_event_seconds", route, time);
@@ -263,6 +438,16 @@
         drop(line.with("reason", reason));
     }
 
+    /// Resumes the stream; logs its end if that fails.
+    async fn resumed(mut self: Box<Self>, reason: &'static str) -> (Box<Self>, Result<(), Error>) {
+        let resumed = self.resume(reason).await;
+        if let Err(error) = &resumed {
+            self.ended = true;
+            self.report("broken_off", error.reason);
+        }
+        (self, resumed)
+    }
+
     /// Resumes the stream at another target, or returns why that is not possible. A target that
     /// refuses the request has not run it, so the next one is tried.
     async fn resume(&mut self, reason: &'static str) -> Result<(), Error> {
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -127,10 +127,20 @@
         schedule_returns: false,
         max_prefix_homes: 1,
     };
+
+    /// Whether retries that can still be answered in time count as first attempts. Without these
+    /// decisions, refused clients retry too late for that.
+    #[must_use]
+    pub fn accepts_retries_on_time(&self) -> bool {
+        self.schedule_returns || self.intake_utilization > 0.0
+    }
 }
 
 impl Default for LoadPolicy {
     fn default() -> Self {
-        Self::OFF
+        Self {
+            event_delay: Duration::from_millis(60),
+            ..Self::OFF
+        }
     }
 }
