dispatch, path: a retry that can still be in time is placed as a first attempt

Cause: a client that is refused at once by a router without processor time retries within some 50 ms, but its retry was queued behind first attempts and got a fifth of the room beyond a share. Ruled out: to treat each retry as a first attempt: late ones then take the place of requests that can be in time. Change: retry::Detector tells the time since the first attempt, which entry routers send with the request.

--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -124,6 +124,9 @@
     pub failed: bool,
     /// Targets at which it, or the router that asks, has seen a failure.
     pub avoid: Vec<Tag>,
+    /// Time between its client's first attempt and its arrival; zero for a first attempt, and for
+    /// a retry if unknown.
+    pub since_first_attempt: Duration,
 }
 
 /// A place at a target.
@@ -268,7 +271,12 @@
 
 impl Request {
     fn plausible(&self) -> bool {
-        let durations = [self.objective, self.waited, self.max_wait];
+        let durations = [
+            self.objective,
+            self.waited,
+            self.max_wait,
+            self.since_first_attempt,
+        ];
         let counts = self.prompt.iter().flat_map(|it| {
             let parts = it.parts.iter().map(|it| it.tokens);
             parts.chain([it.tokens, it.answer_tokens])
--- a/crates/dispatch/src/refused.rs
+++ b/crates/dispatch/src/refused.rs
@@ -37,8 +37,15 @@
     /// Whether a request with this content is a retry of a refused one.
     #[must_use]
     pub fn contains(&self, content: ContentTag, now: Duration) -> bool {
-        let at = self.refused.get(&content);
-        at.is_some_and(|at| now.saturating_sub(*at) < RETENTION)
+        self.age(content, now).is_some()
+    }
+
+    /// Time since a request with this content was last refused; `None` if it was not.
+    #[must_use]
+    pub fn age(&self, content: ContentTag, now: Duration) -> Option<Duration> {
+        let at = self.refused.get(&content)?;
+        let age = now.saturating_sub(*at);
+        (age < RETENTION).then_some(age)
     }
 
     /// Removes expired entries.
--- a/crates/dispatch/src/retry.rs
+++ b/crates/dispatch/src/retry.rs
@@ -26,6 +26,18 @@
 /// less than that in transit.
 const RETRY_MARGIN: Duration = Duration::from_millis(50);
 
+/// Fraction of the objective that may have passed since the first attempt if its retry is on time.
+/// The rest is enough for a place, the prompt and the first event, so that the client still gets
+/// its answer within the objective.
+const ON_TIME_FRACTION: f64 = 0.25;
+
+/// Whether a retry can still be answered within its objective, which counts from the first
+/// attempt.
+#[must_use]
+pub fn is_on_time(since_first_attempt: Duration, objective: Duration) -> bool {
+    since_first_attempt <= objective.mul_f64(ON_TIME_FRACTION)
+}
+
 /// Frequency of timeouts on one route.
 #[derive(Clone, Debug, Default)]
 struct Timeouts {
@@ -102,6 +114,20 @@
         }
     }
 
+    /// Time between the first attempt of a recorded request and this one, if the timeouts of its
+    /// route tell it; zero for a first attempt.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "milliseconds of a request")]
+    pub fn since_first_attempt(&self, route: &str, timeout: Duration) -> Option<Duration> {
+        let milliseconds = timeout.as_millis() as u64;
+        let timeouts = self.by_route.get(route)?;
+        let longest = timeouts.longest_frequent()?;
+        if timeouts.is_frequent(milliseconds) {
+            return Some(Duration::ZERO);
+        }
+        Some(Duration::from_millis(longest.saturating_sub(milliseconds)))
+    }
+
     /// Removes routes that are no longer served.
     pub fn retain(&mut self, served: impl Fn(&str) -> bool) {
         self.by_route.retain(|route, _| served(route));
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -37,6 +37,7 @@
         waited: Duration::ZERO,
         max_wait: Duration::from_millis(120),
         is_retry: false,
+        since_first_attempt: Duration::ZERO,
         demand_counted: false,
         failed: false,
         avoid: Vec::new(),
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -239,6 +239,7 @@
         waited: Duration::from_micros(300),
         max_wait: Duration::from_millis(160),
         is_retry: false,
+        since_first_attempt: Duration::ZERO,
         demand_counted: false,
         failed: false,
         avoid: Vec::new(),
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -110,10 +110,12 @@
     let allowed = regions.allowed(&route.regions);
     let allowed = allowed.and(regions.allowed(customer_regions.unwrap_or_default()));
     let now = node.now();
-    let returning = {
+    let (returning, elapsed) = {
         let mut state = node.state.borrow_mut();
         state.budget.record_request(&service, now);
-        state.retries.record(&route.name, timeout, route.timeout)
+        let returning = state.retries.record(&route.name, timeout, route.timeout);
+        let elapsed = state.retries.since_first_attempt(&route.name, timeout);
+        (returning, elapsed.filter(|_| returning).unwrap_or_default())
     };
     Job {
         id: call.id,
@@ -130,6 +132,7 @@
         caller_timeout: timeout,
         returning,
         arrived,
+        first_attempt: arrived.saturating_sub(elapsed),
         resume_after: call.resume_after,
     }
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -70,6 +70,8 @@
     pub returning: bool,
     /// When it arrived.
     pub arrived: Duration,
+    /// When its client's first attempt was made; if it is that or this is unknown, when it arrived.
+    pub first_attempt: Duration,
     /// When the timeout of its caller or its route expires.
     pub deadline: Duration,
     /// Id of the last event that the caller had received, if it resumes a stream.
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -16,6 +16,7 @@
 use dunlinward_dispatch::message::CustomerTag;
 use dunlinward_dispatch::prefix::{Prefix, Prompt};
 use dunlinward_dispatch::quarantine::{self, Status};
+use dunlinward_dispatch::retry;
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -250,6 +251,7 @@
             deadline: until,
             claim: Claim::All,
             tie_breaker: self.draw,
+            first_attempt: job.first_attempt,
         }
     }
 }
@@ -300,7 +302,7 @@
 /// time of a second try the request may have been at a target for longer than the limit.
 pub(crate) fn placement_deadline(node: &Rc<Node>, job: &Job) -> Duration {
     let queue_policy = &node.settings.queue_policy;
-    let part = if job.returning {
+    let part = if job.returning && !is_on_time(node, job) {
         queue_policy.retry_wait
     } else {
         queue_policy.first_wait
@@ -309,6 +311,15 @@
     until.min(job.deadline)
 }
 
+/// Whether a retry counts as a first attempt, as its answer can still be in time.
+fn is_on_time(node: &Node, job: &Job) -> bool {
+    let elapsed = job.arrived.saturating_sub(job.first_attempt);
+    let known = !elapsed.is_zero();
+    known
+        && node.settings.load_policy.accepts_retries_on_time()
+        && retry::is_on_time(elapsed, job.route.objective)
+}
+
 fn answer_limit(node: &Rc<Node>, job: &Job, sends: u32) -> Duration {
     let attempts_left = sends + 1 < job.route.attempts;
     if job.route.kind == Kind::Idempotent && attempts_left {
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -70,6 +70,7 @@
             deadline: now + ask.max_wait,
             claim: Claim::All,
             tie_breaker: node.random(),
+            first_attempt: now.saturating_sub(ask.waited + ask.since_first_attempt),
         };
         state.answer(&node.settings, asker, wish, now)
     };
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -279,6 +279,7 @@
             demand_counted: wish.demand_counted,
             failed: wish.failed,
             avoid: wish.avoid.clone(),
+            since_first_attempt: wish.arrived.saturating_sub(wish.first_attempt),
         };
         self.node.send(self.owner, Content::Request(request));
     }
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -89,7 +89,9 @@
         if self.state.borrow().is_blocked(&wish, self.now()) {
             return Err(Refusal::new(Reason::Suspected));
         }
-        wish.is_retry |= self.state.borrow().is_retry(&wish, self.now());
+        self.state
+            .borrow()
+            .classify(&self.settings, &mut wish, self.now());
         if let Some(lease) = self.try_place(&wish) {
             return Ok(lease);
         }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -102,6 +102,9 @@
     pub claim: Claim,
     /// Random value that breaks ties between targets.
     pub tie_breaker: u64,
+    /// Time of its client's first attempt; for a first attempt, and for a retry if unknown, its
+    /// arrival.
+    pub first_attempt: Duration,
 }
 
 /// Mutable state of a router.
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -7,6 +7,7 @@
 use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Wait};
 use dunlinward_dispatch::placement::{self, Choice, Criteria};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
+use dunlinward_dispatch::retry;
 use dunlinward_dispatch::share::{Charge, Standing};
 use tokio::sync::oneshot;
 
@@ -54,7 +55,7 @@
         let known = self.queue.iter().any(|it| it.origin.matches(peer, number));
         // A blocked content is not queued here: its router repeats the request.
         if !known && !self.is_blocked(&wish, now) {
-            wish.is_retry |= self.is_retry(&wish, now);
+            self.classify(settings, &mut wish, now);
             // Computed before the demand is recorded: the request itself is no sign of contention
             // until it has found no room.
             let cover = self.share_ratio(&wish, now);
@@ -82,11 +83,24 @@
         self.wait(number, wish.customer, None, now)
     }
 
-    /// Whether a request is a retry of one that got no place here.
-    pub(crate) fn is_retry(&self, request: &PlaceRequest, now: Duration) -> bool {
-        request
-            .content
-            .is_some_and(|it| self.refused_contents.contains(it, now))
+    /// Marks a retry of a request that got no place here. A retry that can still be answered in
+    /// time is treated as a first attempt that arrived when its client made that.
+    pub(crate) fn classify(&self, settings: &Settings, request: &mut PlaceRequest, now: Duration) {
+        let refused = request.content;
+        let refused = refused.and_then(|it| self.refused_contents.age(it, now));
+        request.is_retry |= refused.is_some();
+        if !request.is_retry || !settings.load_policy.accepts_retries_on_time() {
+            return;
+        }
+        let elapsed = request.arrived.saturating_sub(request.first_attempt);
+        let known = Some(elapsed).filter(|it| !it.is_zero());
+        let Some(elapsed) = known.or(refused) else {
+            return;
+        };
+        if retry::is_on_time(elapsed, request.objective) {
+            request.is_retry = false;
+            request.arrived = request.arrived.saturating_sub(elapsed);
+        }
     }
 
     /// Records that a request got no place.
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -22,6 +22,7 @@
 
 mod homes;
 mod limits;
+mod on_time;
 mod refusals;
 mod retries;
 mod suspects;
@@ -457,6 +458,7 @@
         deadline: arrived + OBJECTIVE.mul_f64(QueuePolicy::default().first_wait),
         claim: Claim::All,
         tie_breaker,
+        first_attempt: arrived,
     }
 }
 
