--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -119,7 +119,12 @@
     let allowed = regions.allowed(&route.regions);
     let allowed = allowed.and(regions.allowed(customer_regions.unwrap_or_default()));
     let now = node.now();
-    node.state.borrow_mut().budget.record_request(&service, now);
+    let elapsed = {
+        let mut state = node.state.borrow_mut();
+        state.budget.record_request(&service, now);
+        let elapsed = state.retries.since_first_attempt(&route.name, timeout);
+        elapsed.filter(|_| returning).unwrap_or_default()
+    };
     Job {
         id: call.id,
         content: digest(&head, customer.as_deref(), &body),
@@ -135,6 +140,7 @@
         caller_timeout: timeout,
         returning,
         arrived,
+        first_attempt: arrived.saturating_sub(elapsed),
         resume_after: call.resume_after,
     }
 }
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -70,12 +70,6 @@
         }
     }
 
-    /// Smoothed utilization of the processor, 0 to 1.
-    #[must_use]
-    pub fn utilization(&self) -> f64 {
-        self.decision.borrow().utilization()
-    }
-
     /// Records the placement of another router's request.
     pub(crate) fn record_placement(&self) {
         self.decision.borrow_mut().record_placement();
@@ -166,6 +160,7 @@
         has_neighbor: has_neighbor(node),
     };
     decision.record_sample(sample, reading.at);
+    node.utilization.set(decision.utilization());
 }
 
 /// Whether another router of the failure domain can accept retries.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`node`]: a router; [`settings`], [`state`], [`queue`], [`lease`]: its settings, its state,
 //!   the requests that wait, and places at targets.
 //! - [`server`]: clients' connections.
-//! - [`exchange`], [`reply`]: processing of one request, up to its answer; [`request_log`]: its log lines.
+//! - [`exchange`], [`reply`]: processing of one request, up to its answer; [`request_log`], [`refusal_log`]: its log
+//!   lines, and the summary of many refusals.
 //! - [`admission`]: checks of a request against the configuration in force; [`intake`]: admission
 //!   control by the utilization of the processor.
 //! - [`pool`], [`attempt`]: connections to targets, and one attempt at a target.
@@ -56,6 +57,7 @@
 pub mod pool;
 pub mod quarantine;
 pub mod queue;
+pub mod refusal_log;
 pub mod relay;
 pub mod reply;
 pub mod request_log;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -52,7 +52,8 @@
 /// Result of asking an owner.
 enum Outcome {
     Placed(Lease),
-    Refused(Option<Wait>),
+    /// With the last answer of the owner and when it came, if there was one.
+    Refused(Option<(Wait, Duration)>),
     Unanswered,
     /// The owner granted a place at a target that this router must not use.
     Barred(Tag),
@@ -102,8 +103,8 @@
             return None;
         };
         self.metrics.add("throttled_requests", "over_share", 1);
-        let refusal = Refusal::new(Reason::OverShare);
-        Some(refusal.with_aged_standing(throttled.standing, throttled.age))
+        let refusal = Refusal::new(Reason::OverShare).with_standing(Some(throttled.standing));
+        Some(refusal.with_standing_at(now.saturating_sub(throttled.age)))
     }
 
     /// Records an owner's answer for the throttle.
@@ -172,11 +173,11 @@
             match query.receive(wish, time, until).await {
                 Some(Answer::Grant(grant)) => return query.accept(wish, grant),
                 Some(Answer::Wait(wait)) if wait.unavailable_for.is_some() => {
-                    return Outcome::Refused(Some(wait));
+                    return Outcome::Refused(Some((wait, self.now())));
                 }
                 Some(Answer::Wait(wait)) => {
                     unanswered = 0;
-                    last_wait = Some(wait);
+                    last_wait = Some((wait, self.now()));
                     let next = query.receive(wish, RESEND_INTERVAL, until).await;
                     if let Some(Answer::Grant(grant)) = next {
                         return query.accept(wish, grant);
@@ -205,14 +206,16 @@
     }
 
     /// Refusal of a request for which its owner had no place.
-    fn refusal(&self, wait: Option<Wait>) -> Refusal {
+    fn refusal(&self, answer: Option<(Wait, Duration)>) -> Refusal {
+        let (wait, received) = answer.unzip();
         let standing = wait.and_then(|it| it.standing);
         let closed_for = wait.and_then(|it| it.unavailable_for);
         let refusal = match closed_for {
             Some(time) => self.backoff_refusal(time),
             None => Refusal::new(reason(standing)),
         };
-        refusal.with_standing(standing)
+        let refusal = refusal.with_standing(standing);
+        refusal.with_standing_at(received.unwrap_or_default())
     }
 
     fn record_unanswered(&self, owner: SocketAddr) -> bool {
@@ -314,6 +317,7 @@
             withheld: wish.withheld,
             failed: wish.failed,
             avoid: wish.avoid.clone(),
+            since_first_attempt: wish.arrived.saturating_sub(wish.first_attempt),
         };
         self.node.send(self.owner, Content::Request(request));
     }
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -92,7 +92,9 @@
         if self.state.borrow().is_blocked(&wish, self.now()) {
             return Err(Refusal::new(Reason::Suspected));
         }
-        wish.is_retry |= self.state.borrow().is_retry(&wish, self.now());
+        self.state
+            .borrow()
+            .classify(&self.settings, &mut wish, self.now());
         if let Some(lease) = self.try_place(&wish) {
             return Ok(lease);
         }
@@ -118,7 +120,7 @@
         // Its deadline has passed, or the queue has dropped its sender.
         let standing = customer.map(|it| self.standing(it));
         let refusal = Refusal::new(place::reason(standing));
-        Err(refusal.with_standing(standing))
+        Err(refusal.with_standing(standing).with_standing_at(self.now()))
     }
 
     /// Serves the queue for as long as the router runs.
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -115,10 +115,10 @@
     pub retry_after: Option<Duration>,
     /// Standing of the request's customer, as known to the router that refused it.
     pub standing: Option<Standing>,
-    /// Age of that standing, if it was not reported for this request.
-    pub standing_age: Option<Duration>,
     /// Router that had no room, if it is another one.
     pub owner: Option<SocketAddr>,
+    /// When that standing was determined, or received from the cell's owner.
+    pub standing_at: Option<Duration>,
 }
 
 impl Refusal {
@@ -129,8 +129,8 @@
             reason,
             retry_after: None,
             standing: None,
-            standing_age: None,
             owner: None,
+            standing_at: None,
         }
     }
 
@@ -141,11 +141,10 @@
         self
     }
 
-    /// Sets the standing of the request's customer and its age.
+    /// Sets when that standing was determined.
     #[must_use]
-    pub fn with_aged_standing(mut self, standing: Standing, age: Duration) -> Self {
-        self.standing = Some(standing);
-        self.standing_age = Some(age);
+    pub fn with_standing_at(mut self, at: Duration) -> Self {
+        self.standing_at = self.standing.map(|_| at);
         self
     }
 
