path: drawn loads with and without the throttle at a real owner

Cause: the throttle was tested against a simple model of an owner only. Ruled out: draws from the load's generator, which would change the loads of the existing tests. Change: the fleet of the state's tests has a throttle at each router, off unless a test turns it on.

--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -11,6 +11,7 @@
 use dunlinward_dispatch::placement::Policy;
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
 use dunlinward_dispatch::region::Region;
+use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 use dunlinward_dispatch::usage::{Peer, Usage};
 use rand::{Rng, SeedableRng};
@@ -155,6 +156,8 @@
     customer: usize,
     router: u64,
     waits: bool,
+    /// Tokens of the customer's requests that its router refused since the last one.
+    withheld: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -201,11 +204,26 @@
     loss: f64,
     /// Whether routers mark first attempts as retries.
     mark_as_retries: bool,
+    /// Throttle of each router.
+    throttles: Vec<Throttle>,
+    /// A generator of their own, so that the load is the same without them.
+    throttle_draws: Pcg64Mcg,
+    /// Requests that the owner received, and requests that routers refused without asking it.
+    asked: u64,
+    throttled: BTreeMap<usize, u64>,
 }
 
 impl Fleet {
     fn new(loads: &[Load], seed: u64) -> Self {
-        let settings = settings();
+        Self::with_policy(LoadPolicy::OFF, loads, seed)
+    }
+
+    fn with_policy(load_policy: LoadPolicy, loads: &[Load], seed: u64) -> Self {
+        let settings = Settings {
+            load_policy,
+            ..settings()
+        };
+        let throttle = Throttle::new(load_policy.throttle_ratio);
         let mut owner = State::new(&settings, Peer(u64::MAX));
         owner.table = Some(Rc::new(table()));
         owner.registry.apply_list(targets(), Duration::ZERO);
@@ -224,6 +242,10 @@
             unconfirmed: Vec::new(),
             loss: 0.0,
             mark_as_retries: false,
+            throttles: vec![throttle; usize::try_from(ROUTERS).expect("a few")],
+            throttle_draws: Pcg64Mcg::seed_from_u64(seed),
+            asked: 0,
+            throttled: BTreeMap::new(),
         };
         fleet.schedule(REPORT_INTERVAL, Event::Report);
         for customer in 0..loads.len() {
@@ -293,10 +315,18 @@
         let router = load.router;
         let router = router.unwrap_or_else(|| self.random.random_range(1..ROUTERS));
         let number = self.next + 1;
+        let draw = self.throttle_draws.random();
+        let throttle = &mut self.throttles[usize::try_from(router).expect("a few")];
+        let refused = throttle.decide(tag(customer), PROMPT_TOKENS, draw, now);
+        if refused.is_some() {
+            *self.throttled.entry(customer).or_default() += 1;
+            return;
+        }
         let request = Request {
             customer,
             router,
             waits: true,
+            withheld: throttle.take_withheld(tag(customer)),
         };
         self.requests.insert(number, request);
         self.schedule(now + LINK_DELAY, Event::Request(number));
@@ -310,12 +340,24 @@
         let tie_breaker = self.random.random();
         let place_request = PlaceRequest {
             is_retry: self.mark_as_retries,
+            withheld: request.withheld,
             ..place_request(request.customer, arrived, tie_breaker)
         };
         let asker = asker(request.router, number);
-        let answer = self.owner.answer(&self.settings, asker, place_request, now);
-        if let Content::Grant(grant) = answer {
-            self.send_grant(grant, now);
+        self.asked += 1;
+        match self.owner.answer(&self.settings, asker, place_request, now) {
+            Content::Grant(grant) => self.send_grant(grant, now),
+            Content::Wait(wait) => self.record_standing(number, wait.standing, now),
+            _ => {}
+        }
+    }
+
+    /// Records a standing at the router of a request; the delay of the answer is left out.
+    fn record_standing(&mut self, number: u64, standing: Option<Standing>, now: Duration) {
+        let request = self.requests[&number];
+        let throttle = &mut self.throttles[usize::try_from(request.router).expect("a few")];
+        if let Some(standing) = standing {
+            throttle.record_standing(tag(request.customer), standing, now);
         }
     }
 
@@ -349,6 +391,10 @@
             self.schedule(now + LINK_DELAY, Event::Withdrawal(number));
             return;
         }
+        let request = self.requests[&number];
+        let throttle = &mut self.throttles[usize::try_from(request.router).expect("a few")];
+        throttle.record_grant(tag(request.customer), now);
+        self.record_standing(number, grant.standing, now);
         self.unconfirmed.push(number);
         self.usage(number).begin(grant.tag, grant.unread);
         let until = self.prefill_until.entry(grant.tag).or_default();
