--- a/crates/dispatch/tests/speed_load.rs
+++ b/crates/dispatch/tests/speed_load.rs
@@ -416,10 +416,7 @@
     fn choose(&self, number: usize, now: Duration) -> Option<usize> {
         let request = &self.requests[number];
         let kind = KINDS[request.kind];
-        let part = |id: u32, tokens| Part {
-            id,
-            tokens,
-        };
+        let part = |id: u32, tokens| Part { id, tokens };
         let prompt = Prompt {
             tokens: kind.shared + kind.own,
             answer_tokens: 400,
--- a/crates/path/src/observation.rs
+++ b/crates/path/src/observation.rs
@@ -138,8 +138,12 @@
 }
 
 impl Collector {
-    /// Records an observation at a target.
-    pub fn record(&mut self, tag: Tag, event: Event, now: Duration) {
+    /// Records an observation at a target; false if it is dropped because the timers of this router
+    /// are too late in the mean.
+    pub fn record(&mut self, tag: Tag, event: Event, lateness: Duration, now: Duration) -> bool {
+        if lateness > MAX_LATENESS {
+            return false;
+        }
         self.last += 1;
         let entries = self.entries.entry(tag).or_default();
         if entries.len() >= MAX_KEPT {
@@ -150,6 +154,7 @@
             at: now,
             event,
         });
+        true
     }
 
     /// Reports of the observations that owners have not received.
@@ -268,13 +273,14 @@
     if !node.settings.load_policy.learn_speeds {
         return;
     }
-    if node.overload.mean_lateness() > MAX_LATENESS {
-        node.metrics.add("speed_samples", "late", 1);
-        return;
-    }
-    node.metrics.add("speed_samples", event.name(), 1);
+    let lateness = node.overload.mean_lateness();
     let now = node.now();
-    node.observations.borrow_mut().record(tag, event, now);
+    let recorded = node
+        .observations
+        .borrow_mut()
+        .record(tag, event, lateness, now);
+    let label = if recorded { event.name() } else { "late" };
+    node.metrics.add("speed_samples", label, 1);
 }
 
 /// Sends new observations to the owners of their targets' cells; those at targets of this router's
--- a/crates/path/tests/observation.rs
+++ b/crates/path/tests/observation.rs
@@ -8,6 +8,7 @@
 use dunlinward_dispatch::speed::{MAX_SAMPLES, MAX_TARGETS, Report, Sample};
 use dunlinward_dispatch::target::Tag;
 use dunlinward_path::observation::{Collector, Event, Pauses, Recipient};
+use dunlinward_path::overload::Detector;
 
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
@@ -57,10 +58,10 @@
 #[test]
 fn an_owner_gets_each_observation_once() {
     let mut collector = Collector::default();
-    collector.record(Tag(1), work(1_000), ms(0));
+    collector.record(Tag(1), work(1_000), ms(1), ms(0));
     assert_eq!(tokens(due(&mut collector, owner(1), ms(300))), [1_000]);
     assert_eq!(due(&mut collector, owner(1), ms(600)), None);
-    collector.record(Tag(1), work(2_000), ms(700));
+    collector.record(Tag(1), work(2_000), ms(1), ms(700));
     assert_eq!(tokens(due(&mut collector, owner(1), ms(900))), [2_000]);
 }
 
@@ -70,11 +71,11 @@
 fn a_new_owner_gets_all_recent_observations() {
     let mut collector = Collector::default();
     for number in 0..12 {
-        collector.record(Tag(1), work(number), ms(1_000 * number));
+        collector.record(Tag(1), work(number), ms(1), ms(1_000 * number));
     }
     let report = due(&mut collector, owner(1), ms(11_500));
     assert_eq!(tokens(report), (2..12).collect::<Vec<_>>());
-    collector.record(Tag(1), work(12), ms(11_600));
+    collector.record(Tag(1), work(12), ms(1), ms(11_600));
     let report = due(&mut collector, owner(2), ms(11_700));
     assert_eq!(tokens(report), (2..13).collect::<Vec<_>>());
     let report = due(&mut collector, owner(1), ms(12_000));
@@ -86,7 +87,8 @@
 fn reports_are_bounded() {
     let mut collector = Collector::default();
     for number in 0..10_000 {
-        collector.record(Tag(number % 100), work(1_000), ms(u64::from(number) / 10));
+        let now = ms(u64::from(number) / 10);
+        collector.record(Tag(number % 100), work(1_000), ms(1), now);
     }
     let report = due(&mut collector, owner(1), ms(1_000)).expect("it is due");
     assert_eq!(report.observations.len(), MAX_TARGETS);
@@ -99,13 +101,29 @@
     assert!(report.is_plausible());
 }
 
+/// Guards against a router that is overloaded and reports its own delays as those of all targets.
+#[test]
+fn a_late_router_drops_its_observations() {
+    let mut collector = Collector::default();
+    let detector = Detector::default();
+    for tenth in 0..10 {
+        detector.record_lateness(ms(40), ms(100 * tenth));
+    }
+    assert!(!collector.record(Tag(1), work(1_000), detector.mean_lateness(), ms(1_000)));
+    assert_eq!(due(&mut collector, owner(1), ms(1_000)), None);
+    for tenth in 10..20 {
+        detector.record_lateness(ms(1), ms(100 * tenth));
+    }
+    assert!(collector.record(Tag(1), work(1_000), detector.mean_lateness(), ms(2_000)));
+}
+
 /// Guards against numbers that repeat: owners would ignore the reports.
 #[test]
 fn reports_have_rising_numbers() {
     let mut collector = Collector::default();
     let mut last = 0;
     for round in 1..10 {
-        collector.record(Tag(1), work(1_000), ms(300 * round));
+        collector.record(Tag(1), work(1_000), ms(1), ms(300 * round));
         let report = due(&mut collector, owner(1), ms(300 * round)).expect("it is due");
         assert!(report.number > last);
         last = report.number;
