--- a/crates/dispatch/tests/coalescing.rs
+++ b/crates/dispatch/tests/coalescing.rs
@@ -38,7 +38,7 @@
         }
         let pace = Pace {
             last_forwarded,
-            last_pause: last_arrival.map_or(Duration::ZERO, |it| now - it),
+            last_pause: last_arrival.map_or(Duration::ZERO, |it| now.saturating_sub(it)),
             pause_objective: PAUSE_OBJECTIVE,
         };
         last_arrival = Some(now);
--- a/crates/path/src/state/tests/on_time.rs
+++ b/crates/path/src/state/tests/on_time.rs
@@ -1,5 +1,7 @@
 //! Retries that can still be answered in time, against late ones, on drawn loads in virtual time.
 
+use std::collections::HashSet;
+
 use dunlinward_dispatch::content::ContentTag;
 
 use super::*;
@@ -42,7 +44,6 @@
     delay: Duration,
     /// Whether its timeout tells the router when the first attempt was made.
     tells: bool,
-    waits: bool,
     /// Whether the router refuses the first attempt itself, because its processor is used up. The
     /// owner does not know of that refusal.
     crowded: bool,
@@ -74,7 +75,9 @@
     settings: Settings,
     owner: State,
     usage: Usage,
-    clients: HashMap<u64, Client>,
+    requests: HashMap<u64, Client>,
+    /// Requests that wait for a place.
+    waiting: HashSet<u64>,
     prefill_until: HashMap<Tag, Duration>,
     events: BTreeMap<(Duration, u64), Event>,
     next: u64,
@@ -98,7 +101,8 @@
             settings,
             owner,
             usage: Usage::new(),
-            clients: HashMap::new(),
+            requests: HashMap::new(),
+            waiting: HashSet::new(),
             prefill_until: HashMap::new(),
             events: BTreeMap::new(),
             next: 0,
@@ -130,7 +134,6 @@
                 is_retry: false,
                 delay: if prompt { SHORT_DELAY } else { LONG_DELAY },
                 tells: self.random.random_bool(0.5),
-                waits: true,
                 crowded: customer == 0 && self.random.random_bool(CROWDED),
             });
         }
@@ -148,7 +151,8 @@
             return;
         }
         let number = self.next + 1;
-        self.clients.insert(number, client);
+        self.requests.insert(number, client);
+        self.waiting.insert(number);
         self.schedule(client.arrived, Event::Request(number));
         let timeout = OBJECTIVE.mul_f64(self.settings.queue_policy.first_wait);
         self.schedule(client.arrived + timeout, Event::Timeout(number));
@@ -192,7 +196,7 @@
     }
 
     fn request(&mut self, number: u64, now: Duration) {
-        let client = self.clients[&number];
+        let client = self.requests[&number];
         let content = client.first_attempt.as_micros();
         let content = u64::try_from(content).expect("less than a minute") * 100;
         let content = content + u64::try_from(client.customer).expect("a few customers");
@@ -216,8 +220,7 @@
 
     fn accept(&mut self, grant: Grant, now: Duration) {
         let number = grant.number;
-        let client = self.clients.get_mut(&number).expect("it is known");
-        if !std::mem::replace(&mut client.waits, false) {
+        if !self.waiting.remove(&number) {
             self.owner.withdraw(ROUTER, number, now);
             return;
         }
@@ -230,7 +233,7 @@
     }
 
     fn end_prefill(&mut self, number: u64, grant: Grant, now: Duration) {
-        let client = self.clients[&number];
+        let client = self.requests[&number];
         let in_time = now <= client.first_attempt + OBJECTIVE;
         let answers = self.answers_of(client);
         answers.in_time += u32::from(in_time);
@@ -250,11 +253,10 @@
     }
 
     fn time_out(&mut self, number: u64, now: Duration) {
-        let client = self.clients.get_mut(&number).expect("it is known");
-        if !std::mem::replace(&mut client.waits, false) {
+        if !self.waiting.remove(&number) {
             return;
         }
-        let client = *client;
+        let client = self.requests[&number];
         self.owner.withdraw(ROUTER, number, now);
         if client.is_retry {
             self.answers_of(client).refused += 1;
@@ -267,7 +269,6 @@
         self.start(Client {
             arrived: now + client.delay,
             is_retry: true,
-            waits: true,
             ..client
         });
     }
@@ -334,16 +335,16 @@
     if let Some(age) = refused {
         owner
             .refused_contents
-            .insert(content, now - Duration::from_millis(age));
+            .insert(content, now.saturating_sub(Duration::from_millis(age)));
     }
     let mut wish = PlaceRequest {
         content: Some(content),
         is_retry: told.is_some(),
-        first_attempt: now - Duration::from_millis(told.unwrap_or_default()),
+        first_attempt: now.saturating_sub(Duration::from_millis(told.unwrap_or_default())),
         ..place_request(0, now, 0)
     };
     owner.classify(&clients.settings, &mut wish, now);
-    (wish.is_retry, now - wish.arrived)
+    (wish.is_retry, now.saturating_sub(wish.arrived))
 }
 
 /// The objective is 300 ms, so a retry is on time up to 75 ms after the first attempt.
