path: a resumed stream gets a new time limit; dispatch: fetches of a new home count at its speed

Cause: found in review. A read that ended at its limit left the limit set, so the stream that was resumed at another target failed as silent before its first event. The cost of a fetch by a new home ignored the engine's measured speed. Ruled out: clearing the limit where the silence is found, as errors and ends take other ways there. Change: resumption clears limit and alarm; the fetch cost has the factor that fetches by reporting engines have.

--- a/crates/dispatch/src/placement/engine.rs
+++ b/crates/dispatch/src/placement/engine.rs
@@ -203,7 +203,7 @@
     if let (false, false, Some(source), Some(seconds_per_token)) =
         (hit, recompute, source, criteria.fetch_seconds)
     {
-        let fetch_cost = shared * seconds_per_token * criteria.rate;
+        let fetch_cost = shared * seconds_per_token * criteria.rate * candidate.rating.speed;
         return Plan {
             unread: prompt.own_tokens() as f64 + fetch_cost,
             external_cost: fetch_cost * policy.fetch_weight,
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -487,6 +487,9 @@
         self.sends += 1;
         self.answering = false;
         self.pauses = Pauses::default();
+        // The limit of a silent read has passed; the next target gets a new one.
+        self.limit = None;
+        self.alarm = None;
         for _ in 0..MAX_RESUME_TARGETS {
             let until = self.job.deadline;
             let Ok(wish) = exchange::placement_request(&self.node, &self.job, failed, until) else {
