dispatch: schedule of the returns of refused requests

Cause: all refused clients are told one objective and return into the flood that they were refused in. Change: return_schedule books the tokens of refused requests in slots of 100 ms, at most a fifth of a customer's rate while it is beyond its share, max-min between customers and within 500 ms; requests without tokens get the longest time. Shares::supply is the owner's part of share and capacity.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`grants`]: places granted to other routers, and which of them are not used.
 //! - [`share`]: token usage and fair share of each customer.
 //! - [`retry`], [`refused`]: distinction of first attempts of clients from retries.
+//! - [`return_schedule`]: times at which refused requests return.
 //! - [`budget`]: limit on how often requests are sent again.
 //! - [`health`]: failing targets that are ejected for a while.
 //! - [`reachability`]: failure domains that may be unreachable.
@@ -54,6 +55,7 @@
 pub mod region;
 pub mod registry;
 pub mod retry;
+pub mod return_schedule;
 pub mod round_trip;
 pub mod share;
 pub mod speed;
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -21,6 +21,7 @@
 
 use crate::message::{CustomerTag, CustomerUse};
 use crate::prefix::Prompt;
+use crate::return_schedule::Supply;
 use crate::usage::{PEER_TIMEOUT, Peer};
 
 /// Number of parts into which the window is divided.
@@ -128,6 +129,17 @@
     peers: HashMap<Peer, PeerUsage>,
     level: Option<u64>,
     level_at: Option<Duration>,
+    /// Tokens granted within the window when the level was computed.
+    granted: Granted,
+}
+
+/// Tokens granted to all customers within the window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Granted {
+    /// By this router.
+    own: u64,
+    /// By all routers.
+    fleet: u64,
 }
 
 /// Tag of a customer: the low half of the hash of its name.
@@ -156,6 +168,7 @@
             peers: HashMap::new(),
             level: None,
             level_at: None,
+            granted: Granted::default(),
         }
     }
 
@@ -259,6 +272,12 @@
     fn fleet_level(&mut self, now: Duration) -> Option<u64> {
         let all = self.fleet_totals(now);
         let granted: u64 = all.iter().map(|it| it.granted).sum();
+        let number = self.number(now);
+        let own = self.own.values_mut().map(|it| it.sum(number).granted);
+        self.granted = Granted {
+            own: own.sum(),
+            fleet: granted,
+        };
         let asked: u64 = all.iter().map(|it| it.asked).sum();
         // Without any grant, the capacity is unknown.
         if granted == 0 || asked <= granted + granted / CONTENTION_DIVISOR {
@@ -275,6 +294,41 @@
         }
     }
 
+    /// What this router can serve of a customer while there is contention. All routers together can
+    /// serve `capacity` tokens per second, or what they granted if that is not known; this router's
+    /// part is that of its grants and of the customer's demand here.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "token counts are far below 2^52"
+    )]
+    pub fn supply(
+        &mut self,
+        customer: CustomerTag,
+        capacity: Option<f64>,
+        now: Duration,
+    ) -> Option<Supply> {
+        self.refresh(now);
+        let level = self.level?;
+        let number = self.number(now);
+        let own = self.own.get_mut(&customer).map(|it| it.sum(number));
+        let own = own.unwrap_or_default();
+        let peers = self.peers.values();
+        let peers = peers.filter_map(|it| it.customers.get(&customer));
+        let asked = own.asked + peers.map(|it| it.asked).sum::<u64>();
+        let Granted {
+            own: granted,
+            fleet,
+        } = self.granted;
+        let here = granted as f64 / fleet.max(1) as f64;
+        let customer_here = own.asked as f64 / asked.max(1) as f64;
+        let seconds = self.window.as_secs_f64();
+        Some(Supply {
+            capacity: here * capacity.unwrap_or(fleet as f64 / seconds),
+            share: customer_here * level as f64 / seconds,
+            demand: own.asked as f64 / seconds,
+        })
+    }
+
     /// Tokens granted to a customer by all routers within the window.
     pub fn granted(&mut self, customer: CustomerTag, now: Duration) -> u64 {
         let number = self.number(now);
