path: test of scheduled returns with the real placement, and the queue length as before

Ruled out: that returns on time find no room: the first run of the new test refused 94 to 132 of 295 to 317, as the model of the fleet made a pass over the queue only when work ended, and routers make one after each request. Conclusion: aims hold with the real placement for returns with tokens.

--- a/crates/dispatch/src/return_schedule.rs
+++ b/crates/dispatch/src/return_schedule.rs
@@ -126,9 +126,9 @@
     /// It was refused.
     Refused,
     /// It returned on time.
-    Returned,
+    Returned { booked: bool },
     /// It returned on time, and is queued with another time.
-    Again,
+    Again { booked: bool },
 }
 
 /// Tokens booked in one slot.
@@ -159,12 +159,16 @@
     pub assigned: u64,
     /// Refused requests that got the longest time without tokens.
     pub longest: u64,
-    /// Returns at their time.
+    /// Returns at their time with booked tokens.
     pub kept: u64,
+    /// Returns at their longest time, without tokens.
+    pub kept_longest: u64,
     /// Returns before their time.
     pub early: u64,
-    /// Returns at their time that were refused again.
+    /// Returns with booked tokens that were refused again.
     pub refused_twice: u64,
+    /// Returns without tokens that were refused again.
+    pub refused_longest: u64,
     /// Requests that got no time because the schedule was full.
     pub overflowed: u64,
     /// Requests with a time.
@@ -194,7 +198,9 @@
     ) -> Option<Duration> {
         let known = self.entries.get(&request.content);
         let repeated = known.map(|it| it.stage);
-        if let Some(it) = known.filter(|it| it.stage != Stage::Returned && now < it.at) {
+        if let Some(it) =
+            known.filter(|it| !matches!(it.stage, Stage::Returned { .. }) && now < it.at)
+        {
             return Some(it.at);
         }
         let supply = supply?;
@@ -210,7 +216,7 @@
             None | Some(Stage::Queued | Stage::Placed) => {
                 self.book(request, supply, earliest, longest)
             }
-            Some(Stage::Refused | Stage::Returned | Stage::Again) => Vec::new(),
+            Some(Stage::Refused | Stage::Returned { .. } | Stage::Again { .. }) => Vec::new(),
         };
         let capacity = per_slot(supply.capacity);
         let at = bookings.last().map_or(longest, |it| {
@@ -221,7 +227,9 @@
             at,
             bookings,
             stage: match repeated {
-                Some(Stage::Returned | Stage::Again) => Stage::Again,
+                Some(Stage::Returned { booked } | Stage::Again { booked }) => {
+                    Stage::Again { booked }
+                }
                 None | Some(Stage::Queued | Stage::Placed | Stage::Refused) => Stage::Queued,
             },
         };
@@ -316,7 +324,12 @@
     #[must_use]
     pub fn contains(&self, content: ContentTag) -> bool {
         let entry = self.entries.get(&content);
-        entry.is_some_and(|it| matches!(it.stage, Stage::Refused | Stage::Returned | Stage::Again))
+        entry.is_some_and(|it| {
+            matches!(
+                it.stage,
+                Stage::Refused | Stage::Returned { .. } | Stage::Again { .. }
+            )
+        })
     }
 
     /// Whether a request has booked tokens.
@@ -338,11 +351,14 @@
             self.summary.early += 1;
             return Arrival::Early;
         }
-        entry.stage = Stage::Returned;
-        self.summary.kept += 1;
-        Arrival::Kept {
-            booked: !entry.bookings.is_empty(),
+        let booked = !entry.bookings.is_empty();
+        entry.stage = Stage::Returned { booked };
+        if booked {
+            self.summary.kept += 1;
+        } else {
+            self.summary.kept_longest += 1;
         }
+        Arrival::Kept { booked }
     }
 
     /// Records that a request got a place, and gives its tokens back. Its time is kept, as the place
@@ -362,7 +378,10 @@
         match (entry.stage, entry.bookings.is_empty()) {
             (Stage::Queued, false) => self.summary.assigned += 1,
             (Stage::Queued | Stage::Placed, _) => self.summary.longest += 1,
-            (Stage::Returned | Stage::Again, _) => self.summary.refused_twice += 1,
+            (Stage::Returned { booked } | Stage::Again { booked }, _) => {
+                self.summary.refused_twice += u64::from(booked);
+                self.summary.refused_longest += u64::from(!booked);
+            }
             (Stage::Refused, _) => {}
         }
         entry.stage = Stage::Refused;
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -237,8 +237,10 @@
         ("assigned", summary.assigned),
         ("longest", summary.longest),
         ("kept", summary.kept),
+        ("kept_longest", summary.kept_longest),
         ("early", summary.early),
         ("refused_twice", summary.refused_twice),
+        ("refused_longest", summary.refused_longest),
         ("overflowed", summary.overflowed),
     ];
     if counts.iter().all(|(_, count)| *count == 0) {
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -69,28 +69,29 @@
             {
                 return Content::Grant(self.grant_to_peer(asker, &wish, &choice, now));
             }
+            let standing = self.standing(&wish, now);
             let closed_for = self
                 .availability_for(&wish, now)
                 .unavailable_for(&wish, now);
             if closed_for.is_some() {
                 self.record_refused(&wish, now);
-                return self.wait(number, &wish, closed_for, None, now);
+                return self.wait(number, standing, closed_for, None);
             }
             let retry_after = self.schedule_return(settings, &wish, now);
-            let wait = self.wait(number, &wish, None, retry_after, now);
             self.queue.push(Waiter {
                 wish,
                 share_ratio: cover,
                 origin: Origin::Peer(asker),
             });
-            return wait;
+            return self.wait(number, standing, None, retry_after);
         }
+        let standing = self.standing(&wish, now);
         let retry_after = if known {
             self.schedule_return(settings, &wish, now)
         } else {
             None
         };
-        self.wait(number, &wish, None, retry_after, now)
+        self.wait(number, standing, None, retry_after)
     }
 
     /// Whether a request is a retry of one that got no place here.
@@ -109,18 +110,17 @@
     }
 
     fn wait(
-        &mut self,
+        &self,
         number: u64,
-        request: &PlaceRequest,
-        closed_for: Option<Duration>,
+        standing: Option<Standing>,
+        unavailable_for: Option<Duration>,
         retry_after: Option<Duration>,
-        now: Duration,
     ) -> Content {
         Content::Wait(Wait {
             number,
             waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            standing: self.standing(request, now),
-            unavailable_for: closed_for,
+            standing,
+            unavailable_for,
             retry_after,
         })
     }
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -7,7 +7,8 @@
 use dunlinward_dispatch::budget::Bound;
 use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::configuration::{Configuration, Engine, Limits, Service, Table};
-use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Return};
+use dunlinward_dispatch::content::ContentTag;
+use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Return, Wait};
 use dunlinward_dispatch::placement::Policy;
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
 use dunlinward_dispatch::region::Region;
@@ -159,12 +160,20 @@
     customer: usize,
     router: u64,
     waits: bool,
+    /// Content; none if clients do not return.
+    content: Option<ContentTag>,
+    /// When its client returns if it is refused, as told by the owner.
+    told: Option<Duration>,
+    /// Whether it has returned.
+    is_return: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
     /// The next request of a customer arrives at a router.
     Arrival(usize),
+    /// The client of a refused request sends it again.
+    Retry(u64),
     /// The owner receives a request.
     Request(u64),
     /// The router of a request stops waiting for a place and refuses it.
@@ -183,6 +192,13 @@
     Report,
 }
 
+/// Outcomes of returns of refused requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Returns {
+    served: u64,
+    refused: u64,
+}
+
 /// An owner, the routers that request places from it, and the engines.
 struct Fleet {
     settings: Settings,
@@ -205,6 +221,10 @@
     loss: f64,
     /// Whether routers mark first attempts as retries.
     mark_as_retries: bool,
+    /// Whether clients of refused requests return once.
+    clients_return: bool,
+    /// Returns that were granted a place, and those that were refused.
+    returns: Returns,
 }
 
 impl Fleet {
@@ -228,6 +248,8 @@
             unconfirmed: Vec::new(),
             loss: 0.0,
             mark_as_retries: false,
+            clients_return: false,
+            returns: Returns::default(),
         };
         fleet.schedule(REPORT_INTERVAL, Event::Report);
         for customer in 0..loads.len() {
@@ -260,7 +282,14 @@
     fn handle(&mut self, event: Event, now: Duration) {
         match event {
             Event::Arrival(customer) => self.arrive(customer, now),
-            Event::Request(number) => self.request(number, now),
+            Event::Retry(number) => self.retry(number, now),
+            Event::Request(number) => {
+                self.request(number, now);
+                // As routers do; the other tests have passes only when work ends.
+                if self.clients_return {
+                    self.schedule_pass(now);
+                }
+            }
             Event::Timeout(number) => self.time_out(number, now),
             Event::Grant(grant) => self.receive_grant(grant, now),
             Event::Withdrawal(_) if self.random.random_bool(self.loss) => {}
@@ -301,7 +330,24 @@
             customer,
             router,
             waits: true,
+            content: self.clients_return.then_some(ContentTag(number)),
+            told: None,
+            is_return: false,
+        };
+        self.send_request(number, request, now);
+    }
+
+    fn retry(&mut self, refused: u64, now: Duration) {
+        let number = self.next + 1;
+        let request = Request {
+            waits: true,
+            is_return: true,
+            ..self.requests[&refused]
         };
+        self.send_request(number, request, now);
+    }
+
+    fn send_request(&mut self, number: u64, request: Request, now: Duration) {
         self.requests.insert(number, request);
         self.schedule(now + LINK_DELAY, Event::Request(number));
         let timeout = OBJECTIVE.mul_f64(self.settings.queue_policy.first_wait);
@@ -313,13 +359,23 @@
         let arrived = now.saturating_sub(LINK_DELAY);
         let tie_breaker = self.random.random();
         let place_request = PlaceRequest {
+            content: request.content,
             is_retry: self.mark_as_retries,
             ..place_request(request.customer, arrived, tie_breaker)
         };
         let asker = asker(request.router, number);
         let answer = self.owner.answer(&self.settings, asker, place_request, now);
-        if let Content::Grant(grant) = answer {
-            self.send_grant(grant, now);
+        match answer {
+            Content::Grant(grant) => self.send_grant(grant, now),
+            Content::Wait(wait) => self.receive_wait(wait, arrived),
+            _ => {}
+        }
+    }
+
+    fn receive_wait(&mut self, wait: Wait, arrived: Duration) {
+        let refused_at = arrived + OBJECTIVE.mul_f64(self.settings.queue_policy.first_wait);
+        if let Some(request) = self.requests.get_mut(&wait.number) {
+            request.told = wait.retry_after.map(|it| refused_at + it);
         }
     }
 
@@ -339,7 +395,14 @@
         if let Some(request) = self.requests.get_mut(&number)
             && std::mem::replace(&mut request.waits, false)
         {
+            let request = *request;
             self.schedule(now + LINK_DELAY, Event::Withdrawal(number));
+            if request.is_return {
+                self.returns.refused += 1;
+            } else if request.content.is_some() {
+                let at = request.told.unwrap_or(now + OBJECTIVE);
+                self.schedule(at + 6 * LINK_DELAY, Event::Retry(number));
+            }
         }
     }
 
@@ -353,6 +416,7 @@
             self.schedule(now + LINK_DELAY, Event::Withdrawal(number));
             return;
         }
+        self.returns.served += u64::from(request.is_return);
         self.unconfirmed.push(number);
         self.usage(number).begin(grant.tag, grant.unread);
         let until = self.prefill_until.entry(grant.tag).or_default();
--- a/crates/path/src/state/tests/returns.rs
+++ b/crates/path/src/state/tests/returns.rs
@@ -1,8 +1,5 @@
 //! Scheduled returns at the owner of a cell.
 
-use dunlinward_dispatch::content::ContentTag;
-use dunlinward_dispatch::message::Wait;
-
 use super::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -205,3 +202,39 @@
     let waiter = waiter(&after, 5_000).expect("it is queued");
     assert!(!waiter.wish.is_retry && !waiter.wish.is_on_time());
 }
+
+/// Simulates 12 s of a load of 4.4 times the capacity whose clients return once.
+fn flooded(schedule_returns: bool, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(&overload(1), seed);
+    fleet.settings.load_policy.schedule_returns = schedule_returns;
+    fleet.clients_return = true;
+    fleet.run(12 * SECOND)
+}
+
+/// Guards against returns at their time that find no room at the engines, and against engines that
+/// idle for returns that don't come. Of the returns with booked tokens, fewer than 1 in 10 are
+/// refused again, also while the flood lasts (none of 204 to 213; with one pass over the queue per
+/// end of a prefill instead of one per request, 94 to 132 of 295 to 317).
+#[test]
+fn scheduled_returns_are_served_under_a_lasting_flood() {
+    for seed in 0..4 {
+        let (fixed, mut scheduled) = (flooded(false, seed), flooded(true, seed));
+        let summary = scheduled.owner.returns.take_summary();
+        println!(
+            "seed {seed}: fixed {:?}, scheduled {:?} {summary:?}",
+            fixed.returns, scheduled.returns
+        );
+        assert!(summary.kept > 100, "seed {seed}: {summary:?}");
+        assert!(
+            summary.refused_twice * 10 < summary.kept,
+            "seed {seed}: {summary:?}"
+        );
+        assert!(
+            scheduled.returns.served > fixed.returns.served,
+            "seed {seed}"
+        );
+        let tokens = |fleet: &Fleet| (0..11).map(|it| fleet.served(it, 6, 12)).sum::<u64>();
+        let (before, after) = (tokens(&fixed), tokens(&scheduled));
+        assert!(after * 100 >= before * 99, "seed {seed}: {after} {before}");
+    }
+}
