--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`share`]: token usage and fair share of each customer.
 //! - [`retry`], [`refused`]: distinction of first attempts of clients from retries.
 //! - [`intake`], [`throttle`]: requests that a router refuses by itself under heavy load.
+//! - [`return_schedule`]: times at which refused requests return.
 //! - [`budget`]: limit on how often requests are sent again.
 //! - [`health`]: failing targets that are ejected for a while.
 //! - [`reachability`]: failure domains that may be unreachable.
@@ -60,6 +61,7 @@
 pub mod registry;
 pub mod replicas;
 pub mod retry;
+pub mod return_schedule;
 pub mod round_trip;
 pub mod share;
 pub mod speed;
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -93,8 +93,8 @@
             return Err(Refusal::new(Reason::Suspected));
         }
         self.state
-            .borrow()
-            .classify(&self.settings, &mut wish, self.now());
+            .borrow_mut()
+            .record_arrival(&self.settings, &mut wish, self.now());
         if let Some(lease) = self.try_place(&wish) {
             return Ok(lease);
         }
@@ -105,6 +105,10 @@
             return Err(self.backoff_refusal(time));
         }
         let until = wish.deadline;
+        let scheduled = {
+            let mut state = self.state.borrow_mut();
+            state.schedule_return(&self.settings, &wish, now)
+        };
         let customer = wish.customer;
         let (reply, receiver) = oneshot::channel();
         let waiter = Waiter {
@@ -120,7 +124,8 @@
         // Its deadline has passed, or the queue has dropped its sender.
         let standing = customer.map(|it| self.standing(it));
         let refusal = Refusal::new(place::reason(standing));
-        Err(refusal.with_standing(standing).with_standing_at(self.now()))
+        let refusal = refusal.with_scheduled_return(scheduled);
+        Err(refusal.with_standing(standing).with_standing_at(now))
     }
 
     /// Serves the queue for as long as the router runs.
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -113,6 +113,8 @@
     pub reason: Reason,
     /// Time after which the caller may retry, if known.
     pub retry_after: Option<Duration>,
+    /// Time after which the owner has scheduled the request's return.
+    pub scheduled_return: Option<Duration>,
     /// Standing of the request's customer, as known to the router that refused it.
     pub standing: Option<Standing>,
     /// Router that had no room, if it is another one.
@@ -128,6 +130,7 @@
         Self {
             reason,
             retry_after: None,
+            scheduled_return: None,
             standing: None,
             owner: None,
             standing_at: None,
@@ -141,6 +144,13 @@
         self
     }
 
+    /// Sets the time after which the owner has scheduled the request's return.
+    #[must_use]
+    pub fn with_scheduled_return(mut self, time: Option<Duration>) -> Self {
+        self.scheduled_return = time;
+        self
+    }
+
     /// Sets when that standing was determined.
     #[must_use]
     pub fn with_standing_at(mut self, at: Duration) -> Self {
--- a/crates/path/src/request_log.rs
+++ b/crates/path/src/request_log.rs
@@ -73,6 +73,8 @@
         line = with_properties(job, refused.standing, line);
     }
     let line = line.with("owner", refused.owner.map(|it| it.to_string()));
+    let line = line.with("retry_after_ms", refused.retry_after.map(millis));
+    let line = line.with("scheduled_ms", refused.scheduled_return.map(millis));
     let age = refused.standing_at.map(|at| node.now().saturating_sub(at));
     let line = line.with("standing_age_ms", age.map(millis));
     drop(node.with_views(line));
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -7,10 +7,12 @@
 use dunlinward_dispatch::budget::Bound;
 use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::configuration::{Configuration, Engine, Limits, Service, Table};
-use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Return};
+use dunlinward_dispatch::content::ContentTag;
+use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Return, Wait};
 use dunlinward_dispatch::placement::Policy;
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
 use dunlinward_dispatch::region::Region;
+use dunlinward_dispatch::return_schedule::Arrival;
 use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 use dunlinward_dispatch::usage::{Peer, Usage};
@@ -26,6 +28,7 @@
 mod on_time;
 mod refusals;
 mod retries;
+mod returns;
 mod suspects;
 mod throttle;
 
@@ -41,6 +44,9 @@
 /// Objective for the time to the first token; requests are refused after 0.06 of it.
 const OBJECTIVE: Duration = Duration::from_millis(300);
 
+/// Time after which clients stop waiting for an answer.
+const EXPIRY: Duration = Duration::from_secs(12);
+
 /// Time from the first token of an answer to its end.
 const GENERATION_TIME: Duration = Duration::from_millis(500);
 
@@ -159,12 +165,20 @@
     waits: bool,
     /// Tokens of the customer's requests that its router refused since the last one.
     withheld: u64,
+    /// Content; none if clients do not return.
+    content: Option<ContentTag>,
+    /// When its client returns if it is refused, as told by the owner.
+    told: Option<Duration>,
+    /// Whether it has returned.
+    is_return: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
     /// The next request of a customer arrives at a router.
     Arrival(usize),
+    /// The client of a refused request sends it again.
+    Retry(u64),
     /// The owner receives a request.
     Request(u64),
     /// The router of a request stops waiting for a place and refuses it.
@@ -183,6 +197,13 @@
     Report,
 }
 
+/// Outcomes of returns of refused requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Returns {
+    served: u64,
+    refused: u64,
+}
+
 /// An owner, the routers that request places from it, and the engines.
 struct Fleet {
     settings: Settings,
@@ -212,6 +233,10 @@
     /// Requests that the owner received, and requests that routers refused without asking it.
     asked: u64,
     throttled: BTreeMap<usize, u64>,
+    /// Whether clients of refused requests return once.
+    clients_return: bool,
+    /// Returns that were granted a place, and those that were refused.
+    returns: Returns,
 }
 
 impl Fleet {
@@ -247,6 +272,8 @@
             throttle_draws: Pcg64Mcg::seed_from_u64(seed),
             asked: 0,
             throttled: BTreeMap::new(),
+            clients_return: false,
+            returns: Returns::default(),
         };
         fleet.schedule(REPORT_INTERVAL, Event::Report);
         for customer in 0..loads.len() {
@@ -279,7 +306,14 @@
     fn handle(&mut self, event: Event, now: Duration) {
         match event {
             Event::Arrival(customer) => self.arrive(customer, now),
-            Event::Request(number) => self.request(number, now),
+            Event::Retry(number) => self.retry(number, now),
+            Event::Request(number) => {
+                self.request(number, now);
+                // As routers do; the other tests have passes only when work ends.
+                if self.clients_return {
+                    self.schedule_pass(now);
+                }
+            }
             Event::Timeout(number) => self.time_out(number, now),
             Event::Grant(grant) => self.receive_grant(grant, now),
             Event::Withdrawal(_) if self.random.random_bool(self.loss) => {}
@@ -328,7 +362,24 @@
             router,
             waits: true,
             withheld: throttle.take_withheld(tag(customer)),
+            content: self.clients_return.then_some(ContentTag(number)),
+            told: None,
+            is_return: false,
         };
+        self.send_request(number, request, now);
+    }
+
+    fn retry(&mut self, refused: u64, now: Duration) {
+        let number = self.next + 1;
+        let request = Request {
+            waits: true,
+            is_return: true,
+            ..self.requests[&refused]
+        };
+        self.send_request(number, request, now);
+    }
+
+    fn send_request(&mut self, number: u64, request: Request, now: Duration) {
         self.requests.insert(number, request);
         self.schedule(now + LINK_DELAY, Event::Request(number));
         let timeout = OBJECTIVE.mul_f64(self.settings.queue_policy.first_wait);
@@ -340,6 +391,7 @@
         let arrived = now.saturating_sub(LINK_DELAY);
         let tie_breaker = self.random.random();
         let place_request = PlaceRequest {
+            content: request.content,
             is_retry: self.mark_as_retries,
             withheld: request.withheld,
             ..place_request(request.customer, arrived, tie_breaker)
@@ -348,7 +400,10 @@
         self.asked += 1;
         match self.owner.answer(&self.settings, asker, place_request, now) {
             Content::Grant(grant) => self.send_grant(grant, now),
-            Content::Wait(wait) => self.record_standing(number, wait.standing, now),
+            Content::Wait(wait) => {
+                self.record_standing(number, wait.standing, now);
+                self.receive_wait(wait, arrived);
+            }
             _ => {}
         }
     }
@@ -362,6 +417,13 @@
         }
     }
 
+    fn receive_wait(&mut self, wait: Wait, arrived: Duration) {
+        let refused_at = arrived + OBJECTIVE.mul_f64(self.settings.queue_policy.first_wait);
+        if let Some(request) = self.requests.get_mut(&wait.number) {
+            request.told = wait.retry_after.map(|it| refused_at + it);
+        }
+    }
+
     fn send_grant(&mut self, grant: Grant, now: Duration) {
         let router = self.requests[&grant.number].router;
         let delay = if router == SLOW {
@@ -378,7 +440,14 @@
         if let Some(request) = self.requests.get_mut(&number)
             && std::mem::replace(&mut request.waits, false)
         {
+            let request = *request;
             self.schedule(now + LINK_DELAY, Event::Withdrawal(number));
+            if request.is_return {
+                self.returns.refused += 1;
+            } else if request.content.is_some() {
+                let at = request.told.unwrap_or(now + OBJECTIVE);
+                self.schedule(at + 6 * LINK_DELAY, Event::Retry(number));
+            }
         }
     }
 
@@ -396,6 +465,7 @@
         let throttle = &mut self.throttles[usize::try_from(request.router).expect("a few")];
         throttle.record_grant(tag(request.customer), now);
         self.record_standing(number, grant.standing, now);
+        self.returns.served += u64::from(request.is_return);
         self.unconfirmed.push(number);
         self.usage(number).begin(grant.tag, grant.unread);
         let until = self.prefill_until.entry(grant.tag).or_default();
@@ -504,6 +574,8 @@
         failed: false,
         avoid: Vec::new(),
         deadline: arrived + OBJECTIVE.mul_f64(QueuePolicy::default().first_wait),
+        expiry: arrived + EXPIRY,
+        arrival: Arrival::Unscheduled,
         claim: Claim::All,
         tie_breaker,
         first_attempt: arrived,
--- a/crates/path/src/state/tests/on_time.rs
+++ b/crates/path/src/state/tests/on_time.rs
@@ -191,7 +191,7 @@
                 self.owner.prune(now);
                 self.schedule(now + REPORT_INTERVAL, Event::Report);
             }
-            Event::Arrival(_) | Event::Grant(_) | Event::Withdrawal(_) => {}
+            Event::Arrival(_) | Event::Grant(_) | Event::Withdrawal(_) | Event::Retry(_) => {}
         }
     }
 
