path: a router that refuses requests as crowded is not ready; utilization up to 0.9

Refusals took two thirds of the limit, as they were taken to cost a fifteenth of a stream. Conclusion: a flood is spread over the routers of its failure domain without making their event loops late.

--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -34,8 +34,8 @@
 /// Units of a plain request, which has one answer instead of some 50 events.
 const PLAIN_UNITS: f64 = 0.25;
 
-/// Units of a refusal: the design requires that it costs less than a fifteenth of a stream.
-const REFUSAL_UNITS: f64 = 1.0 / 15.0;
+/// Units of a refusal: it costs a nineteenth to a twenty-eighth of a stream of 42 events.
+const REFUSAL_UNITS: f64 = 1.0 / 25.0;
 
 /// Units of placing another router's request: a datagram received and one sent.
 const PLACEMENT_UNITS: f64 = 0.1;
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -42,6 +42,30 @@
 /// 400 ms is still possible.
 const RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Time over which requests are counted to tell whether this router is crowded.
+const CROWDING_WINDOW: Duration = Duration::from_millis(500);
+
+/// A router is crowded if it refuses more than one request in this many: clients whose first
+/// attempt is refused retry at the same router while it is ready, and a neighbour has room.
+const CROWDING_DIVISOR: u64 = 5;
+
+/// Refusals within [`CROWDING_WINDOW`] below which a router is not crowded.
+const MIN_CROWDING_REFUSALS: u64 = 5;
+
+/// Requests since the last check for crowding.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    accepted: u64,
+    refused: u64,
+}
+
+impl Counts {
+    fn is_crowded(self) -> bool {
+        let total = self.accepted + self.refused;
+        self.refused >= MIN_CROWDING_REFUSALS && self.refused * CROWDING_DIVISOR > total
+    }
+}
+
 /// Refusals since the last log line.
 #[derive(Debug, Default)]
 struct Refusals {
@@ -56,6 +80,7 @@
     decision: RefCell<Intake>,
     refusals: RefCell<Refusals>,
     accepted: Cell<u64>,
+    counts: Cell<Counts>,
 }
 
 impl Gate {
@@ -67,9 +92,18 @@
             decision: RefCell::new(Intake::new(utilization, settings.millicores)),
             refusals: RefCell::default(),
             accepted: Cell::default(),
+            counts: Cell::default(),
         }
     }
 
+    fn count(&self, accepted: u64, refused: u64) {
+        let counts = self.counts.get();
+        self.counts.set(Counts {
+            accepted: counts.accepted + accepted,
+            refused: counts.refused + refused,
+        });
+    }
+
     /// Records the placement of another router's request.
     pub(crate) fn record_placement(&self) {
         self.decision.borrow_mut().record_placement();
@@ -99,8 +133,10 @@
     let mut decision = gate.decision.borrow_mut();
     if decision.admit(customer.map(share::tag), work, priority, node.now()) {
         gate.accepted.set(gate.accepted.get() + 1);
+        gate.count(1, 0);
         return Ok(());
     }
+    gate.count(0, 1);
     let mut refusals = gate.refusals.borrow_mut();
     match priority {
         Priority::Normal => refusals.first_attempts += 1,
@@ -133,12 +169,19 @@
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Reading::new(&node);
     let mut logged_at = node.now();
+    let mut checked_at = node.now();
     loop {
         timer.tick().await;
         node.detect_suspension();
         let reading = Reading::new(&node);
         record(&node, last, reading);
         last = reading;
+        if reading.at.saturating_sub(checked_at) >= CROWDING_WINDOW {
+            checked_at = reading.at;
+            if node.intake.counts.take().is_crowded() {
+                node.record_crowding();
+            }
+        }
         if reading.at.saturating_sub(logged_at) >= LOG_INTERVAL {
             logged_at = reading.at;
             log(&node);
--- a/crates/path/src/overload.rs
+++ b/crates/path/src/overload.rs
@@ -5,7 +5,8 @@
 //! loop is overloaded. An overloaded router reports that it is not ready and asks its clients to
 //! close their connections, so that new connections go to other routers, and it owns no cells until
 //! it has recovered. The same holds for a router that cannot accept connections because its file
-//! descriptors are used up.
+//! descriptors are used up, and for one that refuses requests because its processor is used up
+//! ([`crate::intake`]): retries of a client reach the same router while it is ready.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -76,6 +77,17 @@
 
     /// Records that a connection could not be accepted; returns whether the overload state changed.
     pub fn record_accept_failure(&self, now: Duration) -> bool {
+        self.prolong(now)
+    }
+
+    /// Records that requests are refused because the processor is used up; returns whether the
+    /// overload state changed.
+    pub fn record_crowding(&self, now: Duration) -> bool {
+        self.prolong(now)
+    }
+
+    /// Starts an overload, or prolongs the present one.
+    fn prolong(&self, now: Duration) -> bool {
         let before = self.is_overloaded();
         if before {
             let min_end = self.min_end.get().unwrap_or_default();
@@ -114,6 +126,14 @@
         }
     }
 
+    /// Records that requests are refused because the processor is used up, so that new connections
+    /// go to other routers.
+    pub(crate) fn record_crowding(&self) {
+        if self.overload.record_crowding(self.now()) {
+            self.report_overload(Duration::ZERO);
+        }
+    }
+
     fn report_overload(&self, late: Duration) {
         let overloaded = self.overload.is_overloaded();
         let event = if overloaded { "behind" } else { "caught_up" };
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -139,7 +139,7 @@
 impl Default for LoadPolicy {
     fn default() -> Self {
         Self {
-            intake_utilization: 0.75,
+            intake_utilization: 0.9,
             throttle_ratio: 2.0,
             max_prefix_homes: 4,
             learn_speeds: true,
--- a/crates/path/tests/overload.rs
+++ b/crates/path/tests/overload.rs
@@ -70,3 +70,16 @@
     assert!(detector.is_overloaded());
     assert!(recovery(&detector, 5_400) < 6_000);
 }
+
+/// Guards against a router that stays in rotation while it refuses requests: clients whose attempt
+/// is refused would retry at the same router.
+#[test]
+fn crowded_router_is_overloaded_until_it_accepts_again() {
+    let detector = Detector::default();
+    assert!(detector.record_crowding(ms(1_000)), "the state changes");
+    assert!(!detector.record_crowding(ms(2_000)), "it is prolonged");
+    record(&detector, 0, 2_000, 4_000);
+    assert!(detector.is_overloaded());
+    let recovered = recovery(&detector, 4_000);
+    assert!((4_500..4_700).contains(&recovered), "{recovered}");
+}
