dispatch, path: throttle per customer and cell; withheld tokens expire and survive silent owners

Cause: found in review. Requests and grants were counted per customer, so a flood in one cell throttled the customer's requests to a nearly idle one. Withheld tokens had no age and counted as demand long after their refusal. They were sent to the first owner only and lost if it was silent. Ruled out: sending them to the second owner, which ignores them in requests with demand_counted. Change: the ratio is kept by (customer, cell); standing and withheld tokens stay per customer. Withheld tokens are kept by time of refusal in parts of 250 ms and dropped after Settings::share_window, up to one part early. Tokens of a request without any answer are given back with their age, also if the request's deadline ended the wait. Tests of the throttle pass a cell and a window; no assertion is changed. Conclusion: both findings are fixed. Tokens of a request whose client leaves before an answer are still lost, and an owner whose answer was lost counts returned tokens again.

--- a/crates/dispatch/src/throttle.rs
+++ b/crates/dispatch/src/throttle.rs
@@ -4,16 +4,19 @@
 //! time at the owner and a wait of the client. The entry router refuses a part of them itself, by
 //! the ratio of requests to grants in the last [`WINDOW`]: with probability
 //! (asked - K x granted) / (asked + 1). About K times the requests that owners grant still reach
-//! them, so that grants increase as soon as there is room.
+//! them, so that grants increase as soon as there is room. The ratio is kept per customer and cell,
+//! because cells differ in load: a flood in one says nothing about grants in another.
 //!
 //! Invariants: a customer is throttled only while its last known standing is younger than
 //! [`MAX_STANDING_AGE`] and a quarter over its level. Demand refused here is kept and counted at the
-//! owner with the customer's next request; otherwise it would look as if the demand were met, and
-//! the level would be wrong.
+//! owner with the customer's next request to any cell; otherwise it would look as if the demand were
+//! met, and the level would be wrong. It is dropped at the age at which the owner would have dropped
+//! it, the window of shares.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use crate::cell::Cell;
 use crate::message::{CustomerTag, MAX_TOKENS};
 use crate::share::Standing;
 
@@ -31,7 +34,7 @@
 /// close to the level varies with single requests.
 const EXCESS_DIVISOR: u64 = 4;
 
-/// Time without requests after which a customer is forgotten.
+/// Time without requests after which the counts of a customer and a cell are removed.
 const RETENTION: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,18 +43,16 @@
     granted: u32,
 }
 
+/// Requests of one customer to one cell.
 #[derive(Clone, Debug, Default)]
-struct Account {
+struct Ratio {
     parts: [Counts; WINDOW_PARTS],
     /// Number of the newest part.
     newest: u64,
-    standing: Option<(Standing, Duration)>,
-    /// Tokens of requests refused here that no owner has counted yet.
-    withheld: u64,
     used_at: Duration,
 }
 
-impl Account {
+impl Ratio {
     fn part(&mut self, now: Duration) -> &mut Counts {
         let number = part_number(now);
         let steps = number.saturating_sub(self.newest).min(WINDOW_PARTS as u64);
@@ -72,7 +73,44 @@
         }
         sum
     }
+}
+
+/// Tokens of refused requests that no owner has counted yet, by the time of refusal.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Withheld {
+    /// Tokens by [`part_number`], which bounds the number of entries.
+    parts: BTreeMap<u64, u64>,
+}
+
+impl Withheld {
+    /// Sum of the tokens, at most [`MAX_TOKENS`].
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        let sum = self.parts.values().copied().fold(0, u64::saturating_add);
+        sum.min(MAX_TOKENS)
+    }
+
+    fn add(&mut self, part: u64, tokens: u64) {
+        let sum = self.parts.entry(part).or_default();
+        *sum = sum.saturating_add(tokens);
+    }
+
+    /// Removes the tokens of parts that began at least `window` ago.
+    fn expire(&mut self, window: Duration, now: Duration) {
+        if let Some(oldest) = now.checked_sub(window) {
+            self.parts = self.parts.split_off(&(part_number(oldest) + 1));
+        }
+    }
+}
 
+#[derive(Clone, Debug, Default)]
+struct Account {
+    ratios: HashMap<Cell, Ratio>,
+    standing: Option<(Standing, Duration)>,
+    withheld: Withheld,
+}
+
+impl Account {
     /// The last known standing and its age, if the customer is over its level.
     fn excess(&self, now: Duration) -> Option<Throttled> {
         let (standing, at) = self.standing?;
@@ -109,25 +147,29 @@
 pub struct Throttle {
     /// Requests that may be sent per grant; 0 turns the throttle off.
     ratio: f64,
+    /// Age at which withheld tokens are dropped.
+    share_window: Duration,
     accounts: HashMap<CustomerTag, Account>,
 }
 
 impl Throttle {
     /// Creates a throttle that sends `ratio` times as many requests as owners grant; 0 turns it
-    /// off.
+    /// off. `share_window` is the time for which owners count demand.
     #[must_use]
-    pub fn new(ratio: f64) -> Self {
+    pub fn new(ratio: f64, share_window: Duration) -> Self {
         Self {
             ratio,
+            share_window,
             accounts: HashMap::new(),
         }
     }
 
-    /// Decides on a request of `cost` tokens; `draw` is random, uniform from 0 up to 1. `None` if
-    /// it is sent to an owner, which counts it as sent.
+    /// Decides on a request of `cost` tokens to a cell; `draw` is random, uniform from 0 up to 1.
+    /// `None` if it is sent to the cell's owner, which counts it as sent.
     pub fn decide(
         &mut self,
         customer: CustomerTag,
+        cell: Cell,
         cost: u64,
         draw: f64,
         now: Duration,
@@ -136,22 +178,26 @@
             return None;
         }
         let account = self.accounts.entry(customer).or_default();
-        let counts = account.sum(now);
+        let excess = account.excess(now);
+        let ratio = account.ratios.entry(cell).or_default();
+        let counts = ratio.sum(now);
         let asked = f64::from(counts.asked);
         let probability = (asked - self.ratio * f64::from(counts.granted)) / (asked + 1.0);
-        let throttled = account.excess(now).filter(|_| draw < probability);
+        let throttled = excess.filter(|_| draw < probability);
         if throttled.is_some() {
-            account.withheld = account.withheld.saturating_add(cost).min(MAX_TOKENS);
+            account.withheld.expire(self.share_window, now);
+            account.withheld.add(part_number(now), cost);
         } else {
-            account.part(now).asked += 1;
+            ratio.part(now).asked += 1;
         }
         throttled
     }
 
-    /// Records that an owner granted a request.
-    pub fn record_grant(&mut self, customer: CustomerTag, now: Duration) {
-        if let Some(account) = self.accounts.get_mut(&customer) {
-            account.part(now).granted += 1;
+    /// Records that the owner of a cell granted a request.
+    pub fn record_grant(&mut self, customer: CustomerTag, cell: Cell, now: Duration) {
+        let account = self.accounts.get_mut(&customer);
+        if let Some(ratio) = account.and_then(|it| it.ratios.get_mut(&cell)) {
+            ratio.part(now).granted += 1;
         }
     }
 
@@ -162,16 +208,31 @@
         }
     }
 
-    /// Takes the tokens that were refused here since the last call, to be counted as demand by the
-    /// owner of the customer's next request.
-    pub fn take_withheld(&mut self, customer: CustomerTag) -> u64 {
-        let account = self.accounts.get_mut(&customer);
-        account.map_or(0, |it| std::mem::take(&mut it.withheld))
+    /// Takes the tokens that were refused here since the last call and within the window of shares,
+    /// to be counted as demand by the owner of the customer's next request.
+    pub fn take_withheld(&mut self, customer: CustomerTag, now: Duration) -> Withheld {
+        let Some(account) = self.accounts.get_mut(&customer) else {
+            return Withheld::default();
+        };
+        account.withheld.expire(self.share_window, now);
+        std::mem::take(&mut account.withheld)
+    }
+
+    /// Takes back tokens whose request no owner has answered. They keep their age.
+    pub fn return_withheld(&mut self, customer: CustomerTag, withheld: Withheld) {
+        if let Some(account) = self.accounts.get_mut(&customer) {
+            for (part, tokens) in withheld.parts {
+                account.withheld.add(part, tokens);
+            }
+        }
     }
 
-    /// Removes customers without requests.
+    /// Removes customers and cells without requests.
     pub fn prune(&mut self, now: Duration) {
-        self.accounts
-            .retain(|_, it| now.saturating_sub(it.used_at) < RETENTION);
+        self.accounts.retain(|_, account| {
+            let ratios = &mut account.ratios;
+            ratios.retain(|_, it| now.saturating_sub(it.used_at) < RETENTION);
+            !ratios.is_empty()
+        });
     }
 }
--- a/crates/dispatch/tests/throttle.rs
+++ b/crates/dispatch/tests/throttle.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::message::CustomerTag;
+use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::share::{Shares, Standing};
 use dunlinward_dispatch::throttle::{MAX_STANDING_AGE, Throttle};
 use rand::{Rng, SeedableRng};
@@ -30,6 +32,14 @@
     Duration::from_millis(milliseconds)
 }
 
+fn cell(index: u16) -> Cell {
+    Cell {
+        service: ServiceTag::new("pool"),
+        region: Region::default(),
+        index,
+    }
+}
+
 /// One flooding customer, five that ask for more than their level, and a small one.
 fn contention() -> Vec<(CustomerTag, f64)> {
     let others = (3..8).map(|it| (CustomerTag(it), 8.0));
@@ -61,7 +71,7 @@
 impl Model {
     fn new(ratio: f64, rate: u64, seed: u64) -> Self {
         Self {
-            throttle: Throttle::new(ratio),
+            throttle: Throttle::new(ratio, WINDOW),
             owner: Shares::new(WINDOW),
             rate,
             tokens: 0.0,
@@ -91,12 +101,16 @@
         let draw = self.random.random();
         let tally = self.tallies.entry(customer).or_default();
         tally.sent += 1;
-        if self.throttle.decide(customer, COST, draw, now).is_some() {
+        if self
+            .throttle
+            .decide(customer, cell(0), COST, draw, now)
+            .is_some()
+        {
             tally.throttled += 1;
             return;
         }
         *self.asked.entry(now.as_secs()).or_default() += 1;
-        let withheld = self.throttle.take_withheld(customer);
+        let withheld = self.throttle.take_withheld(customer, now).tokens();
         let within = self.owner.share_ratio(customer, COST, now) >= 1.0;
         self.owner.record_demand(customer, COST + withheld, now);
         // A request beyond its customer's share gets only spare room.
@@ -104,7 +118,7 @@
         if self.tokens >= needed {
             self.tokens -= 1.0;
             self.owner.charge(customer, COST, now);
-            self.throttle.record_grant(customer, now);
+            self.throttle.record_grant(customer, cell(0), now);
             tally.granted += 1;
         }
         let standing = self.owner.standing(customer, now);
@@ -169,17 +183,88 @@
 /// Guards against demand that is lost or counted twice.
 #[test]
 fn withheld_tokens_are_taken_once() {
-    let mut throttle = Throttle::new(2.0);
+    let mut throttle = Throttle::new(2.0, WINDOW);
     for _ in 0..100 {
-        assert!(throttle.decide(FLOOD, COST, 0.0, ms(0)).is_none());
+        assert!(throttle.decide(FLOOD, cell(0), COST, 0.0, ms(0)).is_none());
     }
     throttle.record_standing(FLOOD, over(), ms(0));
     for _ in 0..5 {
-        assert!(throttle.decide(FLOOD, COST, 0.0, ms(10)).is_some());
+        assert!(throttle.decide(FLOOD, cell(0), COST, 0.0, ms(10)).is_some());
+    }
+    assert!(
+        throttle
+            .decide(FLOOD, cell(0), COST, 0.999, ms(20))
+            .is_none()
+    );
+    assert_eq!(throttle.take_withheld(FLOOD, ms(20)).tokens(), 5 * COST);
+    assert_eq!(throttle.take_withheld(FLOOD, ms(20)).tokens(), 0);
+}
+
+/// A throttle that refuses each request of a customer to cell 0 with a draw of zero, from then on.
+fn flooded(now: Duration) -> Throttle {
+    let mut throttle = Throttle::new(2.0, WINDOW);
+    for _ in 0..100 {
+        assert!(throttle.decide(FLOOD, cell(0), COST, 0.0, now).is_none());
+    }
+    throttle.record_standing(FLOOD, over(), now);
+    throttle
+}
+
+/// Guards against demand that counts long after the owner would have dropped it.
+#[test]
+fn withheld_tokens_are_dropped_after_the_window_of_shares() {
+    let mut throttle = flooded(ms(0));
+    for at in [100, 900] {
+        assert!(throttle.decide(FLOOD, cell(0), COST, 0.0, ms(at)).is_some());
+    }
+    let tokens = |now| throttle.clone().take_withheld(FLOOD, now).tokens();
+    assert_eq!(tokens(ms(3_999)), 2 * COST);
+    assert_eq!(tokens(WINDOW + ms(100)), COST);
+    assert_eq!(tokens(WINDOW + ms(900)), 0);
+}
+
+/// Guards against demand that is lost with a request that no owner answers, or that gets younger by
+/// being sent again and again.
+#[test]
+fn returned_tokens_are_taken_again_and_keep_their_age() {
+    let mut throttle = flooded(ms(0));
+    assert!(
+        throttle
+            .decide(FLOOD, cell(0), COST, 0.0, ms(100))
+            .is_some()
+    );
+    let taken = throttle.take_withheld(FLOOD, ms(500));
+    assert!(
+        throttle
+            .decide(FLOOD, cell(0), COST, 0.0, ms(600))
+            .is_some()
+    );
+    throttle.return_withheld(FLOOD, taken);
+    let tokens = |now| throttle.clone().take_withheld(FLOOD, now).tokens();
+    assert_eq!(tokens(ms(700)), 2 * COST);
+    assert_eq!(tokens(WINDOW + ms(100)), COST);
+    assert_eq!(tokens(WINDOW + ms(600)), 0);
+}
+
+/// Guards against a flood in one cell that throttles the customer's requests to a cell whose owner
+/// grants them all.
+#[test]
+fn flood_in_one_cell_leaves_requests_to_another_cell_unthrottled() {
+    let mut throttle = Throttle::new(2.0, WINDOW);
+    let mut throttled = 0;
+    for step in 0..1_000 {
+        let now = ms(10 * step);
+        for _ in 0..5 {
+            throttled += u32::from(throttle.decide(FLOOD, cell(0), COST, 0.5, now).is_some());
+        }
+        throttle.record_standing(FLOOD, over(), now);
+        if step % 5 == 0 {
+            let other = throttle.decide(FLOOD, cell(1), COST, 0.0, now);
+            assert_eq!(other, None, "step {step}");
+            throttle.record_grant(FLOOD, cell(1), now);
+        }
     }
-    assert!(throttle.decide(FLOOD, COST, 0.999, ms(20)).is_none());
-    assert_eq!(throttle.take_withheld(FLOOD), 5 * COST);
-    assert_eq!(throttle.take_withheld(FLOOD), 0);
+    assert!(throttled > 1_000, "{throttled}");
 }
 
 fn over() -> Standing {
@@ -191,14 +276,18 @@
 
 /// Requests of a customer, all refused by owners, that are throttled with a draw of zero.
 fn is_throttled(standing: Option<Standing>, age: Duration) -> bool {
-    let mut throttle = Throttle::new(2.0);
+    let mut throttle = Throttle::new(2.0, WINDOW);
     for _ in 0..50 {
-        assert!(throttle.decide(FLOOD, COST, 0.0, ms(100)).is_none());
+        assert!(
+            throttle
+                .decide(FLOOD, cell(0), COST, 0.0, ms(100))
+                .is_none()
+        );
     }
     if let Some(standing) = standing {
         throttle.record_standing(FLOOD, standing, ms(100));
     }
-    let throttled = throttle.decide(FLOOD, COST, 0.0, ms(100) + age);
+    let throttled = throttle.decide(FLOOD, cell(0), COST, 0.0, ms(100) + age);
     assert!(throttled.is_none_or(|it| it.age == age && Some(it.standing) == standing));
     throttled.is_some()
 }
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -15,6 +15,7 @@
 use dunlinward_dispatch::round_trip::RoundTrip;
 use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::{Tag, Target};
+use dunlinward_dispatch::throttle::Withheld;
 use tokio::sync::mpsc;
 
 use crate::inbound;
@@ -54,7 +55,11 @@
     Placed(Lease),
     /// With the last answer of the owner and when it came, if there was one.
     Refused(Option<(Wait, Duration)>),
+    /// No answer came.
     Unanswered,
+    /// The owner did not answer any more, or granted a place at a target that this router does not
+    /// know.
+    Failed,
     /// The owner granted a place at a target that this router must not use.
     Barred(Tag),
 }
@@ -75,36 +80,58 @@
             if owner == self.settings.link {
                 return self.place_locally(wish).await;
             }
-            if let Some(refusal) = self.throttle(&mut wish) {
-                return Err(refusal.with_owner(owner));
+            let withheld = match self.throttle(&wish) {
+                Ok(withheld) => withheld,
+                Err(refusal) => return Err(refusal.with_owner(owner)),
+            };
+            wish.withheld = withheld.tokens();
+            let outcome = self.request_from(owner, &wish).await;
+            if matches!(outcome, Outcome::Unanswered | Outcome::Refused(None)) {
+                self.return_withheld(&wish, withheld);
             }
-            match self.request_from(owner, &wish).await {
+            match outcome {
                 Outcome::Placed(lease) => return Ok(lease),
                 Outcome::Refused(wait) => return Err(self.refusal(wait).with_owner(owner)),
                 // Each names another target, so the number of iterations is bounded.
                 Outcome::Barred(tag) if !wish.avoid.contains(&tag) => self.exclude(&mut wish, tag),
-                Outcome::Barred(_) | Outcome::Unanswered => silent_owners += 1,
+                Outcome::Barred(_) | Outcome::Unanswered | Outcome::Failed => silent_owners += 1,
             }
             wish.demand_counted = true;
+            wish.withheld = 0;
         }
         self.metrics.add("placed_alone", "unanswered", 1);
         wish.claim = Claim::Own;
         self.place_locally(wish).await
     }
 
-    /// Refusal of a request that an owner would very likely refuse. Requests that are tried again
+    /// Takes the withheld tokens that a request carries to its owner.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the owner would very likely refuse the request. Requests that are tried again
     /// after a failure, or at a second owner, are not refused here.
-    fn throttle(&self, wish: &mut PlaceRequest) -> Option<Refusal> {
-        let customer = wish.customer.filter(|_| !wish.demand_counted)?;
+    fn throttle(&self, wish: &PlaceRequest) -> Result<Withheld, Refusal> {
+        let Some(customer) = wish.customer.filter(|_| !wish.demand_counted) else {
+            return Ok(Withheld::default());
+        };
         let (draw, now) = (self.random_fraction(), self.now());
-        let mut state = self.state.borrow_mut();
-        let Some(throttled) = state.throttle.decide(customer, wish.cost, draw, now) else {
-            wish.withheld = state.throttle.take_withheld(customer);
-            return None;
+        let throttle = &mut self.state.borrow_mut().throttle;
+        let throttled = throttle.decide(customer, wish.cell, wish.cost, draw, now);
+        let Some(throttled) = throttled else {
+            return Ok(throttle.take_withheld(customer, now));
         };
         self.metrics.add("throttled_requests", "over_share", 1);
         let refusal = Refusal::new(Reason::OverShare).with_standing(Some(throttled.standing));
-        Some(refusal.with_standing_at(now.saturating_sub(throttled.age)))
+        Err(refusal.with_standing_at(now.saturating_sub(throttled.age)))
+    }
+
+    /// Keeps the tokens of an unanswered request for the customer's next one. If only the answer was
+    /// lost, the owner counts them again, but not after the window of shares.
+    fn return_withheld(&self, wish: &PlaceRequest, withheld: Withheld) {
+        if let Some(customer) = wish.customer {
+            let mut state = self.state.borrow_mut();
+            state.throttle.return_withheld(customer, withheld);
+        }
     }
 
     /// Records an owner's answer for the throttle.
@@ -116,7 +143,7 @@
         let throttle = &mut self.state.borrow_mut().throttle;
         let standing = match answer {
             Answer::Grant(grant) => {
-                throttle.record_grant(customer, now);
+                throttle.record_grant(customer, wish.cell, now);
                 grant.standing
             }
             Answer::Wait(wait) => wait.standing,
@@ -191,7 +218,10 @@
             if unanswered > 0 {
                 let skipped = self.record_unanswered(owner);
                 if skipped || unanswered >= MAX_UNANSWERED {
-                    return Outcome::Unanswered;
+                    return match last_wait {
+                        Some(_) => Outcome::Failed,
+                        None => Outcome::Unanswered,
+                    };
                 }
             }
         }
@@ -358,7 +388,7 @@
         let Some(target) = known else {
             self.node.metrics.add("places_unknown", "target", 1);
             self.node.decline(self.owner, Answer::Grant(grant));
-            return Outcome::Unanswered;
+            return Outcome::Failed;
         };
         let state = self.node.state.borrow();
         let bar = state.exclusion(&target, wish.allowed, now);
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -224,7 +224,7 @@
             region: settings.regions.of(&settings.domain),
             full_cells: HashMap::new(),
             retries: Detector::new(),
-            throttle: Throttle::new(settings.load_policy.throttle_ratio),
+            throttle: Throttle::new(settings.load_policy.throttle_ratio, settings.share_window),
             refused_contents: Contents::default(),
             membership: Membership::new(
                 descriptor.clone(),
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -224,7 +224,7 @@
             load_policy,
             ..settings()
         };
-        let throttle = Throttle::new(load_policy.throttle_ratio);
+        let throttle = Throttle::new(load_policy.throttle_ratio, settings.share_window);
         let mut owner = State::new(&settings, Peer(u64::MAX));
         owner.table = Some(Rc::new(table()));
         owner.registry.apply_list(targets(), Duration::ZERO);
@@ -318,7 +318,7 @@
         let number = self.next + 1;
         let draw = self.throttle_draws.random();
         let throttle = &mut self.throttles[usize::try_from(router).expect("a few")];
-        let refused = throttle.decide(tag(customer), PROMPT_TOKENS, draw, now);
+        let refused = throttle.decide(tag(customer), cell(), PROMPT_TOKENS, draw, now);
         if refused.is_some() {
             *self.throttled.entry(customer).or_default() += 1;
             return;
@@ -327,7 +327,7 @@
             customer,
             router,
             waits: true,
-            withheld: throttle.take_withheld(tag(customer)),
+            withheld: throttle.take_withheld(tag(customer), now).tokens(),
         };
         self.requests.insert(number, request);
         self.schedule(now + LINK_DELAY, Event::Request(number));
@@ -394,7 +394,7 @@
         }
         let request = self.requests[&number];
         let throttle = &mut self.throttles[usize::try_from(request.router).expect("a few")];
-        throttle.record_grant(tag(request.customer), now);
+        throttle.record_grant(tag(request.customer), cell(), now);
         self.record_standing(number, grant.standing, now);
         self.unconfirmed.push(number);
         self.usage(number).begin(grant.tag, grant.unread);
@@ -473,6 +473,15 @@
     CustomerTag(u32::try_from(customer).expect("a few customers"))
 }
 
+/// The cell of all engines.
+fn cell() -> Cell {
+    Cell {
+        service: ServiceTag::new("pool"),
+        region: Region::default(),
+        index: 0,
+    }
+}
+
 /// The request for a place of a customer's request that arrived at a router.
 fn place_request(customer: usize, arrived: Duration, tie_breaker: u64) -> PlaceRequest {
     let prompt = Prompt {
@@ -484,11 +493,7 @@
         }],
     };
     PlaceRequest {
-        cell: Cell {
-            service: ServiceTag::new("pool"),
-            region: Region::default(),
-            index: 0,
-        },
+        cell: cell(),
         router: Peer(0),
         domain: "a".into(),
         allowed: Constraint::ANY,
