dispatch, path: only examined homes count towards further homes of a prefix

Cause: a request counted as evidence of full homes although its homes were not examined: any waiter in the cell, requests beyond their share, first requests of a prefix, fetches at reporting engines, and blocked or unavailable targets. Recomputed prefixes counted as additions. A further home could fetch the prefix from one that had not prefilled it. Placements had no age.

Ruled out: a release by the owner. Engines evict unused prefixes themselves, and a second burst would prefill the prefix again.

Change: demand is recorded in State::choose, once per request, if the prefix has homes, no candidate reports its cache and the request may use all of a target's capacity. Additions are recorded by Choice::new_home. Placements count for 4 s. The first addition comes 400 ms after the prefix was sent to its first home. The log line has most_homes and limit. A request that is placed where its content is in flight does not count, as homes are not examined for it.

Tests: homes_are_added_one_at_a_time_and_up_to_the_limit now starts 1 s after the first placement, because a prefix that was just requested may not get another home any more; its assertions are kept. The load test records additions by new_home as owners do.

Conclusion: a prefix gets another home only on evidence of full homes. While the demand of a cell is not met, customers with unmet demand are over the level, as it is derived from grants, and add no home; a trial has to show what that costs.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -104,6 +104,8 @@
     pub hit: bool,
     /// The target from whose cache the missing part of the prefix is fetched.
     pub fetch: Option<Arc<Target>>,
+    /// Whether the target becomes another home of a prefix whose homes are full.
+    pub new_home: bool,
 }
 
 /// Selects a target; none if no candidate has capacity.
@@ -147,6 +149,7 @@
                     unread: 0,
                     hit: true,
                     fetch: None,
+                    new_home: false,
                 },
             ));
         }
--- a/crates/dispatch/src/placement/engine.rs
+++ b/crates/dispatch/src/placement/engine.rs
@@ -52,6 +52,8 @@
     recompute: bool,
     /// The engine to fetch the missing part of the prefix from.
     fetch: Option<Arc<Target>>,
+    /// Whether the engine becomes another home of the prefix.
+    new_home: bool,
 }
 
 /// Selects an engine; none if no candidate has capacity.
@@ -131,6 +133,7 @@
                 unread: plan.unread.round() as u64,
                 hit: plan.hit,
                 fetch: plan.fetch,
+                new_home: plan.new_home,
             };
             *best = Some((cost, choice));
         }
@@ -181,6 +184,7 @@
         hit: cached >= shared || candidate.assumed_cached && missing <= 0.0,
         recompute: false,
         fetch: fetch.map(|(it, _)| it.target.clone()),
+        new_home: false,
     }
 }
 
@@ -199,6 +203,8 @@
 ) -> Plan {
     let hit = prompt.prefix().is_none() || candidate.assumed_cached;
     let recompute = !hit && home != Some(candidate.target.tag());
+    // Only prefixes with homes may get another one.
+    let new_home = !hit && !recompute && criteria.allow_replica;
     let shared = prompt.shared_tokens() as f64;
     if let (false, false, Some(source), Some(seconds_per_token)) =
         (hit, recompute, source, criteria.fetch_seconds)
@@ -210,6 +216,7 @@
             hit,
             recompute,
             fetch: Some(source.target.clone()),
+            new_home,
         };
     }
     let missing = if hit { 0.0 } else { shared };
@@ -223,6 +230,7 @@
         hit,
         recompute,
         fetch: None,
+        new_home,
     }
 }
 
--- a/crates/dispatch/tests/replicas.rs
+++ b/crates/dispatch/tests/replicas.rs
@@ -123,8 +123,11 @@
             self.replicas.record(prefix, full, now);
         }
         let choice = choice?;
-        if homes > 0 && !choice.hit {
-            self.replicas.record_added(prefix, now);
+        if homes == 0 {
+            self.replicas.record_first(prefix, now);
+        }
+        if choice.new_home {
+            self.replicas.record_added(prefix, homes + 1, now);
             self.prefilled_again += SHARED_TOKENS;
         }
         let tag = choice.target.tag();
@@ -210,17 +213,98 @@
             replicas.record(prefix, true, now);
         }
     };
-    full(&mut replicas, ms(0));
-    assert!(replicas.may_add(prefix, 1, MAX_HOMES, ms(0)));
-    replicas.record_added(prefix, ms(0));
-    full(&mut replicas, ms(100));
-    assert!(!replicas.may_add(prefix, 2, MAX_HOMES, ms(100)), "too soon");
-    assert!(replicas.may_add(prefix, 2, MAX_HOMES, ms(400)));
-    assert!(!replicas.may_add(prefix, MAX_HOMES, MAX_HOMES, ms(400)));
+    replicas.record(prefix, false, ms(0));
+    full(&mut replicas, ms(1_000));
+    assert!(replicas.may_add(prefix, 1, MAX_HOMES, ms(1_000)));
+    replicas.record_added(prefix, 2, ms(1_000));
+    full(&mut replicas, ms(1_100));
+    assert!(
+        !replicas.may_add(prefix, 2, MAX_HOMES, ms(1_100)),
+        "too soon"
+    );
+    assert!(replicas.may_add(prefix, 2, MAX_HOMES, ms(1_400)));
+    assert!(!replicas.may_add(prefix, MAX_HOMES, MAX_HOMES, ms(1_400)));
     assert!(
-        !replicas.may_add(prefix, 0, MAX_HOMES, ms(400)),
+        !replicas.may_add(prefix, 0, MAX_HOMES, ms(1_400)),
         "no home at all"
     );
+    let added = replicas.take_added();
+    assert_eq!((added.homes, added.max_homes), (1, 2));
+    assert_eq!(replicas.take_added().homes, 0);
+}
+
+/// Guards against a home that is added, and may fetch the prefix, before the first one has
+/// prefilled it.
+#[test]
+fn no_home_is_added_while_the_first_one_prefills() {
+    let mut replicas = Replicas::default();
+    let prefix = Prefix(1);
+    for step in 0..40 {
+        let now = ms(step * 10);
+        replicas.record(prefix, true, now);
+        assert!(!replicas.may_add(prefix, 1, MAX_HOMES, now), "{step}");
+    }
+    assert!(replicas.may_add(prefix, 1, MAX_HOMES, ms(400)));
+    // The prefix was evicted and is prefilled again.
+    replicas.record_first(prefix, ms(500));
+    replicas.record(prefix, true, ms(500));
+    replicas.record(prefix, true, ms(500));
+    replicas.record(prefix, true, ms(500));
+    assert!(!replicas.may_add(prefix, 1, MAX_HOMES, ms(800)));
+    assert!(replicas.may_add(prefix, 1, MAX_HOMES, ms(900)));
+}
+
+/// Guards against homes that are added for placements long ago.
+#[test]
+fn old_placements_do_not_count() {
+    let mut replicas = Replicas::default();
+    let prefix = Prefix(1);
+    for second in [0, 1, 2] {
+        replicas.record(prefix, true, ms(second * 1_000));
+    }
+    assert!(replicas.may_add(prefix, 1, MAX_HOMES, ms(3_999)));
+    assert!(!replicas.may_add(prefix, 1, MAX_HOMES, ms(4_000)));
+    // One full placement in three seconds, never three within the window.
+    let mut replicas = Replicas::default();
+    for step in 0..20 {
+        let now = ms(step * 3_000);
+        replicas.record(prefix, true, now);
+        assert!(!replicas.may_add(prefix, 1, MAX_HOMES, now), "{step}");
+    }
+}
+
+/// Guards against a prefix that is recomputed elsewhere for one request and counts as another home.
+#[test]
+fn recomputed_prefix_is_no_new_home() {
+    let prompt = prompt(1);
+    let mut engines = Engines::new(4, MAX_HOMES);
+    engines.cached.insert((engines.targets[0].tag(), 1));
+    let mut busy = engines.candidates(1, ms(0));
+    busy[0].load.unread = 50_000;
+    let choose = |allow_replica, candidates: &[Candidate]| {
+        let criteria = Criteria {
+            prompt: Some(&prompt),
+            objective: OBJECTIVE,
+            rate: 25_000.0,
+            fetch_seconds: None,
+            capacity_share: 1.0,
+            miss_capacity_scale: 1.0,
+            allow_fetch: true,
+            waited: Duration::ZERO,
+            allow_miss: true,
+            allow_replica,
+            tie_breaker: 3,
+        };
+        placement::choose(&Policy::default(), &criteria, candidates).unwrap()
+    };
+    let choice = choose(false, &busy);
+    assert!(!choice.hit && !choice.new_home);
+    assert!(choose(true, &busy).new_home);
+    let idle = engines.candidates(1, ms(0));
+    assert!(!choose(true, &idle).new_home, "the home has capacity");
+    engines.cached.clear();
+    let uncached = engines.candidates(1, ms(0));
+    assert!(!choose(false, &uncached).new_home, "it is the first home");
 }
 
 #[test]
@@ -259,6 +343,7 @@
     let mut busy = candidates.clone();
     busy[0].load.unread = 50_000;
     let choice = placement::choose(&Policy::default(), &criteria, &busy).unwrap();
+    assert!(choice.new_home);
     assert_eq!(choice.fetch.unwrap().tag(), engines.targets[0].tag());
     assert!(choice.unread < OWN_TOKENS + 100, "{}", choice.unread);
     criteria.allow_fetch = false;
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -256,6 +256,7 @@
             is_retry: job.returning,
             demand_counted: failed.is_some(),
             withheld: 0,
+            homes_recorded_at: None,
             failed: failed.is_some(),
             avoid,
             deadline: until,
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -68,6 +68,7 @@
             is_retry: ask.is_retry,
             demand_counted: ask.demand_counted,
             withheld: ask.withheld,
+            homes_recorded_at: None,
             failed: ask.failed,
             avoid: ask.avoid,
             deadline: now + ask.max_wait,
@@ -221,19 +222,20 @@
     }
 }
 
-/// Logs how many prefixes got another home since the last line.
+/// Logs how many homes of prefixes were added since the last line.
 fn log_replicas(node: &Node) {
     let (added, prefixes) = {
         let mut state = node.state.borrow_mut();
-        let added = std::mem::take(&mut state.replicas_added);
-        (added, state.replicas.len())
+        (state.replicas.take_added(), state.replicas.len())
     };
-    if added == 0 {
+    if added.homes == 0 {
         return;
     }
-    node.metrics.add("prefix_homes", "added", added);
+    node.metrics.add("prefix_homes", "added", added.homes);
     let line = node.journal.line("prefix_homes_added");
-    drop(line.with("homes", added).with("prefixes", prefixes));
+    let line = line.with("homes", added.homes).with("prefixes", prefixes);
+    let line = line.with("most_homes", added.max_homes);
+    drop(line.with("limit", node.settings.load_policy.max_prefix_homes));
 }
 
 /// Logs answers of owners that came after their requests had been abandoned.
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -67,18 +67,15 @@
 
 impl Node {
     /// Places a request of this router's callers at once, if this router knows of capacity.
-    fn try_place(self: &Rc<Self>, wish: &PlaceRequest) -> Option<Lease> {
+    fn try_place(self: &Rc<Self>, wish: &mut PlaceRequest) -> Option<Lease> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let cover = state.share_ratio(wish, now);
         state.record_demand(wish, now);
         if state.has_queued(wish) {
-            state.record_prefix_demand(&self.settings, wish, None, now);
             return None;
         }
-        let choice = state.choose(&self.settings, wish, cover, now);
-        state.record_prefix_demand(&self.settings, wish, choice.as_ref(), now);
-        let choice = choice?;
+        let choice = state.choose(&self.settings, wish, cover, now)?;
         let place = state.grant_place(wish, choice, self.settings.link, now);
         drop(state);
         Some(Lease::new(self, place))
@@ -95,7 +92,7 @@
         self.state
             .borrow()
             .classify(&self.settings, &mut wish, self.now());
-        if let Some(lease) = self.try_place(&wish) {
+        if let Some(lease) = self.try_place(&mut wish) {
             return Ok(lease);
         }
         let now = self.now();
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -97,6 +97,8 @@
     /// Tokens of the customer's requests that its router refused without asking an owner, counted
     /// as demand with this request.
     pub withheld: u64,
+    /// Time at which it was recorded whether the homes of its prefix had capacity for it.
+    pub homes_recorded_at: Option<Duration>,
     /// Whether it has failed at a target.
     pub failed: bool,
     /// Targets on which it must not be placed: those that failed it, are ejected at its router, or
@@ -137,8 +139,6 @@
     pub(crate) prefixes: History,
     /// Demand for prefixes whose homes are full.
     pub(crate) replicas: Replicas,
-    /// Number of further homes of prefixes since the last log line.
-    pub(crate) replicas_added: u64,
     /// Contents of engines' prefix caches, as reported by the engines of this router's cells.
     pub(crate) caches: Caches,
     pub(crate) health: Health,
@@ -212,7 +212,6 @@
             usage: Usage::new(),
             prefixes: History::new(),
             replicas: Replicas::default(),
-            replicas_added: 0,
             caches: Caches::new(),
             health: Health::new(),
             backoffs: Backoffs::default(),
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -64,9 +64,8 @@
             let choice = if self.has_queued(&wish) {
                 None
             } else {
-                self.choose(settings, &wish, cover, now)
+                self.choose(settings, &mut wish, cover, now)
             };
-            self.record_prefix_demand(settings, &wish, choice.as_ref(), now);
             if let Some(choice) = choice {
                 return Content::Grant(self.grant_to_peer(asker, &wish, &choice, now));
             }
@@ -143,14 +142,13 @@
     pub(crate) fn choose(
         &mut self,
         settings: &Settings,
-        request: &PlaceRequest,
+        request: &mut PlaceRequest,
         share_ratio: f64,
         now: Duration,
     ) -> Option<Choice> {
         if self.is_blocked(request, now) {
             return None;
         }
-        let prompt = request.prompt.as_deref();
         let table = self.table.clone()?;
         let targets = self.registry.targets_of_cell(request.cell);
         let service = targets.first().map(|it| it.service.clone())?;
@@ -165,10 +163,18 @@
         let mut candidates = self.candidates(request, retention, now);
         self.limit_cold(settings, request, &service, &mut candidates, now);
         let in_flight = self.in_flight_candidate(request, &candidates);
-        let homes = candidates.iter().filter(|it| it.assumed_cached).count();
+        let capacity_share = self.capacity_share(settings, request, share_ratio);
+        let prompt = request.prompt.as_deref();
         let max_homes = settings.load_policy.max_prefix_homes;
-        let prefix = prompt.and_then(Prompt::prefix);
-        let allow_replica = share_ratio >= 1.0
+        let prefix = prompt.and_then(Prompt::prefix).filter(|_| max_homes > 1);
+        // Engines that report their caches fetch prefixes where they lack them, so prefixes have no
+        // homes there.
+        let reported = candidates.iter().any(|it| it.prefix_match.is_some());
+        let prefix = prefix.filter(|_| !reported);
+        let homes = candidates.iter().filter(|it| it.assumed_cached).count();
+        // With a part of the capacity, homes seem full that are not.
+        let has_full_capacity = capacity_share >= 1.0;
+        let allow_replica = has_full_capacity
             && prefix.is_some_and(|it| self.replicas.may_add(it, homes, max_homes, now));
         let criteria = Criteria {
             prompt,
@@ -183,7 +189,7 @@
             waited: now.saturating_sub(request.arrived),
             allow_miss: now
                 >= request.arrived + request.objective.mul_f64(settings.queue_policy.miss_delay),
-            capacity_share: self.capacity_share(settings, request, share_ratio),
+            capacity_share,
             // A customer far below its share may recompute prefixes more, as others may use all
             // room at the targets that cache its prefixes.
             miss_capacity_scale: share_ratio.max(1.0),
@@ -191,34 +197,29 @@
             tie_breaker: request.tie_breaker,
         };
         let policy = &settings.policy;
-        let choice = in_flight.and_then(|it| placement::choose(policy, &criteria, &[it]));
-        // If that target is full, the request runs on another one instead of waiting.
-        let choice = choice.or_else(|| placement::choose(policy, &criteria, &candidates));
-        if let (true, Some(prefix), Some(choice)) = (allow_replica, prefix, &choice)
-            && !choice.hit
-        {
-            self.replicas.record_added(prefix, now);
-            self.replicas_added += 1;
-        }
-        choice
-    }
-
-    /// Records whether the homes of a request's prefix had capacity for it, when it was first
-    /// considered: a request that waits is considered again many times.
-    pub(crate) fn record_prefix_demand(
-        &mut self,
-        settings: &Settings,
-        request: &PlaceRequest,
-        choice: Option<&Choice>,
-        now: Duration,
-    ) {
-        if settings.load_policy.max_prefix_homes <= 1 {
-            return;
+        if let Some(choice) = in_flight.and_then(|it| placement::choose(policy, &criteria, &[it])) {
+            // The homes were not examined.
+            return Some(choice);
         }
-        if let Some(prefix) = request.prompt.as_deref().and_then(Prompt::prefix) {
-            let full = choice.is_none_or(|it| !it.hit);
+        // If that target is full, the request runs on another one instead of waiting.
+        let choice = placement::choose(policy, &criteria, &candidates);
+        let Some(prefix) = prefix else {
+            return choice;
+        };
+        if homes == 0 {
+            if choice.is_some() {
+                self.replicas.record_first(prefix, now);
+            }
+        } else if has_full_capacity && request.homes_recorded_at.is_none() {
+            // Once for each request, as one that waits is considered again many times.
+            request.homes_recorded_at = Some(now);
+            let full = choice.as_ref().is_none_or(|it| !it.hit);
             self.replicas.record(prefix, full, now);
         }
+        if choice.as_ref().is_some_and(|it| it.new_home) {
+            self.replicas.record_added(prefix, homes + 1, now);
+        }
+        choice
     }
 
     /// Ratio of the capacity that a request may use, 0 to 1.
@@ -359,8 +360,8 @@
             waiter.share_ratio = self.share_ratio(&waiter.wish, now);
         }
         queue.sort_by_key(|it| (it.share_ratio < 1.0, it.wish.is_retry, it.wish.arrived));
-        for waiter in queue {
-            let choice = self.choose(settings, &waiter.wish, waiter.share_ratio, now);
+        for mut waiter in queue {
+            let choice = self.choose(settings, &mut waiter.wish, waiter.share_ratio, now);
             match (choice, waiter) {
                 (None, waiter) => self.queue.push(waiter),
                 (Some(choice), Waiter { wish, origin, .. }) => match origin {
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -25,6 +25,7 @@
 mod limits;
 mod on_time;
 mod refusals;
+mod replicas;
 mod retries;
 mod suspects;
 mod throttle;
@@ -501,6 +502,7 @@
         is_retry: false,
         demand_counted: false,
         withheld: 0,
+        homes_recorded_at: None,
         failed: false,
         avoid: Vec::new(),
         deadline: arrived + OBJECTIVE.mul_f64(QueuePolicy::default().first_wait),
