path, dispatch: pauses are those of the target, bounds end under light load, no observation is lost

Cause: found in review. A bound was raised only with 24 streams in 10 s, so it outlasted a peak by hours. A client that blocked after held events, and a suspension of the router, counted as pauses of the target; a pause beyond the plausible one made owners drop the whole report. Targets beyond 64 per owner were marked as sent and discarded. A plain answer within 1 ns passed as plausible. Ruled out: counting sent observations by cell and skipping cells that do not fit, as a cell of more than 64 targets would never be reported; dropping a whole stream after a suspension, as the runtime's clock already leaves suspended time out. Change: a bound is raised on time alone after 20 s without a paused stream. A wait ends when a tick forwards held events and is measured by the runtime's clock; the read limit is kept. Recorded pauses are limited to MAX_TIME. What was sent is counted by target and owner, those reported longest ago come first; bounds beyond 64 rotate. Plain answers take at least 50 us.

--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -29,7 +29,11 @@
 pub const MAX_PREFILL_RATE: u64 = 1_000_000;
 
 /// Longest plausible pause between two events of a stream, and time to an answer.
-const MAX_TIME: Duration = Duration::from_mins(5);
+pub const MAX_TIME: Duration = Duration::from_mins(5);
+
+/// Shortest plausible time to an answer of a plain target, about that of a round trip on one host.
+/// A shorter one would rate the target thousands of times faster than any other.
+const MIN_ANSWER_TIME: Duration = Duration::from_micros(50);
 
 /// Age up to which a sample is used. Engines whose speed changes for longer are measured anew.
 pub const MAX_SAMPLE_AGE: Duration = Duration::from_secs(30);
@@ -60,7 +64,8 @@
     pub fn is_plausible(&self) -> bool {
         let tokens = u128::from(self.tokens);
         let max_tokens = u128::from(MAX_PREFILL_RATE) * self.time.as_micros() / 1_000_000;
-        !self.time.is_zero() && self.time <= MAX_TIME && tokens <= max_tokens
+        let long_enough = self.tokens > 0 || self.time >= MIN_ANSWER_TIME;
+        long_enough && !self.time.is_zero() && self.time <= MAX_TIME && tokens <= max_tokens
     }
 
     /// Work per second: tokens of a prefill, or answers.
--- a/crates/dispatch/src/speed/pauses.rs
+++ b/crates/dispatch/src/speed/pauses.rs
@@ -15,7 +15,8 @@
 /// Share below which the bound is raised, which keeps the mean below [`MAX_PAUSED_SHARE`].
 const LOW_PAUSED_SHARE: f64 = 0.03;
 
-/// Streams below which the bound is left as it is.
+/// Streams below which the share of paused streams is unknown. The bound is then only raised, once
+/// [`QUIET_TIME`] has passed.
 const MIN_STREAMS: u32 = 24;
 
 /// Period over which streams are counted.
@@ -113,11 +114,19 @@
 
     /// Adjusts the bound; `median` is the share of paused streams at the median target of the cell.
     pub(super) fn adjust(&mut self, median: f64, now: Duration) {
-        let due = now.saturating_sub(self.adjusted_at) >= STEP;
-        let Some(share) = self.share().filter(|_| due) else {
+        if now.saturating_sub(self.adjusted_at) < STEP {
             return;
-        };
+        }
         let bounded = self.reduction > 0.0;
+        let quiet = now.saturating_sub(self.paused_at) >= QUIET_TIME;
+        let Some(share) = self.share() else {
+            // Under light load there are never enough streams for a share, and the bound would
+            // refuse long prompts at an idle engine.
+            if bounded && quiet {
+                self.raise(QUIET_RAISE, now);
+            }
+            return;
+        };
         let too_many = if bounded {
             share > MAX_PAUSED_SHARE
         } else {
@@ -132,13 +141,15 @@
             self.counts.clear();
             self.adjusted_at = now;
         } else if bounded && share < LOW_PAUSED_SHARE {
-            let quiet = now.saturating_sub(self.paused_at) >= QUIET_TIME;
-            let raise = if quiet { QUIET_RAISE } else { RAISE };
-            self.reduction = (self.reduction - raise).max(0.0);
-            self.adjusted_at = now;
+            self.raise(if quiet { QUIET_RAISE } else { RAISE }, now);
         }
     }
 
+    fn raise(&mut self, amount: f64, now: Duration) {
+        self.reduction = (self.reduction - amount).max(0.0);
+        self.adjusted_at = now;
+    }
+
     /// Number of separate incidents that made streams pause.
     fn incidents(&self) -> usize {
         let paused = self.counts.iter().filter(|(.., paused)| *paused > 0);
--- a/crates/dispatch/tests/speed.rs
+++ b/crates/dispatch/tests/speed.rs
@@ -320,10 +320,13 @@
     let content = |sample: Sample| Content::Observations(report(1, Tag(1), &[sample]));
     assert!(content(sample(6_610, ms(150))).plausible());
     assert!(content(sample(0, ms(40))).plausible());
+    assert!(content(sample(0, Duration::from_micros(50))).plausible());
     let impossible = [
         sample(6_610, ms(1)),
         sample(6_610, Duration::ZERO),
         sample(0, Duration::ZERO),
+        sample(0, Duration::from_nanos(1)),
+        sample(0, Duration::from_micros(49)),
         sample(u64::MAX, ms(1_000)),
         sample(1, Duration::MAX),
     ];
@@ -430,6 +433,33 @@
     assert!((0..ENGINES).all(|it| !fleet.speeds.rating(Tag(it)).is_bounded()));
 }
 
+/// Guards against a bound that stays for hours after a peak, because under light load there are
+/// never enough streams to measure a share; and against one that is lifted at once.
+#[test]
+fn a_bound_is_lifted_under_light_load() {
+    let mut fleet = Fleet::mixed(9);
+    fleet.paused[2] = 0.4;
+    let mut fleet = fleet.run(ms(15_000));
+    let peak = fleet.now;
+    let bound = fleet.speeds.rating(Tag(2)).prefill_bound;
+    assert!(bound < 0.8, "{bound}");
+    let mut lifted = None;
+    for second in 1..=120 {
+        let now = peak + ms(1_000 * second);
+        if second % 2 == 0 {
+            let mut clean = report(fleet.numbers + second, Tag(2), &[]);
+            clean.observations[0].streams = 1;
+            fleet.speeds.record(Peer(0), &clean, now);
+        }
+        fleet.speeds.refresh([tags()], now);
+        if !fleet.speeds.rating(Tag(2)).is_bounded() {
+            lifted.get_or_insert(ms(1_000 * second));
+        }
+    }
+    let lifted = lifted.expect("the bound is lifted within two minutes");
+    assert!(lifted > ms(20_000), "{lifted:?}");
+}
+
 /// Guards against a router behind a lossy link, and against a load that is too high everywhere:
 /// pauses at all targets say nothing about any of them.
 #[test]
--- a/crates/path/src/observation.rs
+++ b/crates/path/src/observation.rs
@@ -12,9 +12,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinward_dispatch::cell::Cell;
 use dunlinward_dispatch::message::Content;
-use dunlinward_dispatch::speed::{self, Bound, MAX_SAMPLES, MAX_TARGETS, Report, Sample, Summary};
+use dunlinward_dispatch::speed::{
+    self, Bound, MAX_SAMPLES, MAX_TARGETS, MAX_TIME, Report, Sample, Summary,
+};
 use dunlinward_dispatch::target::Tag;
 use dunlinward_dispatch::usage::Peer;
 
@@ -112,14 +113,12 @@
     event: Event,
 }
 
-/// A cell, and the owner that gets the observations at its targets.
+/// The owner of a cell, who gets the observations at its targets.
 #[derive(Clone, Debug)]
 pub struct Recipient {
-    /// The cell.
-    pub cell: Cell,
-    /// Its owner.
+    /// The owner.
     pub owner: SocketAddr,
-    /// Its targets.
+    /// Targets of the cell.
     pub tags: Vec<Tag>,
     /// Bounds that this router has learned as the previous owner.
     pub bounds: Vec<Bound>,
@@ -131,8 +130,9 @@
     entries: HashMap<Tag, VecDeque<Entry>>,
     /// Number of the newest entry.
     last: u64,
-    /// Newest entry that each owner of a cell has received.
-    sent: HashMap<(Cell, SocketAddr), u64>,
+    /// Newest entry at each target that an owner has received. Kept by target, as a report may hold
+    /// only some targets of a cell.
+    sent: HashMap<(Tag, SocketAddr), u64>,
     /// Number of the last report.
     reports: u64,
 }
@@ -144,6 +144,14 @@
         if lateness > MAX_LATENESS {
             return false;
         }
+        let event = match event {
+            // A longer pause, as after a long suspension, would make the whole report implausible.
+            Event::Stream { paused, longest } => Event::Stream {
+                paused,
+                longest: longest.min(MAX_TIME),
+            },
+            Event::Work(_) => event,
+        };
         self.last += 1;
         let entries = self.entries.entry(tag).or_default();
         if entries.len() >= MAX_KEPT {
@@ -157,7 +165,9 @@
         true
     }
 
-    /// Reports of the observations that owners have not received.
+    /// Reports of the observations that owners have not received. If an owner has more targets with
+    /// new observations than a report holds, those that were reported longest ago come first; the
+    /// others remain for the next reports.
     pub fn due(
         &mut self,
         cells: impl Iterator<Item = Recipient>,
@@ -165,32 +175,22 @@
     ) -> HashMap<SocketAddr, Report> {
         self.prune(now);
         self.reports += 1;
-        let mut reports: HashMap<SocketAddr, Report> = HashMap::new();
+        let mut owners: HashMap<SocketAddr, (Vec<Tag>, Vec<Bound>)> = HashMap::new();
         for recipient in cells {
-            let Recipient {
-                cell,
-                owner,
-                tags,
-                bounds,
-            } = recipient;
-            let after = self.sent.insert((cell, owner), self.last).unwrap_or(0);
-            let observations = tags.iter().filter_map(|tag| self.observation(*tag, after));
-            let observations: Vec<_> = observations.collect();
-            if observations.is_empty() && bounds.is_empty() {
-                continue;
-            }
-            let number = self.reports;
-            let report = reports.entry(owner).or_insert_with(|| Report {
-                number,
-                observations: Vec::new(),
-                bounds: Vec::new(),
-            });
-            report.observations.extend(observations);
-            report.observations.truncate(MAX_TARGETS);
-            report.bounds.extend(bounds);
-            report.bounds.truncate(MAX_TARGETS);
+            let (tags, bounds) = owners.entry(recipient.owner).or_default();
+            tags.extend(recipient.tags);
+            bounds.extend(recipient.bounds);
         }
-        reports
+        let reports = owners.into_iter().map(|(owner, (tags, bounds))| {
+            let report = Report {
+                number: self.reports,
+                observations: self.unsent(&tags, owner),
+                bounds: self.rotated(bounds),
+            };
+            (owner, report)
+        });
+        let is_empty = |it: &Report| it.observations.is_empty() && it.bounds.is_empty();
+        reports.filter(|(_, it)| !is_empty(it)).collect()
     }
 
     fn prune(&mut self, now: Duration) {
@@ -198,10 +198,37 @@
             entries.retain(|it| now.saturating_sub(it.at) < MAX_AGE);
         }
         self.entries.retain(|_, it| !it.is_empty());
-        let numbers = self.entries.values().filter_map(VecDeque::front);
         // An owner that has received nothing of what is kept is treated as a new one.
-        let oldest = numbers.map(|it| it.number).min().unwrap_or(self.last);
-        self.sent.retain(|_, number| *number >= oldest);
+        let entries = &self.entries;
+        self.sent.retain(|(tag, _), number| {
+            let oldest = entries.get(tag).and_then(VecDeque::front);
+            oldest.is_some_and(|it| *number >= it.number)
+        });
+    }
+
+    /// Observations at some targets that an owner has not received, as many as a report may hold.
+    fn unsent(&mut self, tags: &[Tag], owner: SocketAddr) -> Vec<speed::Observation> {
+        let sent = |tag: Tag| self.sent.get(&(tag, owner)).copied().unwrap_or(0);
+        let mut tags: Vec<_> = tags.iter().map(|tag| (sent(*tag), *tag)).collect();
+        tags.sort_unstable();
+        let observations = tags
+            .iter()
+            .filter_map(|(after, tag)| self.observation(*tag, *after));
+        let observations: Vec<_> = observations.take(MAX_TARGETS).collect();
+        for observation in &observations {
+            self.sent.insert((observation.tag, owner), self.last);
+        }
+        observations
+    }
+
+    /// As many bounds as a report may hold; others in each report.
+    fn rotated(&self, mut bounds: Vec<Bound>) -> Vec<Bound> {
+        if bounds.len() > MAX_TARGETS {
+            let first = self.reports.wrapping_mul(MAX_TARGETS as u64) % bounds.len() as u64;
+            bounds.rotate_left(usize::try_from(first).unwrap_or(0));
+            bounds.truncate(MAX_TARGETS);
+        }
+        bounds
     }
 
     /// Observations at a target since the entry `after`.
@@ -311,7 +338,6 @@
             state.speeds.handover(&tags, now)
         };
         Recipient {
-            cell,
             owner,
             tags,
             bounds,
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -17,7 +17,7 @@
 use dunlinward_dispatch::target::Tag;
 use hyper::body::{Body, Frame};
 use snafu::Snafu;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use crate::attempt::{self, Attempt, Job, Verdict};
 use crate::event::Splitter;
@@ -114,8 +114,9 @@
     ended: bool,
     timing: Timing,
     pauses: Pauses,
-    /// When the current read began.
-    read_started: Duration,
+    /// When the router began to wait for the target, if it does. The runtime's clock stops while
+    /// the instance is suspended, so a suspension is no time of waiting.
+    read_started: Option<Instant>,
     policy: Policy,
     held: Held,
     /// Reason for which the answer broke off, while events that came before are forwarded.
@@ -232,7 +233,7 @@
             ended: false,
             timing: Timing::default(),
             pauses: Pauses::default(),
-            read_started: Duration::ZERO,
+            read_started: None,
             policy,
             held: Held::default(),
             interrupted: None,
@@ -262,6 +263,8 @@
                     return Poll::Pending;
                 }
                 ready!(self.held.poll_tick(&self.node, context));
+                // While the client takes these, the body is not polled.
+                self.record_wait();
                 return Poll::Ready(self.forward(Bytes::new()));
             };
             if let Some(step) = self.handle(chunk) {
@@ -329,10 +332,10 @@
     }
 
     fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Chunk> {
+        self.read_started.get_or_insert_with(Instant::now);
         let limit = if let Some(limit) = self.limit {
             limit
         } else {
-            self.read_started = self.node.now();
             *self.limit.insert(self.read_limit())
         };
         if let Poll::Ready(chunk) = self.poll_body(context) {
@@ -353,11 +356,17 @@
         };
         let frame = ready!(Pin::new(&mut attempt.body).poll_frame(context));
         self.limit = None;
-        let waited = self.node.now().saturating_sub(self.read_started);
-        self.pauses.record_wait(waited);
+        self.record_wait();
         Poll::Ready(frame.into())
     }
 
+    /// Ends the measurement of the current wait for the target; the next read begins a new one.
+    fn record_wait(&mut self) {
+        if let Some(started) = self.read_started.take() {
+            self.pauses.record_wait(started.elapsed());
+        }
+    }
+
     /// Waits until `limit`. The alarm of an earlier read is kept, as most reads end long before
     /// their limit: it fires too early and is then set again.
     fn poll_limit(&mut self, limit: Duration, context: &mut Context<'_>) -> Poll<()> {
@@ -487,6 +496,7 @@
         self.sends += 1;
         self.answering = false;
         self.pauses = Pauses::default();
+        self.read_started = None;
         // The limit of a silent read has passed; the next target gets a new one.
         self.limit = None;
         self.alarm = None;
--- a/crates/path/tests/observation.rs
+++ b/crates/path/tests/observation.rs
@@ -1,11 +1,10 @@
 //! Collection of observations at targets and their reports to owners.
 
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dunlinward_dispatch::cell::{Cell, ServiceTag};
-use dunlinward_dispatch::region::Region;
-use dunlinward_dispatch::speed::{MAX_SAMPLES, MAX_TARGETS, Report, Sample};
+use dunlinward_dispatch::speed::{Bound, MAX_SAMPLES, MAX_TARGETS, MAX_TIME, Report, Sample};
 use dunlinward_dispatch::target::Tag;
 use dunlinward_path::observation::{Collector, Event, Pauses, Recipient};
 use dunlinward_path::overload::Detector;
@@ -16,14 +15,6 @@
     Duration::from_millis(milliseconds)
 }
 
-fn cell() -> Cell {
-    Cell {
-        service: ServiceTag::new("pool"),
-        region: Region::default(),
-        index: 0,
-    }
-}
-
 fn owner(number: u16) -> SocketAddr {
     ([127, 0, 0, 1], number).into()
 }
@@ -39,7 +30,6 @@
 fn due(collector: &mut Collector, owner: SocketAddr, now: Duration) -> Option<Report> {
     let tags: Vec<_> = (0..100).map(Tag).collect();
     let recipient = Recipient {
-        cell: cell(),
         owner,
         tags,
         bounds: Vec::new(),
@@ -101,6 +91,82 @@
     assert!(report.is_plausible());
 }
 
+/// Guards against observations that are never sent, because a report holds fewer targets than an
+/// owner has, in one cell or in several.
+#[test]
+fn targets_beyond_a_report_come_with_the_next_ones() {
+    for cells in [1, 4] {
+        let mut collector = Collector::default();
+        let mut seen = HashMap::new();
+        for round in 1..=20 {
+            let now = ms(300 * round);
+            if round <= 10 {
+                for number in 0..100 {
+                    collector.record(Tag(number), work(1_000 * round), ms(1), now);
+                }
+            }
+            let recipients = (0..cells).map(|index| Recipient {
+                owner: owner(1),
+                tags: (0..100).filter(|it| it % cells == index).map(Tag).collect(),
+                bounds: Vec::new(),
+            });
+            let Some(report) = collector.due(recipients, now).remove(&owner(1)) else {
+                continue;
+            };
+            assert!(report.is_plausible());
+            for observation in report.observations {
+                let samples = observation.samples.iter().map(|it| it.tokens);
+                seen.entry(observation.tag)
+                    .or_insert_with(Vec::new)
+                    .extend(samples);
+            }
+        }
+        let expected: Vec<_> = (1..=10).map(|it| 1_000 * it).collect();
+        for number in 0..100 {
+            let samples = seen.get(&Tag(number));
+            assert_eq!(samples, Some(&expected), "target {number}, {cells} cells");
+        }
+    }
+}
+
+/// Guards against bounds that a new owner never gets, because a report holds fewer.
+#[test]
+fn bounds_beyond_a_report_come_with_the_next_ones() {
+    let mut collector = Collector::default();
+    let mut seen = HashSet::new();
+    for round in 1..=2 {
+        let bounds = (0..100).map(|it| Bound {
+            tag: Tag(it),
+            percent: 50,
+        });
+        let recipient = Recipient {
+            owner: owner(1),
+            tags: Vec::new(),
+            bounds: bounds.collect(),
+        };
+        let mut reports = collector.due([recipient].into_iter(), ms(300 * round));
+        let report = reports.remove(&owner(1)).expect("it is due");
+        assert!(report.is_plausible());
+        seen.extend(report.bounds.iter().map(|it| it.tag));
+    }
+    assert_eq!(seen.len(), 100);
+}
+
+/// Guards against a report that is dropped whole, with the observations at all targets, because one
+/// stream was open over a long suspension.
+#[test]
+fn the_longest_pause_is_limited() {
+    let mut collector = Collector::default();
+    let event = Event::Stream {
+        paused: true,
+        longest: MAX_TIME + ms(1),
+    };
+    collector.record(Tag(1), event, ms(1), ms(0));
+    let report = due(&mut collector, owner(1), ms(300)).expect("it is due");
+    assert!(report.is_plausible());
+    assert_eq!(report.observations[0].longest_pause, MAX_TIME);
+}
+
 /// Guards against a router that is overloaded and reports its own delays as those of all targets.
 #[test]
 fn a_late_router_drops_its_observations() {
