--- a/crates/path/src/state/tests/returns.rs
+++ b/crates/path/src/state/tests/returns.rs
@@ -140,13 +140,13 @@
     let mut fleet = fleet();
     let number = flood(&mut fleet, SECOND);
     assert!(fleet.owner.returns.has_booked(ContentTag(number)));
-    let request = waiter(&fleet, number).expect("it is queued").wish.clone();
+    let mut request = waiter(&fleet, number).expect("it is queued").wish.clone();
     let settings = fleet.settings.clone();
     let idle = SECOND * 60;
     let choice = {
         // All engines have ended their work.
         fleet.owner.usage = Usage::new();
-        fleet.owner.choose(&settings, &request, 1.0, idle)
+        fleet.owner.choose(&settings, &mut request, 1.0, idle)
     };
     let choice = choice.expect("there is room");
     fleet
