dispatch: the shares' level is taken of the engines' capacity

Cause: the level was the fair share of the tokens granted in the window. A refusal for any reason lowers these, the lower level causes further refusals, and customers are refused while engines are idle.

Ruled out: counting refused requests as granted (the level would then follow demand); a capacity for a fixed window of 4 s, since the accounts cover 3.5 to 4 s and grants would exceed the capacity by up to a seventh.

Change: capacity = max(granted, configured tokens per second x time covered by the accounts x fraction of the engines available). The fraction refers to the most engines available at once since the configured rate last changed. A rate that no fleet can have (f64::MAX where none is set, zero, not a number) leaves the level as before. LoadPolicy::default turns it on; line share_level and counter share_levels once a second.

A router that starts while engines are lost does not know them and takes the remaining ones for all.

--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -3,11 +3,16 @@
 //! The capacity of the engines, in tokens, is shared between customers by max-min fairness over a
 //! sliding window: customers that ask for less than an even share get all of it, the others get
 //! the same amount each, the *level*. Each router sums the tokens asked for and granted locally
-//! and reports them to its peers, so that the level is that of the whole fleet. The capacity is
-//! observed: it is the number of tokens granted while more were asked for. Requests within the
+//! and reports them to its peers, so that the level is that of the whole fleet. Requests within the
 //! share of their customer take precedence over requests beyond it; the latter may use less room
 //! the further they are beyond the share.
 //!
+//! The capacity is the larger of the tokens granted within the window and those that the available
+//! engines produce in it by the configuration. Tokens granted alone are not a capacity: a refusal
+//! lowers them, the lower level causes further refusals, and customers are refused while engines
+//! are idle. Without a usable configured rate they are all that is known, and are used alone. While
+//! all demand is met there is no level, whatever the capacity.
+//!
 //! A customer is charged when a place is granted, because the decision on the next request depends
 //! on it, and the charge is refunded when the place turns out not to be used. Without the refund, a
 //! customer whose router is slow would count as over its share while others get more than theirs.
@@ -32,6 +37,10 @@
 /// There is contention if demand exceeds the granted tokens by more than one part in this many.
 const CONTENTION_DIVISOR: u64 = 10;
 
+/// Largest usable rate of the configuration, in tokens per second: a thousand engines at the
+/// largest plausible prefill rate. A configuration without a rate has `f64::MAX`.
+const MAX_TOKENS_PER_SECOND: f64 = 1e9;
+
 /// A customer is reported if it was granted more than one part in this many of all granted tokens.
 const REPORTED_DIVISOR: u64 = 64;
 
@@ -120,13 +129,54 @@
     pub level: Option<u64>,
 }
 
+/// The level and what it was computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Level {
+    /// Tokens that each customer may use within the window; `None` while all demand is met.
+    pub tokens: Option<u64>,
+    /// Tokens asked for by all customers within the window.
+    pub asked: u64,
+    /// Tokens granted to all customers within the window.
+    pub granted: u64,
+    /// Tokens that the available engines produce within the window by the configuration.
+    pub configured: Option<u64>,
+    /// Number of customers that asked for tokens.
+    pub customers: usize,
+}
+
+/// The engines to which the configured rate refers: the most that were available at once since that
+/// rate last changed. A router that starts while engines are lost does not know these.
+#[derive(Clone, Copy, Debug, Default)]
+struct Engines {
+    tokens_per_second: f64,
+    most: usize,
+}
+
+impl Engines {
+    /// The fraction of them that is available, 0 to 1.
+    fn fraction(&mut self, tokens_per_second: f64, available: usize) -> f64 {
+        if self.tokens_per_second.to_bits() != tokens_per_second.to_bits() {
+            self.tokens_per_second = tokens_per_second;
+            self.most = 0;
+        }
+        self.most = self.most.max(available);
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
+        let fraction = available as f64 / self.most.max(1) as f64;
+        fraction
+    }
+}
+
 /// Token accounts of all customers.
 #[derive(Clone, Debug)]
 pub struct Shares {
     window: Duration,
+    share_capacity: bool,
+    engines: Engines,
+    /// Tokens per second of the available engines by the configuration; none if unknown.
+    rate: Option<f64>,
     own: HashMap<CustomerTag, Account>,
     peers: HashMap<Peer, PeerUsage>,
-    level: Option<u64>,
+    level: Level,
     level_at: Option<Duration>,
 }
 
@@ -152,9 +202,12 @@
     pub fn new(window: Duration) -> Self {
         Self {
             window,
+            share_capacity: false,
+            engines: Engines::default(),
+            rate: None,
             own: HashMap::new(),
             peers: HashMap::new(),
-            level: None,
+            level: Level::default(),
             level_at: None,
         }
     }
@@ -166,6 +219,54 @@
         now.as_millis() as u64 / part + WINDOW_PARTS as u64
     }
 
+    /// Whether the level is taken of the capacity rather than of the tokens granted.
+    #[must_use]
+    pub fn with_capacity(mut self, share_capacity: bool) -> Self {
+        self.share_capacity = share_capacity;
+        self
+    }
+
+    /// Sets the rate of all engines by the configuration, in tokens per second, and the number of
+    /// engines that are available. A rate that no fleet can have counts as unknown.
+    pub fn set_capacity(&mut self, tokens_per_second: f64, available: usize) {
+        let usable = tokens_per_second > 0.0 && tokens_per_second <= MAX_TOKENS_PER_SECOND;
+        let is_used = self.share_capacity && usable;
+        self.rate = is_used
+            .then(|| tokens_per_second * self.engines.fraction(tokens_per_second, available));
+    }
+
+    /// Tokens that the available engines produce in the time that the accounts cover at `now`: the
+    /// full parts of the window before the newest one, and what has passed of that.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is positive and bounded"
+    )]
+    fn configured(&self, now: Duration) -> Option<u64> {
+        let part = self.window.as_secs_f64() / WINDOW_PARTS as f64;
+        let covered = self.window.as_secs_f64() - part + now.as_secs_f64() % part;
+        self.rate.map(|it| (it * covered) as u64)
+    }
+
+    /// Whether the next decision recomputes the level.
+    #[must_use]
+    pub fn is_level_due(&self, now: Duration) -> bool {
+        let is_fresh = |at: Duration| now.saturating_sub(at) < LEVEL_MAX_AGE;
+        !self.level_at.is_some_and(is_fresh)
+    }
+
+    /// The last computed level with its inputs.
+    #[must_use]
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// Age of that level; none before the first.
+    #[must_use]
+    pub fn level_age(&self, now: Duration) -> Option<Duration> {
+        self.level_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Records the demand of a customer, in tokens.
     pub fn record_demand(&mut self, customer: CustomerTag, tokens: u64, now: Duration) {
         let number = self.number(now);
@@ -231,7 +332,7 @@
     /// share, less beyond it.
     pub fn share_ratio(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> f64 {
         self.refresh(now);
-        let Some(level) = self.level else {
+        let Some(level) = self.level.tokens else {
             return 1.0;
         };
         let used = self.granted(customer, now) + tokens;
@@ -245,8 +346,7 @@
 
     /// Recomputes the level if it is out of date, and drops peers that timed out.
     fn refresh(&mut self, now: Duration) {
-        let is_fresh = |at: Duration| now.saturating_sub(at) < LEVEL_MAX_AGE;
-        if self.level_at.is_some_and(is_fresh) {
+        if !self.is_level_due(now) {
             return;
         }
         self.peers
@@ -255,23 +355,31 @@
         self.level_at = Some(now);
     }
 
-    /// Level of the fleet; the tokens granted while more were asked for are its capacity.
-    fn fleet_level(&mut self, now: Duration) -> Option<u64> {
+    /// Level of the fleet.
+    fn fleet_level(&mut self, now: Duration) -> Level {
         let all = self.fleet_totals(now);
         let granted: u64 = all.iter().map(|it| it.granted).sum();
         let asked: u64 = all.iter().map(|it| it.asked).sum();
-        // Without any grant, the capacity is unknown.
-        if granted == 0 || asked <= granted + granted / CONTENTION_DIVISOR {
-            return None;
+        // Without any grant, no engine has been seen to run, so all may use what there is.
+        let contended = granted > 0 && asked > granted + granted / CONTENTION_DIVISOR;
+        let configured = self.configured(now);
+        let capacity = granted.max(configured.unwrap_or_default());
+        let customers = all.len();
+        let demands = all.into_iter().map(|it| it.asked).collect();
+        Level {
+            tokens: contended.then(|| level(demands, capacity)).flatten(),
+            asked,
+            granted,
+            configured,
+            customers,
         }
-        level(all.into_iter().map(|it| it.asked).collect(), granted)
     }
 
     /// Current usage and limit of a customer.
     pub fn standing(&mut self, customer: CustomerTag, now: Duration) -> Standing {
         Standing {
             granted: self.granted(customer, now),
-            level: self.level,
+            level: self.level.tokens,
         }
     }
 
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -180,6 +180,7 @@
             unused_logged = now;
             log_unused(&node);
             log_late(&node);
+            log_level(&node);
         }
         let mut reports = reporter.due(&node);
         for (owner, numbers) in node.pending.confirmations() {
@@ -213,6 +214,28 @@
     }
 }
 
+/// Logs the level of the customers' shares with its inputs, if a decision used it lately.
+fn log_level(node: &Node) {
+    let (level, age) = {
+        let state = node.state.borrow();
+        (state.shares.level(), state.shares.level_age(node.now()))
+    };
+    let Some(age) = age.filter(|it| *it < UNUSED_LOG_INTERVAL) else {
+        return;
+    };
+    let Some(tokens) = level.tokens else {
+        node.metrics.add("share_levels", "none", 1);
+        return;
+    };
+    node.metrics.add("share_levels", "contention", 1);
+    let line = node.journal.line("share_level").with("level", tokens);
+    let line = line.with("asked", level.asked);
+    let line = line.with("granted", level.granted);
+    let line = line.with("configured", level.configured);
+    let line = line.with("customers", level.customers);
+    drop(line.with_ms("age_ms", age));
+}
+
 /// Logs answers of owners that came after their requests had been abandoned.
 fn log_late(node: &Node) {
     let late = node.pending.take_late(node.now());
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -131,6 +131,9 @@
 
 impl Default for LoadPolicy {
     fn default() -> Self {
-        Self::OFF
+        Self {
+            share_capacity: true,
+            ..Self::OFF
+        }
     }
 }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -199,7 +199,8 @@
             backoffs: Backoffs::default(),
             peer,
             budget: Budget::new(settings.repeats),
-            shares: Shares::new(settings.share_window),
+            shares: Shares::new(settings.share_window)
+                .with_capacity(settings.load_policy.share_capacity),
             reachability: Reachability::new(settings.heartbeat_interval),
             round_trips: RoundTrips::default(),
             region: settings.regions.of(&settings.domain),
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -117,9 +117,27 @@
         let Some(customer) = request.customer else {
             return 1.0;
         };
+        if self.shares.is_level_due(now) {
+            self.update_capacity(now);
+        }
         self.shares.share_ratio(customer, request.cost, now)
     }
 
+    /// Updates the capacity of the engines, of which customers get shares.
+    fn update_capacity(&mut self, now: Duration) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let engines = self.registry.targets().filter(|it| {
+            let service = table.service(&it.service);
+            service.is_some_and(|it| it.engine.is_some())
+        });
+        let available = engines
+            .filter(|it| self.is_available(it) && !self.reported_health.is_ejected(it.tag(), now));
+        let rate = table.limits().tokens_per_second;
+        self.shares.set_capacity(rate, available.count());
+    }
+
     /// Selects a target for a request; none if there is no room for it.
     pub(crate) fn choose(
         &mut self,
