dispatch, path: fairness between a customer's kinds of request; shortages lower the capacity

Cause: (1) with a configured rate of 1.3 times the true one, no customer was beyond the level, and customers that do not flood lost a third of their attempts. (2) Long prompts of a customer find room less often than its short ones.

Change: dispatch::capacity keeps a weight of the configured rate, which falls while requests within their shares are refused at saturated engines and rises slowly otherwise. dispatch::queue_order orders the queue as a pure function: share, first attempts, arrival; a customer's places go to its kinds by service received (deficit by tokens over the window), and better served kinds may use a part of the capacity only. Kinds are routes, by a tag at the end of Request. decision-cost.rs and messages.rs name the new field.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,7 +17,8 @@
 //! - [`usage`]: load at each target, from this router and its peers.
 //! - [`prefix`], [`cache`], [`placement`]: choice of the target that runs a request.
 //! - [`grants`]: places granted to other routers, and which of them are not used.
-//! - [`share`]: token usage and fair share of each customer.
+//! - [`capacity`], [`share`]: capacity of the engines, token usage and fair share of each customer.
+//! - [`queue_order`]: order of waiting requests, and fairness between a customer's kinds of request.
 //! - [`retry`], [`refused`]: distinction of first attempts of clients from retries.
 //! - [`budget`]: limit on how often requests are sent again.
 //! - [`health`]: failing targets that are ejected for a while.
@@ -31,6 +32,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod cache;
+pub mod capacity;
 pub mod cell;
 pub mod cold_start;
 pub mod configuration;
@@ -48,6 +50,7 @@
 pub mod polling;
 pub mod prefix;
 pub mod quarantine;
+pub mod queue_order;
 pub mod reachability;
 pub mod reading;
 pub mod refused;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -20,6 +20,7 @@
 use crate::membership::Packet;
 use crate::prefix::{Prompt, Use};
 use crate::quarantine::Finding;
+use crate::queue_order::RouteTag;
 use crate::reading::Reading;
 use crate::share::Standing;
 use crate::speed::Observation;
@@ -124,6 +125,8 @@
     pub failed: bool,
     /// Targets at which it, or the router that asks, has seen a failure.
     pub avoid: Vec<Tag>,
+    /// Route that it matches.
+    pub route: RouteTag,
 }
 
 /// A place at a target.
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -7,11 +7,8 @@
 //! share of their customer take precedence over requests beyond it; the latter may use less room
 //! the further they are beyond the share.
 //!
-//! The capacity is the larger of the tokens granted within the window and those that the available
-//! engines produce in it by the configuration. Tokens granted alone are not a capacity: a refusal
-//! lowers them, the lower level causes further refusals, and customers are refused while engines
-//! are idle. Without a usable configured rate they are all that is known, and are used alone. While
-//! all demand is met there is no level, whatever the capacity.
+//! The capacity is that of [`crate::capacity`], or the tokens granted within the window if that is
+//! turned off. While all demand is met there is no level, whatever the capacity.
 //!
 //! A customer is charged when a place is granted, because the decision on the next request depends
 //! on it, and the charge is refunded when the place turns out not to be used. Without the refund, a
@@ -24,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
+use crate::capacity::Capacity;
 use crate::message::{CustomerTag, CustomerUse};
 use crate::prefix::Prompt;
 use crate::usage::{PEER_TIMEOUT, Peer};
@@ -37,10 +35,6 @@
 /// There is contention if demand exceeds the granted tokens by more than one part in this many.
 const CONTENTION_DIVISOR: u64 = 10;
 
-/// Largest usable rate of the configuration, in tokens per second: a thousand engines at the
-/// largest plausible prefill rate. A configuration without a rate has `f64::MAX`.
-const MAX_TOKENS_PER_SECOND: f64 = 1e9;
-
 /// A customer is reported if it was granted more than one part in this many of all granted tokens.
 const REPORTED_DIVISOR: u64 = 64;
 
@@ -48,13 +42,13 @@
 const GENERATED_TOKEN_WEIGHT: u64 = 2;
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Tokens {
-    asked: u64,
-    granted: u64,
+pub(crate) struct Tokens {
+    pub(crate) asked: u64,
+    pub(crate) granted: u64,
 }
 
 impl Tokens {
-    fn add(&mut self, other: Self) {
+    pub(crate) fn add(&mut self, other: Self) {
         self.asked += other.asked;
         self.granted += other.granted;
     }
@@ -62,7 +56,7 @@
 
 /// Tokens of one customer at this router, by part of the window.
 #[derive(Clone, Debug, Default)]
-struct Account {
+pub(crate) struct Account {
     parts: [Tokens; WINDOW_PARTS],
     /// Number of the newest window part.
     newest: u64,
@@ -70,7 +64,7 @@
 
 impl Account {
     /// Advances the window to a part and returns it.
-    fn part(&mut self, number: u64) -> &mut Tokens {
+    pub(crate) fn part(&mut self, number: u64) -> &mut Tokens {
         let steps = number.saturating_sub(self.newest).min(WINDOW_PARTS as u64);
         for step in 0..steps {
             self.parts[index(number - step)] = Tokens::default();
@@ -88,7 +82,7 @@
         }
     }
 
-    fn sum(&mut self, number: u64) -> Tokens {
+    pub(crate) fn sum(&mut self, number: u64) -> Tokens {
         self.part(number);
         self.parts.iter().fold(Tokens::default(), |sum, it| Tokens {
             asked: sum.asked + it.asked,
@@ -130,7 +124,7 @@
 }
 
 /// The level and what it was computed from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Level {
     /// Tokens that each customer may use within the window; `None` while all demand is met.
     pub tokens: Option<u64>,
@@ -140,40 +134,18 @@
     pub granted: u64,
     /// Tokens that the available engines produce within the window by the configuration.
     pub configured: Option<u64>,
+    /// Weight of these in the capacity, 0 to 1; less than 1 after a shortage.
+    pub weight: f64,
     /// Number of customers that asked for tokens.
     pub customers: usize,
 }
 
-/// The engines to which the configured rate refers: the most that were available at once since that
-/// rate last changed. A router that starts while engines are lost does not know these.
-#[derive(Clone, Copy, Debug, Default)]
-struct Engines {
-    tokens_per_second: f64,
-    most: usize,
-}
-
-impl Engines {
-    /// The fraction of them that is available, 0 to 1.
-    fn fraction(&mut self, tokens_per_second: f64, available: usize) -> f64 {
-        if self.tokens_per_second.to_bits() != tokens_per_second.to_bits() {
-            self.tokens_per_second = tokens_per_second;
-            self.most = 0;
-        }
-        self.most = self.most.max(available);
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
-        let fraction = available as f64 / self.most.max(1) as f64;
-        fraction
-    }
-}
-
 /// Token accounts of all customers.
 #[derive(Clone, Debug)]
 pub struct Shares {
     window: Duration,
     share_capacity: bool,
-    engines: Engines,
-    /// Tokens per second of the available engines by the configuration; none if unknown.
-    rate: Option<f64>,
+    capacity: Capacity,
     own: HashMap<CustomerTag, Account>,
     peers: HashMap<Peer, PeerUsage>,
     level: Level,
@@ -196,6 +168,13 @@
     prompt.tokens + GENERATED_TOKEN_WEIGHT * prompt.answer_tokens
 }
 
+/// Number of the part of a window at `now`.
+#[expect(clippy::cast_possible_truncation, reason = "milliseconds of uptime")]
+pub(crate) fn part_number(window: Duration, now: Duration) -> u64 {
+    let part = (window.as_millis() as u64 / WINDOW_PARTS as u64).max(1);
+    now.as_millis() as u64 / part + WINDOW_PARTS as u64
+}
+
 impl Shares {
     /// Creates empty accounts; `window` is the period over which tokens are shared.
     #[must_use]
@@ -203,8 +182,7 @@
         Self {
             window,
             share_capacity: false,
-            engines: Engines::default(),
-            rate: None,
+            capacity: Capacity::default(),
             own: HashMap::new(),
             peers: HashMap::new(),
             level: Level::default(),
@@ -212,11 +190,8 @@
         }
     }
 
-    /// Number of the window part at `now`.
-    #[expect(clippy::cast_possible_truncation, reason = "milliseconds of uptime")]
     fn number(&self, now: Duration) -> u64 {
-        let part = (self.window.as_millis() as u64 / WINDOW_PARTS as u64).max(1);
-        now.as_millis() as u64 / part + WINDOW_PARTS as u64
+        part_number(self.window, now)
     }
 
     /// Whether the level is taken of the capacity rather than of the tokens granted.
@@ -229,23 +204,22 @@
     /// Sets the rate of all engines by the configuration, in tokens per second, and the number of
     /// engines that are available. A rate that no fleet can have counts as unknown.
     pub fn set_capacity(&mut self, tokens_per_second: f64, available: usize) {
-        let usable = tokens_per_second > 0.0 && tokens_per_second <= MAX_TOKENS_PER_SECOND;
-        let is_used = self.share_capacity && usable;
-        self.rate = is_used
-            .then(|| tokens_per_second * self.engines.fraction(tokens_per_second, available));
+        if self.share_capacity {
+            self.capacity.set(tokens_per_second, available);
+        }
+    }
+
+    /// Records a request within its share that was refused while all engines were saturated.
+    pub fn record_shortage(&mut self, tokens: u64, now: Duration) {
+        self.capacity.record_shortage(tokens, now);
     }
 
-    /// Tokens that the available engines produce in the time that the accounts cover at `now`: the
-    /// full parts of the window before the newest one, and what has passed of that.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the product is positive and bounded"
-    )]
-    fn configured(&self, now: Duration) -> Option<u64> {
+    /// Time that the accounts cover at `now`: the full parts of the window before the newest one,
+    /// and what has passed of that.
+    fn covered(&self, now: Duration) -> Duration {
         let part = self.window.as_secs_f64() / WINDOW_PARTS as f64;
         let covered = self.window.as_secs_f64() - part + now.as_secs_f64() % part;
-        self.rate.map(|it| (it * covered) as u64)
+        Duration::from_secs_f64(covered)
     }
 
     /// Whether the next decision recomputes the level.
@@ -277,6 +251,7 @@
     pub fn charge(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> Charge {
         let part = self.number(now);
         self.own.entry(customer).or_default().part(part).granted += tokens;
+        self.capacity.record_granted(tokens, now);
         Charge {
             customer,
             tokens,
@@ -362,15 +337,16 @@
         let asked: u64 = all.iter().map(|it| it.asked).sum();
         // Without any grant, no engine has been seen to run, so all may use what there is.
         let contended = granted > 0 && asked > granted + granted / CONTENTION_DIVISOR;
-        let configured = self.configured(now);
-        let capacity = granted.max(configured.unwrap_or_default());
+        let covered = self.covered(now);
+        let capacity = self.capacity.update(granted, covered, now);
         let customers = all.len();
         let demands = all.into_iter().map(|it| it.asked).collect();
         Level {
             tokens: contended.then(|| level(demands, capacity)).flatten(),
             asked,
             granted,
-            configured,
+            configured: self.capacity.configured(covered),
+            weight: self.capacity.weight(),
             customers,
         }
     }
--- a/crates/dispatch/tests/messages.rs
+++ b/crates/dispatch/tests/messages.rs
@@ -12,6 +12,7 @@
     Views,
 };
 use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::queue_order::RouteTag;
 use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::share::Standing;
 use dunlinward_dispatch::target::Tag;
@@ -40,6 +41,7 @@
         demand_counted: false,
         failed: false,
         avoid: Vec::new(),
+        route: RouteTag::new("chat"),
     }
 }
 
--- a/crates/dispatch/tests/shares_capacity.rs
+++ b/crates/dispatch/tests/shares_capacity.rs
@@ -169,3 +169,46 @@
     let level = share::level(vec![10_000, 900_000, 900_000], CAPACITY);
     assert_eq!(level, Some(195_000));
 }
+
+/// Guards against a configured rate that is too high: while requests within shares are refused at
+/// full engines, the capacity moves to what was granted, and back afterwards.
+#[test]
+fn a_shortage_takes_the_weight_of_the_configured_rate() {
+    let mut shares = shares();
+    let mut capacity = |from: u64, seconds: u64, refused: u64| {
+        let mut level = None;
+        for step in 0..seconds * 20 {
+            let now = at(from * 1_000 + step * 50);
+            for customer in [A, B] {
+                shares.record_demand(customer, 10_000, now);
+                shares.charge(customer, 1_000, now);
+            }
+            shares.record_shortage(refused, now);
+            shares.share_ratio(A, 0, now);
+            level = Some(shares.level());
+        }
+        level.expect("some time has passed")
+    };
+    assert!((capacity(0, 4, 0).weight - 1.0).abs() < f64::EPSILON);
+    let during = capacity(4, 4, 1_000);
+    assert!(during.weight < 0.05, "{during:?}");
+    let granted = during.granted / 2;
+    let level = during.tokens.expect("there is contention");
+    assert!(level >= granted && level <= granted * 5 / 4, "{during:?}");
+    let after = capacity(8, 30, 0);
+    assert!(after.weight > 0.9, "{after:?}");
+}
+
+/// Guards against a shortage because of few refusals, which a drawn load causes at full engines.
+#[test]
+fn few_refusals_are_no_shortage() {
+    let mut shares = shares();
+    for step in 0..200 {
+        let now = at(step * 50);
+        shares.record_demand(A, 10_000, now);
+        shares.charge(A, 10_000, now);
+        shares.record_shortage(100, now);
+        shares.share_ratio(A, 0, now);
+    }
+    assert!((shares.level().weight - 1.0).abs() < f64::EPSILON);
+}
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -20,6 +20,7 @@
 };
 use dunlinward_dispatch::placement::{self, Candidate, Criteria, Policy};
 use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::queue_order::RouteTag;
 use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::registry::Registry;
@@ -242,6 +243,7 @@
         demand_counted: false,
         failed: false,
         avoid: Vec::new(),
+        route: RouteTag::new("chat"),
     }
 }
 
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -16,6 +16,7 @@
 use dunlinward_dispatch::message::CustomerTag;
 use dunlinward_dispatch::prefix::{Prefix, Prompt};
 use dunlinward_dispatch::quarantine::{self, Status};
+use dunlinward_dispatch::queue_order::RouteTag;
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -241,6 +242,7 @@
             prompt: job.prompt.clone(),
             customer,
             cost: job.cost,
+            route: RouteTag::new(&job.route.name),
             objective: job.route.objective,
             arrived: job.arrived,
             is_retry: job.returning,
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -14,6 +14,7 @@
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::message::{Content, LoadReport, Request, Return, TargetLoad};
 use dunlinward_dispatch::prefix::Use;
+use dunlinward_dispatch::queue_order::Kinds;
 use dunlinward_dispatch::region::Constraint;
 use dunlinward_dispatch::target::Tag;
 use dunlinward_dispatch::usage::Peer;
@@ -61,6 +62,7 @@
             prompt: ask.prompt.map(Rc::new),
             customer: ask.customer,
             cost: ask.cost,
+            route: ask.route,
             objective: ask.objective,
             arrived: now.saturating_sub(ask.waited),
             is_retry: ask.is_retry,
@@ -216,10 +218,13 @@
 
 /// Logs the level of the customers' shares with its inputs, if a decision used it lately.
 fn log_level(node: &Node) {
-    let (level, age) = {
-        let state = node.state.borrow();
-        (state.shares.level(), state.shares.level_age(node.now()))
+    let (level, age, reduced) = {
+        let mut state = node.state.borrow_mut();
+        let reduced = state.kinds.as_mut().map_or(0, Kinds::take_reduced);
+        let age = state.shares.level_age(node.now());
+        (state.shares.level(), age, reduced)
     };
+    node.metrics.add("kind_limits", "reduced", reduced);
     let Some(age) = age.filter(|it| *it < UNUSED_LOG_INTERVAL) else {
         return;
     };
@@ -232,7 +237,9 @@
     let line = line.with("asked", level.asked);
     let line = line.with("granted", level.granted);
     let line = line.with("configured", level.configured);
+    let line = line.with("weight", level.weight);
     let line = line.with("customers", level.customers);
+    let line = line.with("kinds_reduced", reduced);
     drop(line.with_ms("age_ms", age));
 }
 
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -276,6 +276,7 @@
             demand_counted: wish.demand_counted,
             failed: wish.failed,
             avoid: wish.avoid.clone(),
+            route: wish.route,
         };
         self.node.send(self.owner, Content::Request(request));
     }
--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -4,7 +4,8 @@
 //! sent can't be reordered or taken back. Whenever capacity may have become available (a request
 //! ended, a prompt was read, a router reported, the views changed), the queue is served in this
 //! order: customers within their share first, then callers that were not refused before, as only
-//! they can still be answered in time, then by arrival.
+//! they can still be answered in time, then by arrival; between the kinds of request of one
+//! customer by the service that each has received ([`dunlinward_dispatch::queue_order`]).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -24,6 +24,7 @@
 use dunlinward_dispatch::message::{CustomerTag, Views};
 use dunlinward_dispatch::prefix::{History, Prompt};
 use dunlinward_dispatch::quarantine::Ledger;
+use dunlinward_dispatch::queue_order::{Kinds, RouteTag};
 use dunlinward_dispatch::reachability::Reachability;
 use dunlinward_dispatch::reading::{Reading, Readings};
 use dunlinward_dispatch::refused::Contents;
@@ -83,6 +84,8 @@
     pub customer: Option<CustomerTag>,
     /// Tokens charged to the customer.
     pub cost: u64,
+    /// Route that it matches.
+    pub route: RouteTag,
     /// Objective for the time to the first event.
     pub objective: Duration,
     /// Arrival time.
@@ -135,6 +138,9 @@
     peer: Peer,
     pub(crate) budget: Budget,
     pub(crate) shares: Shares,
+    /// Service that each customer's kinds of request have received; none while kinds are not told
+    /// apart.
+    pub(crate) kinds: Option<Kinds>,
     pub(crate) reachability: Reachability,
     /// Round-trip times to the failure domains of other routers.
     pub(crate) round_trips: RoundTrips,
@@ -201,6 +207,10 @@
             budget: Budget::new(settings.repeats),
             shares: Shares::new(settings.share_window)
                 .with_capacity(settings.load_policy.share_capacity),
+            kinds: settings
+                .load_policy
+                .share_capacity
+                .then(|| Kinds::new(settings.share_window)),
             reachability: Reachability::new(settings.heartbeat_interval),
             round_trips: RoundTrips::default(),
             region: settings.regions.of(&settings.domain),
@@ -233,6 +243,9 @@
         self.peak.record(self.members.count(), now);
         self.in_flight.prune(now);
         self.refused_contents.prune(now);
+        if let Some(kinds) = &mut self.kinds {
+            kinds.prune(now);
+        }
         self.expire_grants(now);
         let over = self.backoffs.prune(self.peer, now);
         let over = over.into_iter().filter_map(|it| self.registry.get(it));
--- a/crates/path/src/state/leases.rs
+++ b/crates/path/src/state/leases.rs
@@ -17,7 +17,7 @@
     pub(crate) fn withdraw(&mut self, peer: Peer, number: u64, now: Duration) {
         let mut queue = std::mem::take(&mut self.queue);
         for waiter in queue.extract_if(.., |it| it.origin.matches(peer, number)) {
-            self.record_refused(&waiter.wish, now);
+            self.record_expired(&waiter, now);
         }
         self.queue = queue;
         let request = RequestId { peer, number };
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dunlinward_dispatch::cell::Cell;
 use dunlinward_dispatch::grants::{self, RequestId};
 use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Wait};
 use dunlinward_dispatch::placement::{self, Choice, Criteria};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
+use dunlinward_dispatch::queue_order::Entry;
 use dunlinward_dispatch::share::{Charge, Standing};
 use tokio::sync::oneshot;
 
@@ -15,6 +17,10 @@
 use crate::queue::{Origin, Requester, Waiter};
 use crate::settings::Settings;
 
+/// Prefill queue of an engine that does not run empty before it gets the next prompt: several
+/// passes over the owner's queue and the messages to the router that sends it.
+const SATURATED_QUEUE: Duration = Duration::from_millis(100);
+
 /// Places granted in a pass over the queue.
 #[derive(Default)]
 pub(crate) struct Pass {
@@ -96,6 +102,53 @@
         }
     }
 
+    /// Records that a request left the queue without a place.
+    pub(crate) fn record_expired(&mut self, waiter: &Waiter, now: Duration) {
+        let wish = &waiter.wish;
+        self.record_refused(wish, now);
+        let Some(customer) = wish.customer else {
+            return;
+        };
+        // A request may also have found no room because its prefix is cached at few engines; less
+        // load of others would not have helped it.
+        if self.kinds.is_none() || !self.is_saturated(wish.cell) {
+            return;
+        }
+        if let Some(kinds) = &mut self.kinds {
+            kinds.record_refused(customer, wish.route, wish.cost, now);
+        }
+        if waiter.share_ratio >= 1.0 {
+            self.shares.record_shortage(wish.cost, now);
+        }
+    }
+
+    /// Whether each available target of a cell is saturated: half of its slots are in use, or its
+    /// prefill queue lasts for [`SATURATED_QUEUE`]. What is granted is then all that it can run.
+    fn is_saturated(&self, cell: Cell) -> bool {
+        let Some(rate) = self.prefill_rate() else {
+            return false;
+        };
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "token counts are far below 2^52"
+        )]
+        let queue_time = |unread: u64| unread as f64 / rate;
+        let targets = self.registry.targets_of_cell(cell);
+        let mut available = targets.iter().filter(|it| self.is_available(it));
+        available.all(|it| {
+            let load = self.usage.total(it.tag());
+            load.running * 2 >= it.slots || queue_time(load.unread) >= SATURATED_QUEUE.as_secs_f64()
+        })
+    }
+
+    /// Prefill rate of one engine, in tokens per second.
+    fn prefill_rate(&self) -> Option<f64> {
+        let table = self.table.as_ref()?;
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
+        let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
+        Some(rate)
+    }
+
     fn wait(
         &mut self,
         number: u64,
@@ -157,8 +210,7 @@
         if request.prompt.is_some() {
             self.engines_seen = self.engines_seen.max(engines);
         }
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
-        let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
+        let rate = self.prefill_rate()?;
         let engine = table.service(&service).and_then(|it| it.engine);
         let retention = prefix::retention(engine.map_or(0, |it| it.memory_tokens), rate);
         let mut candidates = self.candidates(request, retention, now);
@@ -177,7 +229,7 @@
             waited: now.saturating_sub(request.arrived),
             allow_miss: now
                 >= request.arrived + request.objective.mul_f64(settings.queue_policy.miss_delay),
-            capacity_share: self.capacity_share(settings, request, share_ratio),
+            capacity_share: self.capacity_share(settings, request, share_ratio, now),
             // A customer far below its share may recompute prefixes more, as others may use all
             // room at the targets that cache its prefixes.
             miss_capacity_scale: share_ratio.max(1.0),
@@ -190,7 +242,13 @@
     }
 
     /// Ratio of the capacity that a request may use, 0 to 1.
-    fn capacity_share(&self, settings: &Settings, request: &PlaceRequest, share_ratio: f64) -> f64 {
+    fn capacity_share(
+        &mut self,
+        settings: &Settings,
+        request: &PlaceRequest,
+        share_ratio: f64,
+        now: Duration,
+    ) -> f64 {
         let queue = &settings.queue_policy;
         let share = match (share_ratio < 1.0, request.is_retry) {
             (false, _) => 1.0,
@@ -211,7 +269,15 @@
             Claim::All => 1.0,
             Claim::Own => 1.0 / self.members.count() as f64,
         };
-        share * claimed
+        share * claimed * self.kind_part(request, now)
+    }
+
+    /// Part of that capacity that a request of this kind may use, 0 to 1.
+    fn kind_part(&mut self, request: &PlaceRequest, now: Duration) -> f64 {
+        let (Some(kinds), Some(customer)) = (&mut self.kinds, request.customer) else {
+            return 1.0;
+        };
+        kinds.capacity_part(customer, request.route, now)
     }
 
     /// Grants a place to a request of this router's clients.
@@ -298,6 +364,9 @@
 
     fn charge(&mut self, request: &PlaceRequest, now: Duration) -> Option<Charge> {
         let customer = request.customer?;
+        if let Some(kinds) = &mut self.kinds {
+            kinds.record_granted(customer, request.route, request.cost, now);
+        }
         Some(self.shares.charge(customer, request.cost, now))
     }
 
@@ -314,20 +383,41 @@
         }
     }
 
-    /// Grants places to queued requests: those within their customer's share first, then first
-    /// attempts before retries, then by arrival.
+    /// The queue in the order in which it is served.
+    fn in_order(&mut self, mut queue: Vec<Waiter>, now: Duration) -> Vec<Waiter> {
+        let Some(kinds) = &mut self.kinds else {
+            queue.sort_by_key(|it| (it.share_ratio < 1.0, it.wish.is_retry, it.wish.arrived));
+            return queue;
+        };
+        let entries = queue.iter().map(|it| Entry {
+            customer: it.wish.customer,
+            route: it.wish.route,
+            cost: it.wish.cost,
+            within_share: it.share_ratio >= 1.0,
+            is_retry: it.wish.is_retry,
+            arrived: it.wish.arrived,
+        });
+        let entries: Vec<_> = entries.collect();
+        let order = kinds.order(&entries, now);
+        let mut queue: Vec<_> = queue.into_iter().map(Some).collect();
+        order
+            .into_iter()
+            .filter_map(|it| queue[it].take())
+            .collect()
+    }
+
+    /// Grants places to queued requests, in the order of [`dunlinward_dispatch::queue_order`].
     pub(crate) fn process_queue(&mut self, settings: &Settings, now: Duration) -> Pass {
         let mut pass = Pass::default();
         let mut queue = std::mem::take(&mut self.queue);
         for waiter in queue.extract_if(.., |it| it.is_abandoned(now)) {
-            self.record_refused(&waiter.wish, now);
+            self.record_expired(&waiter, now);
         }
         queue.retain(|it| !self.is_blocked(&it.wish, now));
         for waiter in &mut queue {
             waiter.share_ratio = self.share_ratio(&waiter.wish, now);
         }
-        queue.sort_by_key(|it| (it.share_ratio < 1.0, it.wish.is_retry, it.wish.arrived));
-        for waiter in queue {
+        for waiter in self.in_order(queue, now) {
             let choice = self.choose(settings, &waiter.wish, waiter.share_ratio, now);
             match (choice, waiter) {
                 (None, waiter) => self.queue.push(waiter),
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod refusals;
 mod retries;
+mod shares;
 mod suspects;
 
 /// Number of engines.
@@ -447,6 +448,7 @@
         content: None,
         prompt: Some(Rc::new(prompt)),
         customer: Some(tag(customer)),
+        route: RouteTag::default(),
         cost: PROMPT_TOKENS,
         objective: OBJECTIVE,
         arrived,
