--- a/crates/dispatch/src/queue_order.rs
+++ b/crates/dispatch/src/queue_order.rs
@@ -27,8 +27,8 @@
 const FULL_SERVICE: f64 = 0.9;
 
 /// Difference in service between two kinds that is tolerated, 0 to 1. Clients of the worst kind are
-/// to be served within 0.15 of the customer's mean, which 0.15 does not reach on drawn loads; with
-/// 0.05, fewer clients are served, as one long prompt takes the room of several short ones.
+/// to be served within 0.15 of the customer's mean, which a gap of 0.15 does not reach on drawn
+/// loads.
 const MAX_GAP: f64 = 0.1;
 
 /// Requests of each kind that are counted as served in addition, so that the refusal of a single
