--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,7 +18,8 @@
 //! - [`prefix`], [`cache`], [`placement`]: choice of the target that runs a request.
 //! - [`replicas`]: further homes of prefixes in demand.
 //! - [`grants`]: places granted to other routers, and which of them are not used.
-//! - [`share`]: token usage and fair share of each customer.
+//! - [`capacity`], [`share`]: capacity of the engines, token usage and fair share of each customer.
+//! - [`queue_order`]: order of waiting requests, and fairness between a customer's kinds of request.
 //! - [`retry`], [`refused`]: distinction of first attempts of clients from retries.
 //! - [`intake`], [`throttle`]: requests that a router refuses by itself under heavy load.
 //! - [`return_schedule`]: times at which refused requests return.
@@ -35,6 +36,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod cache;
+pub mod capacity;
 pub mod cell;
 pub mod coalescing;
 pub mod cold_start;
@@ -54,6 +56,7 @@
 pub mod polling;
 pub mod prefix;
 pub mod quarantine;
+pub mod queue_order;
 pub mod reachability;
 pub mod reading;
 pub mod refused;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -20,6 +20,7 @@
 use crate::membership::Packet;
 use crate::prefix::{Prompt, Use};
 use crate::quarantine::Finding;
+use crate::queue_order::RouteTag;
 use crate::reading::Reading;
 use crate::share::Standing;
 use crate::speed;
@@ -132,6 +133,8 @@
     /// Time between its client's first attempt and its arrival; zero for a first attempt, and for
     /// a retry if unknown.
     pub since_first_attempt: Duration,
+    /// Route that it matches.
+    pub route: RouteTag,
 }
 
 /// A place at a target.
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -3,11 +3,13 @@
 //! The capacity of the engines, in tokens, is shared between customers by max-min fairness over a
 //! sliding window: customers that ask for less than an even share get all of it, the others get
 //! the same amount each, the *level*. Each router sums the tokens asked for and granted locally
-//! and reports them to its peers, so that the level is that of the whole fleet. The capacity is
-//! observed: it is the number of tokens granted while more were asked for. Requests within the
+//! and reports them to its peers, so that the level is that of the whole fleet. Requests within the
 //! share of their customer take precedence over requests beyond it; the latter may use less room
 //! the further they are beyond the share.
 //!
+//! The capacity is that of [`crate::capacity`], or the tokens granted within the window if that is
+//! turned off. While all demand is met there is no level, whatever the capacity.
+//!
 //! A customer is charged when a place is granted, because the decision on the next request depends
 //! on it, and the charge is refunded when the place turns out not to be used. Without the refund, a
 //! customer whose router is slow would count as over its share while others get more than theirs.
@@ -19,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
+use crate::capacity::Capacity;
 use crate::message::{CustomerTag, CustomerUse};
 use crate::prefix::Prompt;
 use crate::return_schedule::Supply;
@@ -40,13 +43,13 @@
 const GENERATED_TOKEN_WEIGHT: u64 = 2;
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Tokens {
-    asked: u64,
-    granted: u64,
+pub(crate) struct Tokens {
+    pub(crate) asked: u64,
+    pub(crate) granted: u64,
 }
 
 impl Tokens {
-    fn add(&mut self, other: Self) {
+    pub(crate) fn add(&mut self, other: Self) {
         self.asked += other.asked;
         self.granted += other.granted;
     }
@@ -54,7 +57,7 @@
 
 /// Tokens of one customer at this router, by part of the window.
 #[derive(Clone, Debug, Default)]
-struct Account {
+pub(crate) struct Account {
     parts: [Tokens; WINDOW_PARTS],
     /// Number of the newest window part.
     newest: u64,
@@ -62,7 +65,7 @@
 
 impl Account {
     /// Advances the window to a part and returns it.
-    fn part(&mut self, number: u64) -> &mut Tokens {
+    pub(crate) fn part(&mut self, number: u64) -> &mut Tokens {
         let steps = number.saturating_sub(self.newest).min(WINDOW_PARTS as u64);
         for step in 0..steps {
             self.parts[index(number - step)] = Tokens::default();
@@ -80,7 +83,7 @@
         }
     }
 
-    fn sum(&mut self, number: u64) -> Tokens {
+    pub(crate) fn sum(&mut self, number: u64) -> Tokens {
         self.part(number);
         self.parts.iter().fold(Tokens::default(), |sum, it| Tokens {
             asked: sum.asked + it.asked,
@@ -121,13 +124,32 @@
     pub level: Option<u64>,
 }
 
+/// The level and what it was computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Level {
+    /// Tokens that each customer may use within the window; `None` while all demand is met.
+    pub tokens: Option<u64>,
+    /// Tokens asked for by all customers within the window.
+    pub asked: u64,
+    /// Tokens granted to all customers within the window.
+    pub granted: u64,
+    /// Tokens that the available engines produce within the window by the configuration.
+    pub configured: Option<u64>,
+    /// Weight of these in the capacity, 0 to 1; less than 1 after a shortage.
+    pub weight: f64,
+    /// Number of customers that asked for tokens.
+    pub customers: usize,
+}
+
 /// Token accounts of all customers.
 #[derive(Clone, Debug)]
 pub struct Shares {
     window: Duration,
+    share_capacity: bool,
+    capacity: Capacity,
     own: HashMap<CustomerTag, Account>,
     peers: HashMap<Peer, PeerUsage>,
-    level: Option<u64>,
+    level: Level,
     level_at: Option<Duration>,
     /// Tokens granted within the window when the level was computed.
     granted: Granted,
@@ -158,25 +180,86 @@
     prompt.tokens + GENERATED_TOKEN_WEIGHT * prompt.answer_tokens
 }
 
+/// Length of a part of a window, in milliseconds.
+#[expect(clippy::cast_possible_truncation, reason = "milliseconds of a window")]
+fn part_length(window: Duration) -> u64 {
+    (window.as_millis() as u64 / WINDOW_PARTS as u64).max(1)
+}
+
+/// Number of the part of a window at `now`.
+#[expect(clippy::cast_possible_truncation, reason = "milliseconds of uptime")]
+pub(crate) fn part_number(window: Duration, now: Duration) -> u64 {
+    now.as_millis() as u64 / part_length(window) + WINDOW_PARTS as u64
+}
+
 impl Shares {
     /// Creates empty accounts; `window` is the period over which tokens are shared.
     #[must_use]
     pub fn new(window: Duration) -> Self {
         Self {
             window,
+            share_capacity: false,
+            capacity: Capacity::default(),
             own: HashMap::new(),
             peers: HashMap::new(),
-            level: None,
+            level: Level::default(),
             level_at: None,
             granted: Granted::default(),
         }
     }
 
-    /// Number of the window part at `now`.
-    #[expect(clippy::cast_possible_truncation, reason = "milliseconds of uptime")]
     fn number(&self, now: Duration) -> u64 {
-        let part = (self.window.as_millis() as u64 / WINDOW_PARTS as u64).max(1);
-        now.as_millis() as u64 / part + WINDOW_PARTS as u64
+        part_number(self.window, now)
+    }
+
+    /// Whether the level is taken of the capacity rather than of the tokens granted.
+    #[must_use]
+    pub fn with_capacity(mut self, share_capacity: bool) -> Self {
+        self.share_capacity = share_capacity;
+        self
+    }
+
+    /// Sets the rate of all engines by the configuration, in tokens per second, and the number of
+    /// engines that are available. A rate that no fleet can have counts as unknown.
+    pub fn set_capacity(&mut self, tokens_per_second: f64, available: usize) {
+        if self.share_capacity {
+            self.capacity.set(tokens_per_second, available);
+        }
+    }
+
+    /// Records a request within its share that was refused while all engines were saturated.
+    pub fn record_shortage(&mut self, tokens: u64, now: Duration) {
+        self.capacity.record_shortage(tokens, now);
+    }
+
+    /// Time that the accounts cover at `now`: the full parts of the window before the newest one,
+    /// and what has passed of that.
+    fn covered(&self, now: Duration) -> Duration {
+        let part = part_length(self.window);
+        #[expect(clippy::cast_possible_truncation, reason = "milliseconds of uptime")]
+        let now_ms = now.as_millis() as u64;
+        let full = self.window.saturating_sub(Duration::from_millis(part));
+        let elapsed = now.saturating_sub(Duration::from_millis(now_ms / part * part));
+        full + elapsed
+    }
+
+    /// Whether the next decision recomputes the level.
+    #[must_use]
+    pub fn is_level_due(&self, now: Duration) -> bool {
+        let is_fresh = |at: Duration| now.saturating_sub(at) < LEVEL_MAX_AGE;
+        !self.level_at.is_some_and(is_fresh)
+    }
+
+    /// The last computed level with its inputs.
+    #[must_use]
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// Age of that level; none before the first.
+    #[must_use]
+    pub fn level_age(&self, now: Duration) -> Option<Duration> {
+        self.level_at.map(|at| now.saturating_sub(at))
     }
 
     /// Records the demand of a customer, in tokens.
@@ -189,6 +272,7 @@
     pub fn charge(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> Charge {
         let part = self.number(now);
         self.own.entry(customer).or_default().part(part).granted += tokens;
+        self.capacity.record_granted(tokens, now);
         Charge {
             customer,
             tokens,
@@ -244,7 +328,7 @@
     /// share, less beyond it.
     pub fn share_ratio(&mut self, customer: CustomerTag, tokens: u64, now: Duration) -> f64 {
         self.refresh(now);
-        let Some(level) = self.level else {
+        let Some(level) = self.level.tokens else {
             return 1.0;
         };
         let used = self.granted(customer, now) + tokens;
@@ -258,8 +342,7 @@
 
     /// Recomputes the level if it is out of date, and drops peers that timed out.
     fn refresh(&mut self, now: Duration) {
-        let is_fresh = |at: Duration| now.saturating_sub(at) < LEVEL_MAX_AGE;
-        if self.level_at.is_some_and(is_fresh) {
+        if !self.is_level_due(now) {
             return;
         }
         self.peers
@@ -268,8 +351,8 @@
         self.level_at = Some(now);
     }
 
-    /// Level of the fleet; the tokens granted while more were asked for are its capacity.
-    fn fleet_level(&mut self, now: Duration) -> Option<u64> {
+    /// Level of the fleet.
+    fn fleet_level(&mut self, now: Duration) -> Level {
         let all = self.fleet_totals(now);
         let granted: u64 = all.iter().map(|it| it.granted).sum();
         let number = self.number(now);
@@ -279,18 +362,27 @@
             fleet: granted,
         };
         let asked: u64 = all.iter().map(|it| it.asked).sum();
-        // Without any grant, the capacity is unknown.
-        if granted == 0 || asked <= granted + granted / CONTENTION_DIVISOR {
-            return None;
+        // Without any grant, no engine has been seen to run, so all may use what there is.
+        let contended = granted > 0 && asked > granted + granted / CONTENTION_DIVISOR;
+        let covered = self.covered(now);
+        let capacity = self.capacity.update(granted, covered, now);
+        let customers = all.len();
+        let demands = all.into_iter().map(|it| it.asked).collect();
+        Level {
+            tokens: contended.then(|| level(demands, capacity)).flatten(),
+            asked,
+            granted,
+            configured: self.capacity.configured(covered),
+            weight: self.capacity.weight(),
+            customers,
         }
-        level(all.into_iter().map(|it| it.asked).collect(), granted)
     }
 
     /// Current usage and limit of a customer.
     pub fn standing(&mut self, customer: CustomerTag, now: Duration) -> Standing {
         Standing {
             granted: self.granted(customer, now),
-            level: self.level,
+            level: self.level.tokens,
         }
     }
 
@@ -308,7 +400,7 @@
         now: Duration,
     ) -> Option<Supply> {
         self.refresh(now);
-        let level = self.level?;
+        let level = self.level.tokens?;
         let number = self.number(now);
         let own = self.own.get_mut(&customer).map(|it| it.sum(number));
         let own = own.unwrap_or_default();
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -20,6 +20,7 @@
 };
 use dunlinward_dispatch::placement::{self, Candidate, Criteria, Policy};
 use dunlinward_dispatch::prefix::{Part, Prompt};
+use dunlinward_dispatch::queue_order::RouteTag;
 use dunlinward_dispatch::reading::Reading;
 use dunlinward_dispatch::region::Region;
 use dunlinward_dispatch::registry::Registry;
@@ -246,6 +247,7 @@
         failed: false,
         avoid: Vec::new(),
         withheld: 0,
+        route: RouteTag::new("chat"),
     }
 }
 
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -14,6 +14,7 @@
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::message::{Content, LoadReport, Request, Return, TargetLoad};
 use dunlinward_dispatch::prefix::Use;
+use dunlinward_dispatch::queue_order::Kinds;
 use dunlinward_dispatch::region::Constraint;
 use dunlinward_dispatch::return_schedule::Arrival;
 use dunlinward_dispatch::target::Tag;
@@ -64,6 +65,7 @@
             prompt: ask.prompt.map(Rc::new),
             customer: ask.customer,
             cost: ask.cost,
+            route: ask.route,
             objective: ask.objective,
             arrived: now.saturating_sub(ask.waited),
             is_retry: ask.is_retry,
@@ -191,6 +193,7 @@
             log_replicas(&node);
             log_late(&node);
             log_returns(&node);
+            log_level(&node);
         }
         let mut reports = reporter.due(&node);
         for (owner, numbers) in node.pending.confirmations() {
@@ -242,6 +245,33 @@
     drop(line.with("limit", node.settings.load_policy.max_prefix_homes));
 }
 
+/// Logs the level of the customers' shares with its inputs, if a decision used it lately.
+fn log_level(node: &Node) {
+    let (level, age, reduced) = {
+        let mut state = node.state.borrow_mut();
+        let reduced = state.kinds.as_mut().map_or(0, Kinds::take_reduced);
+        let age = state.shares.level_age(node.now());
+        (state.shares.level(), age, reduced)
+    };
+    node.metrics.add("kind_limits", "reduced", reduced);
+    let Some(age) = age.filter(|it| *it < UNUSED_LOG_INTERVAL) else {
+        return;
+    };
+    let Some(tokens) = level.tokens else {
+        node.metrics.add("share_levels", "none", 1);
+        return;
+    };
+    node.metrics.add("share_levels", "contention", 1);
+    let line = node.journal.line("share_level").with("level", tokens);
+    let line = line.with("asked", level.asked);
+    let line = line.with("granted", level.granted);
+    let line = line.with("configured", level.configured);
+    let line = line.with("weight", level.weight);
+    let line = line.with("customers", level.customers);
+    let line = line.with("kinds_reduced", reduced);
+    drop(line.with_ms("age_ms", age));
+}
+
 /// Logs answers of owners that came after their requests had been abandoned.
 fn log_late(node: &Node) {
     let late = node.pending.take_late(node.now());
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -361,6 +361,7 @@
             failed: wish.failed,
             avoid: wish.avoid.clone(),
             since_first_attempt: wish.arrived.saturating_sub(wish.first_attempt),
+            route: wish.route,
         };
         self.node.send(self.owner, Content::Request(request));
     }
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dunlinward_dispatch::cell::Cell;
 use dunlinward_dispatch::grants::{self, RequestId};
 use dunlinward_dispatch::message::{Content, Grant, Wait};
 use dunlinward_dispatch::placement::{self, Choice, Criteria};
 use dunlinward_dispatch::prefix::{self, Prompt, Use};
+use dunlinward_dispatch::queue_order::Entry;
 use dunlinward_dispatch::retry;
 use dunlinward_dispatch::share::{Charge, Standing};
 use tokio::sync::oneshot;
@@ -21,6 +23,10 @@
 /// are refused in `dispatch/tests/return_load.rs`, with 2 it is 0.02.
 const ON_TIME_OBJECTIVES: u32 = 2;
 
+/// Prefill queue of an engine that does not run empty before it gets the next prompt: several
+/// passes over the owner's queue and the messages to the router that sends it.
+const SATURATED_QUEUE: Duration = Duration::from_millis(100);
+
 /// Places granted in a pass over the queue.
 #[derive(Default)]
 pub(crate) struct Pass {
@@ -127,6 +133,53 @@
         }
     }
 
+    /// Records that a request left the queue without a place.
+    pub(crate) fn record_expired(&mut self, waiter: &Waiter, now: Duration) {
+        let wish = &waiter.wish;
+        self.record_refused(wish, now);
+        let Some(customer) = wish.customer else {
+            return;
+        };
+        // A request may also have found no room because its prefix is cached at few engines; less
+        // load of others would not have helped it.
+        if self.kinds.is_none() || !self.is_saturated(wish.cell) {
+            return;
+        }
+        if let Some(kinds) = &mut self.kinds {
+            kinds.record_refused(customer, wish.route, wish.cost, now);
+        }
+        if waiter.share_ratio >= 1.0 {
+            self.shares.record_shortage(wish.cost, now);
+        }
+    }
+
+    /// Whether each available target of a cell is saturated: half of its slots are in use, or its
+    /// prefill queue lasts for [`SATURATED_QUEUE`]. What is granted is then all that it can run.
+    fn is_saturated(&self, cell: Cell) -> bool {
+        let Some(rate) = self.prefill_rate() else {
+            return false;
+        };
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "token counts are far below 2^52"
+        )]
+        let queue_time = |unread: u64| unread as f64 / rate;
+        let targets = self.registry.targets_of_cell(cell);
+        let mut available = targets.iter().filter(|it| self.is_available(it));
+        available.all(|it| {
+            let load = self.usage.total(it.tag());
+            load.running * 2 >= it.slots || queue_time(load.unread) >= SATURATED_QUEUE.as_secs_f64()
+        })
+    }
+
+    /// Prefill rate of one engine, in tokens per second.
+    fn prefill_rate(&self) -> Option<f64> {
+        let table = self.table.as_ref()?;
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
+        let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
+        Some(rate)
+    }
+
     fn wait(
         &self,
         number: u64,
@@ -148,6 +201,9 @@
         let Some(customer) = request.customer else {
             return 1.0;
         };
+        if self.shares.is_level_due(now) {
+            self.update_capacity(now);
+        }
         let ratio = self.shares.share_ratio(customer, request.cost, now);
         // Its tokens are booked within the customer's share.
         if request.is_on_time() {
@@ -157,6 +213,21 @@
         }
     }
 
+    /// Updates the capacity of the engines, of which customers get shares.
+    fn update_capacity(&mut self, now: Duration) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let engines = self.registry.targets().filter(|it| {
+            let service = table.service(&it.service);
+            service.is_some_and(|it| it.engine.is_some())
+        });
+        let available = engines
+            .filter(|it| self.is_available(it) && !self.reported_health.is_ejected(it.tag(), now));
+        let rate = table.limits().tokens_per_second;
+        self.shares.set_capacity(rate, available.count());
+    }
+
     /// Selects a target for a request; none if there is no room for it.
     pub(crate) fn choose(
         &mut self,
@@ -175,14 +246,13 @@
         if request.prompt.is_some() {
             self.engines_seen = self.engines_seen.max(engines);
         }
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred targets")]
-        let rate = table.limits().tokens_per_second / self.engines_seen.max(1) as f64;
+        let rate = self.prefill_rate()?;
         let engine = table.service(&service).and_then(|it| it.engine);
         let retention = prefix::retention(engine.map_or(0, |it| it.memory_tokens), rate);
         let mut candidates = self.candidates(request, retention, now);
         self.limit_cold(settings, request, &service, &mut candidates, now);
         let in_flight = self.in_flight_candidate(request, &candidates);
-        let capacity_share = self.capacity_share(settings, request, share_ratio);
+        let capacity_share = self.capacity_share(settings, request, share_ratio, now);
         let prompt = request.prompt.as_deref();
         let max_homes = settings.load_policy.max_prefix_homes;
         let prefix = prompt.and_then(Prompt::prefix).filter(|_| max_homes > 1);
@@ -242,7 +312,13 @@
     }
 
     /// Ratio of the capacity that a request may use, 0 to 1.
-    fn capacity_share(&self, settings: &Settings, request: &PlaceRequest, share_ratio: f64) -> f64 {
+    fn capacity_share(
+        &mut self,
+        settings: &Settings,
+        request: &PlaceRequest,
+        share_ratio: f64,
+        now: Duration,
+    ) -> f64 {
         let queue = &settings.queue_policy;
         let share = match (share_ratio < 1.0, request.is_retry) {
             (false, _) => 1.0,
@@ -263,7 +339,15 @@
             Claim::All => 1.0,
             Claim::Own => 1.0 / self.members.count() as f64,
         };
-        share * claimed
+        share * claimed * self.kind_part(request, now)
+    }
+
+    /// Part of that capacity that a request of this kind may use, 0 to 1.
+    fn kind_part(&mut self, request: &PlaceRequest, now: Duration) -> f64 {
+        let (Some(kinds), Some(customer)) = (&mut self.kinds, request.customer) else {
+            return 1.0;
+        };
+        kinds.capacity_part(customer, request.route, now)
     }
 
     /// Grants a place to a request of this router's clients.
@@ -352,6 +436,9 @@
 
     fn charge(&mut self, request: &PlaceRequest, now: Duration) -> Option<Charge> {
         let customer = request.customer?;
+        if let Some(kinds) = &mut self.kinds {
+            kinds.record_granted(customer, request.route, request.cost, now);
+        }
         Some(self.shares.charge(customer, request.cost, now))
     }
 
@@ -368,20 +455,41 @@
         }
     }
 
-    /// Grants places to queued requests: those within their customer's share first, then first
-    /// attempts before retries, then by arrival.
+    /// The queue in the order in which it is served.
+    fn in_order(&mut self, mut queue: Vec<Waiter>, now: Duration) -> Vec<Waiter> {
+        let Some(kinds) = &mut self.kinds else {
+            queue.sort_by_key(|it| (it.share_ratio < 1.0, it.wish.is_retry, it.wish.arrived));
+            return queue;
+        };
+        let entries = queue.iter().map(|it| Entry {
+            customer: it.wish.customer,
+            route: it.wish.route,
+            cost: it.wish.cost,
+            within_share: it.share_ratio >= 1.0,
+            is_retry: it.wish.is_retry,
+            arrived: it.wish.arrived,
+        });
+        let entries: Vec<_> = entries.collect();
+        let order = kinds.order(&entries, now);
+        let mut queue: Vec<_> = queue.into_iter().map(Some).collect();
+        order
+            .into_iter()
+            .filter_map(|it| queue[it].take())
+            .collect()
+    }
+
+    /// Grants places to queued requests, in the order of [`dunlinward_dispatch::queue_order`].
     pub(crate) fn process_queue(&mut self, settings: &Settings, now: Duration) -> Pass {
         let mut pass = Pass::default();
         let mut queue = std::mem::take(&mut self.queue);
         for waiter in queue.extract_if(.., |it| it.is_abandoned(now)) {
-            self.record_refused(&waiter.wish, now);
+            self.record_expired(&waiter, now);
         }
         queue.retain(|it| !self.is_blocked(&it.wish, now));
         for waiter in &mut queue {
             waiter.share_ratio = self.share_ratio(&waiter.wish, now);
         }
-        queue.sort_by_key(|it| (it.share_ratio < 1.0, it.wish.is_retry, it.wish.arrived));
-        for mut waiter in queue {
+        for mut waiter in self.in_order(queue, now) {
             let choice = self.choose(settings, &mut waiter.wish, waiter.share_ratio, now);
             match (choice, waiter) {
                 (None, waiter) => self.queue.push(waiter),
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -30,6 +30,7 @@
 mod replicas;
 mod retries;
 mod returns;
+mod shares;
 mod suspects;
 mod throttle;
 
@@ -571,6 +572,7 @@
         content: None,
         prompt: Some(Rc::new(prompt)),
         customer: Some(tag(customer)),
+        route: RouteTag::default(),
         cost: PROMPT_TOKENS,
         objective: OBJECTIVE,
         arrived,
