path: a client that returns before its time is a plain retry, also if it can still be in time

Ruled out: giving up the rule on retries in time where a time was assigned and kept. Change: an early return is marked as a retry and not classified further.

--- a/crates/path/src/state/returns.rs
+++ b/crates/path/src/state/returns.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dunlinward_dispatch::return_schedule::Request;
+use dunlinward_dispatch::return_schedule::{Arrival, Request};
 
 use super::{Claim, PlaceRequest, State};
 use crate::settings::Settings;
@@ -19,7 +19,12 @@
             request.is_retry |= self.returns.contains(content);
             request.arrival = self.returns.arrive(content, now);
         }
-        self.classify(settings, request, now);
+        // Also if it can still be in time: a client that ignores its time gains nothing.
+        if request.arrival == Arrival::Early {
+            request.is_retry = true;
+        } else {
+            self.classify(settings, request, now);
+        }
     }
 
     /// Time from the end of a request's wait after which it may return if it is refused; none
