--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -7,7 +7,7 @@
 //! Work is counted in units: an accepted stream is one unit, other work is a fixed fraction of it.
 //! The cost of a unit, in seconds of the available processor, is the ratio of the measured use to
 //! the units of the last seconds. Events of a stream are forwarded long after the stream was
-//! accepted, so the ratio covers at least [`LEARNING_UNITS`] units. The processor's use while no
+//! accepted, so the ratio covers at least `LEARNING_UNITS` units. The processor's use while no
 //! request of this router is in progress is no cost of a unit.
 //!
 //! The limit follows from the cost before the work arrives (feed-forward): the units per second
@@ -19,11 +19,11 @@
 //! - Without tokens, each customer may still use a bucket of its own, filled at the max-min fair
 //!   level of what owners' duties, refusals and requests of high priority leave. So a small customer
 //!   is served beside a flooding one.
-//! - Requests of high priority are accepted up to a debt of [`MAX_DEBT`], and beyond it from a
+//! - Requests of high priority are accepted up to a debt of `MAX_DEBT`, and beyond it from a
 //!   bucket of their own, filled at most of what duties and refusals leave.
 //!
 //! Invariants: nothing is refused without a neighbour that can take the retry, before
-//! [`MIN_UNITS`] units were measured, or while work arrives at less than the limit.
+//! `MIN_UNITS` units were measured, or while work arrives at less than the limit.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/dispatch/src/throttle.rs
+++ b/crates/dispatch/src/throttle.rs
@@ -2,7 +2,7 @@
 //!
 //! For a customer far beyond its share, owners refuse most requests, and each costs datagrams and
 //! time at the owner and a wait of the client. The entry router refuses a part of them itself, by
-//! the ratio of requests to grants in the last [`WINDOW`]: with probability
+//! the ratio of requests to grants in the last `WINDOW`: with probability
 //! (asked - K x granted) / (asked + 1). About K times the requests that owners grant still reach
 //! them, so that grants increase as soon as there is room. The ratio is kept per customer and cell,
 //! because cells differ in load: a flood in one says nothing about grants in another.
@@ -83,7 +83,7 @@
 }
 
 impl Withheld {
-    /// Sum of the tokens, at most [`MAX_TOKENS`].
+    /// Sum of the tokens, at most `MAX_TOKENS`.
     #[must_use]
     pub fn tokens(&self) -> u64 {
         let sum = self.parts.values().copied().fold(0, u64::saturating_add);
