Logs name software versions and each send of a resumption

No version was kept, a send of a resumption had no line, and the attempt that a client resumes was not decoded.

Change: a target carries the version of its entry. Routers exchange versions after the targets of a view, where earlier releases ignore them; their own lists lack them, and a known version is kept then. `sent`, `stream_cut`, `target_came` and its kin name the version; `sent` is also written for each send of a resumption, with the attempt that the stream is resumed from and its last event. No decision uses any of it.

Tests of dispatch, path and adapter pass.

Conclusion: with these lines a continued stream can be followed over routers and tries.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -36,7 +36,7 @@
 pub use incarnations::INCARNATION_RETENTION;
 use incarnations::Incarnations;
 use index::{Index, checksum};
-pub use partition::{Checksums, Difference};
+pub use partition::{Checksums, Difference, Versions};
 pub use restore::ENTRY_EXPIRY;
 use restore::Restore;
 
@@ -223,10 +223,19 @@
         }
         for target in &mut list {
             self.preserve_leaving(target);
+            self.preserve_version(target);
         }
         list
     }
 
+    /// Keeps the known version of a target: peers of an earlier release send none.
+    fn preserve_version(&self, target: &mut Target) {
+        if target.version.is_none() {
+            let known = self.targets.get(&target.tag());
+            target.version = known.and_then(|it| it.version.clone());
+        }
+    }
+
     /// Keeps a leaving target leaving: an entry that says otherwise is stale.
     fn preserve_leaving(&self, target: &mut Target) {
         let tag = target.tag();
--- a/crates/dispatch/src/registry/delta.rs
+++ b/crates/dispatch/src/registry/delta.rs
@@ -104,6 +104,7 @@
             return;
         }
         self.preserve_leaving(&mut target);
+        self.preserve_version(&mut target);
         if !self.differs_from_known(&target) {
             return;
         }
--- a/crates/dispatch/src/registry/partition.rs
+++ b/crates/dispatch/src/registry/partition.rs
@@ -4,7 +4,8 @@
 //! learns of a newer list sends the checksums of its parts and receives the parts that differ, so
 //! the traffic between routers depends on the amount of change and not on the length of the list.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -67,6 +68,48 @@
     pub fn targets(&self) -> &[Target] {
         &self.targets
     }
+
+    /// Software versions of these targets.
+    #[must_use]
+    pub fn versions(&self) -> Versions {
+        let mut versions = Versions::default();
+        for target in &self.targets {
+            let Some(version) = &target.version else {
+                continue;
+            };
+            let known = versions.names.iter().position(|it| it == version);
+            let index = known.unwrap_or_else(|| {
+                versions.names.push(version.clone());
+                versions.names.len() - 1
+            });
+            // The others stay unknown to the receiver; no service has that many versions.
+            if let Ok(index) = u16::try_from(index) {
+                versions.targets.push((target.tag(), index));
+            }
+        }
+        versions
+    }
+
+    /// Sets the software versions of the targets.
+    #[must_use]
+    pub fn with_versions(mut self, versions: &Versions) -> Self {
+        let by_tag: HashMap<_, _> = versions.targets.iter().copied().collect();
+        for target in &mut self.targets {
+            let index = by_tag.get(&target.tag()).copied();
+            let name = index.and_then(|it| versions.names.get(usize::from(it)));
+            target.version = name.cloned();
+        }
+        self
+    }
+}
+
+/// Software versions of the targets of a [`Difference`], which earlier releases don't send.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// Names of the versions.
+    names: Vec<Arc<str>>,
+    /// Index of each target's version.
+    targets: Vec<(Tag, u16)>,
 }
 
 impl Registry {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -43,6 +43,10 @@
     /// Remaining warm-up time, in which it takes few requests, as of its entry; zero once it is
     /// warm.
     pub cold_left: Duration,
+    /// Version of its software; `None` if unknown. Routers exchange it apart from the other fields,
+    /// as earlier releases decode these by position.
+    #[serde(skip)]
+    pub version: Option<Arc<str>>,
 }
 
 /// Compact identifier of one incarnation of a server in messages and tables.
--- a/crates/dispatch/tests/cells.rs
+++ b/crates/dispatch/tests/cells.rs
@@ -28,6 +28,7 @@
         slots: 16,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     });
     targets.collect()
 }
--- a/crates/dispatch/tests/cold_start.rs
+++ b/crates/dispatch/tests/cold_start.rs
@@ -25,6 +25,7 @@
         slots: 32,
         state: State::Ready,
         cold_left,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -34,6 +34,7 @@
         slots: 10,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/delta.rs
+++ b/crates/dispatch/tests/delta.rs
@@ -21,6 +21,7 @@
         slots: 8,
         state,
         cold_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/incarnations.rs
+++ b/crates/dispatch/tests/incarnations.rs
@@ -21,6 +21,7 @@
         slots: 10,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -19,6 +19,7 @@
         slots: 8,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/prefix_cache.rs
+++ b/crates/dispatch/tests/prefix_cache.rs
@@ -239,6 +239,7 @@
             slots: 10,
             state: State::Ready,
             cold_left: Duration::ZERO,
+            version: None,
         }),
         load: Load { running: 0, unread },
         local: false,
--- a/crates/dispatch/tests/replicas.rs
+++ b/crates/dispatch/tests/replicas.rs
@@ -52,6 +52,7 @@
         slots: 32,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     })
 }
 
--- a/crates/dispatch/tests/restore.rs
+++ b/crates/dispatch/tests/restore.rs
@@ -320,6 +320,7 @@
         slots: 8,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/speed.rs
+++ b/crates/dispatch/tests/speed.rs
@@ -482,6 +482,7 @@
         slots: 32,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/dispatch/tests/speed_load.rs
+++ b/crates/dispatch/tests/speed_load.rs
@@ -188,6 +188,7 @@
             slots: 32,
             state: State::Ready,
             cold_left: Duration::ZERO,
+            version: None,
         };
         Self {
             rate,
--- a/crates/path/examples/decision-cost.rs
+++ b/crates/path/examples/decision-cost.rs
@@ -303,6 +303,7 @@
         slots: 64,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     });
     targets.collect()
 }
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -142,5 +142,6 @@
         arrived,
         first_attempt: arrived.saturating_sub(elapsed),
         resume_after: call.resume_after,
+        resumes: call.resumes,
     }
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -76,6 +76,8 @@
     pub deadline: Duration,
     /// Id of the last event that the caller had received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Whether a request that failed may have run.
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -26,6 +26,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received of an earlier answer.
     pub resume_after: Option<u64>,
+    /// Id of the earlier attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// A head or body that can't be parsed.
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -287,7 +287,9 @@
             None => with_default_retry_after(node, job, refusal),
         })?;
         let target = lease.target.clone();
-        request_log::sent(node, job, &lease, sends);
+        let waited = node.now().saturating_sub(job.arrived);
+        node.metrics.time("queued_seconds", &job.route.name, waited);
+        request_log::sent(node, job, &lease, sends, job.resume_after);
         let limit = answer_limit(node, job, sends);
         sends += 1;
         let outcome = attempt::send(node, job, lease, job.resume_after, limit).await;
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::journal::millis;
 use crate::node::Node;
 use crate::observation::Pauses;
+use crate::request_log;
 
 /// Time without data after which a resumable stream is resumed at another target, in multiples of
 /// the route's objective.
@@ -468,7 +469,10 @@
         let node = &self.node;
         let line = node.journal.line("stream_cut");
         let line = line.with("id", self.job.id.as_ref());
-        let line = line.with("target", attempt.lease.target.id.as_ref());
+        let target = &attempt.lease.target;
+        let line = line.with("target", target.id.as_ref());
+        let line = line.with("version", target.version.as_deref());
+        let line = line.with("last_event", self.splitter.last_id());
         let line = line.with("content", self.job.content.to_string());
         drop(line.with("reason", reason));
     }
@@ -513,6 +517,7 @@
             let target = lease.target.tag();
             let limit = self.job.deadline;
             let last = self.splitter.last_id();
+            request_log::sent(&self.node, &self.job, &lease, self.sends - 1, last);
             match attempt::send(&self.node, &self.job, lease, last, limit).await {
                 Ok(attempt) if attempt.head.status.is_success() => {
                     self.attempt = Some(attempt);
--- a/crates/path/src/request_log.rs
+++ b/crates/path/src/request_log.rs
@@ -95,10 +95,13 @@
         .with("level", standing.level)
 }
 
-/// Logs a request that is sent to a target.
-pub fn sent(node: &Rc<Node>, job: &Job, lease: &Lease, sends: u32) {
+/// Logs a request that is sent to a target; `resume_after` is the last event that its caller has.
+pub fn sent(node: &Rc<Node>, job: &Job, lease: &Lease, sends: u32, resume_after: Option<u64>) {
     let line = node.journal.line("sent").with("id", job.id.as_ref());
     let line = line.with("target", lease.target.id.as_ref());
+    let line = line.with("version", lease.target.version.as_deref());
+    let line = line.with("resumes", job.resumes.as_deref());
+    let line = line.with("resume_after", resume_after);
     let line = with_properties(job, lease.standing, line);
     let line = line.with("content", job.content.to_string());
     let line = line.with("owner", lease.owner.to_string());
@@ -108,7 +111,6 @@
     let prefix = job.prompt.as_deref().and_then(Prompt::prefix);
     let line = line.with("prefix", prefix.map(|it| format!("{:016x}", it.0)));
     let waited = node.now().saturating_sub(job.arrived);
-    node.metrics.time("queued_seconds", &job.route.name, waited);
     let line = line.with_ms("waited_ms", waited);
     drop(node.with_views(line));
 }
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -127,6 +127,7 @@
         slots: 64,
         state: Condition::Ready,
         cold_left: Duration::ZERO,
+        version: None,
     };
     (0..ENGINES).map(target).collect()
 }
--- a/crates/path/src/targets.rs
+++ b/crates/path/src/targets.rs
@@ -137,6 +137,7 @@
         let line = self.journal.line(event).with("target", target.id.as_ref());
         let line = line.with("born", target.born);
         let line = line.with("service", target.service.as_ref());
+        let line = line.with("version", target.version.as_deref());
         drop(line.with("source", source).with_ms("age_ms", age));
     }
 
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 
 use bincode::config::standard;
+use bincode::error::{DecodeError, EncodeError};
 use dunlinward_dispatch::configuration::Configuration;
 use dunlinward_dispatch::evacuation::Order;
 use dunlinward_dispatch::quarantine::Entry;
 use dunlinward_dispatch::reading::Reading;
-use dunlinward_dispatch::registry::{Checksums, Difference};
+use dunlinward_dispatch::registry::{Checksums, Difference, Versions};
 use dunlinward_dispatch::store::Position;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -224,8 +225,30 @@
     stream.write_all(&request.encode()?).await?;
     let mut bytes = Vec::new();
     stream.take(MAX_VIEW_BYTES).read_to_end(&mut bytes).await?;
-    let decoded = bincode::serde::decode_from_slice::<Response, _>(&bytes, standard());
-    let (view, _) = decoded.map_err(std::io::Error::other)?;
+    decode_response(&bytes).map_err(std::io::Error::other)
+}
+
+/// Encodes a response, followed by the software versions of its targets. Earlier releases ignore
+/// what follows a response.
+fn encode_response(view: &Response) -> Result<Vec<u8>, EncodeError> {
+    let mut bytes = bincode::serde::encode_to_vec(view, standard())?;
+    if let Some(targets) = &view.targets {
+        let versions = targets.difference.versions();
+        bytes.extend(bincode::serde::encode_to_vec(&versions, standard())?);
+    }
+    Ok(bytes)
+}
+
+fn decode_response(bytes: &[u8]) -> Result<Response, DecodeError> {
+    let (mut view, length) = bincode::serde::decode_from_slice::<Response, _>(bytes, standard())?;
+    let rest = &bytes[length..];
+    if let Some(mut targets) = view.targets.take() {
+        if !rest.is_empty() {
+            let (versions, _) = bincode::serde::decode_from_slice::<Versions, _>(rest, standard())?;
+            targets.difference = targets.difference.with_versions(&versions);
+        }
+        view.targets = Some(targets);
+    }
     Ok(view)
 }
 
@@ -242,7 +265,7 @@
                 return;
             };
             let view = respond(&node, &request);
-            if let Ok(bytes) = bincode::serde::encode_to_vec(&view, standard()) {
+            if let Ok(bytes) = encode_response(&view) {
                 // The peer fetches again if this fails.
                 drop(stream.write_all(&bytes).await);
                 drop(stream.shutdown().await);
