Streams continue only at the software version that began them

Cause: a continuation was placed as if it were new work. The router that resumed a stream within an answer asked for any target, and a client's next attempt was placed like a new request by whichever router it reached. Neither the request for a place, nor the owner, nor its queue had a notion of a stream that is bound.

Change: a job carries a binding. The first event of an answer binds the stream to the version of its target; a request that resumes one is bound before it is placed. Who began it follows from the router's own ledger, from three keepers that hash from the attempt's id over the live routers (one in each failure domain), then from the others. The note is sent before the first event is forwarded. If nobody knows the version the request is refused as not run, without a time to come back unless some router did not answer. The binding narrows the choice of the cell, its availability and the candidates. The owner is told by the existing list of targets to avoid, so that the messages of placement stay as they were and owners of an earlier release comply. It is checked again when a grant is accepted and before the first byte. While a service has had one version for a minute, streams are recorded and nothing is sent; a second version makes a router send the notes of the streams that it began before, and so does a new router. Lists of an earlier release name no version: a known one is kept, and the list is read from the store.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`target`], [`registry`]: known targets, and which of them may receive work.
 //! - [`store`], [`evacuation`]: state read from the store of the platform, and failure domains that
 //!   receive no work.
+//! - [`continuation`]: streams that continue only at the software version that began them.
 //! - [`cold_start`]: targets that can take only few requests for now.
 //! - [`leaving`], [`backoff`]: targets that announce their end, and targets that refuse requests.
 //! - [`cell`], [`member`]: groups of targets, and the router that places requests in each.
@@ -42,6 +43,7 @@
 pub mod cold_start;
 pub mod configuration;
 pub mod content;
+pub mod continuation;
 pub mod evacuation;
 pub mod grants;
 pub mod health;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -32,6 +32,9 @@
 /// Limit on the number of times that the duration of an exclusion doubles.
 const MAX_EXCLUSION_DOUBLINGS: u32 = 4;
 
+/// Routers that keep what is known of a stream. With three failure domains, one is in each.
+const KEEPERS: usize = 3;
+
 /// Description of one start of a router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Descriptor {
@@ -289,6 +292,41 @@
         self.own.address
     }
 
+    /// Live routers that keep what is known of a stream, by its hash: the one with the highest
+    /// weight in each of several failure domains, then those with the next highest weights.
+    #[must_use]
+    pub fn keepers(&self, key: u64) -> Vec<&Descriptor> {
+        let others = self.known.values();
+        let others = others.filter(|it| it.condition != Condition::Leaving);
+        let own = (self.condition != Condition::Leaving).then_some(&self.own);
+        let routers = others.map(|it| &it.router).chain(own);
+        let mut routers: Vec<_> = routers
+            .map(|it| (xxh64(&it.peer.0.to_le_bytes(), key), it))
+            .collect();
+        routers.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let mut keepers: Vec<&Descriptor> = Vec::with_capacity(KEEPERS);
+        for (_, router) in &routers {
+            if keepers.len() < KEEPERS && !keepers.iter().any(|it| it.domain == router.domain) {
+                keepers.push(router);
+            }
+        }
+        for (_, router) in &routers {
+            if keepers.len() < KEEPERS && !keepers.iter().any(|it| it.peer == router.peer) {
+                keepers.push(router);
+            }
+        }
+        keepers
+    }
+
+    /// Digest of the live routers: it differs after a change that may change the keepers.
+    #[must_use]
+    pub fn keepers_digest(&self) -> u64 {
+        let others = self.known.values();
+        let others = others.filter(|it| it.condition != Condition::Leaving);
+        let peers = others.map(|it| it.router.peer);
+        peers.fold(0, |digest, it| digest ^ xxh64(&it.0.to_le_bytes(), 0))
+    }
+
     /// Records that a router left a request unanswered; true if it is excluded from now on.
     pub fn record_miss(&mut self, address: SocketAddr, now: Duration) -> bool {
         let Some(record) = self.known.get_mut(&address) else {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -15,6 +15,7 @@
 use crate::backoff::Refusal;
 use crate::cell::Cell;
 use crate::content::ContentTag;
+use crate::continuation::{self, Stream};
 use crate::health::Outcome;
 use crate::leaving;
 use crate::membership::Packet;
@@ -236,6 +237,12 @@
     Leaving(leaving::Report),
     /// What the sender has measured at targets of the receiver's cells.
     Observations(speed::Report),
+    /// Software versions that began streams.
+    StreamNotes(continuation::Report),
+    /// Which software version began a stream?
+    StreamQuery(Stream),
+    /// Answer to that question.
+    StreamAnswer(continuation::Answer),
 }
 
 /// A message.
@@ -273,7 +280,9 @@
                 times.iter().flatten().all(|it| *it <= MAX_DURATION)
             }
             Self::Observations(report) => report.is_plausible(),
-            Self::Withdraw(_) | Self::Findings(_) => true,
+            Self::StreamNotes(report) => report.plausible(),
+            Self::StreamAnswer(answer) => answer.plausible(),
+            Self::Withdraw(_) | Self::Findings(_) | Self::StreamQuery(_) => true,
         }
     }
 }
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -23,7 +23,7 @@
 use crate::cell::{self, Cell, ServiceTag};
 use crate::leaving::Notices;
 use crate::region::{Region, Regions};
-use crate::target::{State, Tag, Target};
+use crate::target::{State, Tag, Target, Version};
 
 mod delta;
 mod incarnations;
@@ -31,14 +31,16 @@
 mod leaving;
 mod partition;
 mod restore;
+mod versions;
 
 pub use delta::Delta;
 pub use incarnations::INCARNATION_RETENTION;
 use incarnations::Incarnations;
 use index::{Index, checksum};
-pub use partition::{Checksums, Difference, Versions};
+pub use partition::{Checksums, Difference, VersionList};
 pub use restore::ENTRY_EXPIRY;
 use restore::Restore;
+use versions::Versions;
 
 /// How long an expired entry may take to reappear after an outage of the store; operators expect
 /// about two seconds.
@@ -107,6 +109,7 @@
     incarnations: Incarnations,
     /// Targets that have announced that they are leaving.
     leaving: Notices,
+    versions: Versions,
     digest: u64,
     checksums: Checksums,
 }
@@ -135,6 +138,7 @@
             restore: Restore::default(),
             incarnations: Incarnations::default(),
             leaving: Notices::default(),
+            versions: Versions::default(),
             digest: 0,
             checksums: Checksums::empty(),
         }
@@ -371,6 +375,8 @@
         self.index = Index::new(self.targets.values(), self.cell_targets, &self.regions);
         let by_id = self.targets.iter();
         self.by_id = by_id.map(|(tag, it)| (it.id.clone(), *tag)).collect();
+        let at = self.read_at.unwrap_or_default();
+        self.versions.rebuild(self.targets.values(), at);
         let mut checksums = Checksums::empty();
         let mut digest = 0;
         for target in self.listed() {
@@ -388,7 +394,9 @@
         self.checksums.toggle(&target);
         self.index.insert(&target, self.cell_targets, &self.regions);
         self.by_id.insert(target.id.clone(), tag);
+        self.versions.add(&target);
         if let Some(old) = self.targets.insert(tag, target) {
+            self.versions.remove(&old, self.read_at.unwrap_or_default());
             self.digest ^= checksum(&old);
             self.checksums.toggle(&old);
         }
@@ -400,9 +408,34 @@
         self.checksums.toggle(&old);
         self.index.remove(&old, self.cell_targets, &self.regions);
         self.by_id.remove(&old.id);
+        self.versions.remove(&old, self.read_at.unwrap_or_default());
         Some(old)
     }
 
+    /// Software versions of the targets of a service, also of those that ended within
+    /// [`RETENTION`](crate::continuation::RETENTION); `None` stands for an unknown one.
+    #[must_use]
+    pub fn versions(&self, service: ServiceTag, now: Duration) -> Vec<Option<Version>> {
+        self.versions.of(service, now)
+    }
+
+    /// Services with targets of which [`Registry::versions`] names several versions.
+    #[must_use]
+    pub fn mixed_services(&self, now: Duration) -> Vec<ServiceTag> {
+        self.versions.mixed(now)
+    }
+
+    /// Whether the software version of some target is unknown.
+    #[must_use]
+    pub fn lacks_versions(&self) -> bool {
+        self.versions.lacks_some()
+    }
+
+    /// Records a peer's report that a service had targets of a version at `at`.
+    pub fn record_version(&mut self, service: ServiceTag, version: Version, at: Duration) {
+        self.versions.record(service, version, at);
+    }
+
     /// The cells of a service in a region.
     #[must_use]
     pub fn cells(&self, service: ServiceTag, region: Region) -> &[Vec<Arc<Target>>] {
--- a/crates/dispatch/src/registry/partition.rs
+++ b/crates/dispatch/src/registry/partition.rs
@@ -71,8 +71,8 @@
 
     /// Software versions of these targets.
     #[must_use]
-    pub fn versions(&self) -> Versions {
-        let mut versions = Versions::default();
+    pub fn versions(&self) -> VersionList {
+        let mut versions = VersionList::default();
         for target in &self.targets {
             let Some(version) = &target.version else {
                 continue;
@@ -92,7 +92,7 @@
 
     /// Sets the software versions of the targets.
     #[must_use]
-    pub fn with_versions(mut self, versions: &Versions) -> Self {
+    pub fn with_versions(mut self, versions: &VersionList) -> Self {
         let by_tag: HashMap<_, _> = versions.targets.iter().copied().collect();
         for target in &mut self.targets {
             let index = by_tag.get(&target.tag()).copied();
@@ -105,7 +105,7 @@
 
 /// Software versions of the targets of a [`Difference`], which earlier releases don't send.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Versions {
+pub struct VersionList {
     /// Names of the versions.
     names: Vec<Arc<str>>,
     /// Index of each target's version.
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -43,7 +43,7 @@
     /// Remaining warm-up time, in which it takes few requests, as of its entry; zero once it is
     /// warm.
     pub cold_left: Duration,
-    /// Version of its software; `None` if unknown. Routers exchange it apart from the other fields,
+    /// Name of its software version; `None` if unknown. Routers exchange it apart from the other fields,
     /// as earlier releases decode these by position.
     #[serde(skip)]
     pub version: Option<Arc<str>>,
@@ -53,7 +53,29 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Tag(pub u32);
 
+/// Compact identifier of a software version in messages and tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Version(pub u32);
+
+impl Version {
+    /// Hashes the name of a version.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a short name is the low half of the hash"
+    )]
+    pub fn new(name: &str) -> Self {
+        Self(xxh64(name.as_bytes(), 0) as u32)
+    }
+}
+
 impl Target {
+    /// Its software version, if known.
+    #[must_use]
+    pub fn software(&self) -> Option<Version> {
+        self.version.as_deref().map(Version::new)
+    }
+
     /// The tag of this incarnation.
     #[must_use]
     pub fn tag(&self) -> Tag {
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -3,6 +3,7 @@
 //! Admission determines a request's route, customer and service, and from these its deadline, its
 //! cost and its content digest.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -143,5 +144,6 @@
         first_attempt: arrived.saturating_sub(elapsed),
         resume_after: call.resume_after,
         resumes: call.resumes,
+        binding: Cell::default(),
     }
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to run a request at a target, up to the head of the answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use dunlinward_dispatch::backoff::Refusal;
 use dunlinward_dispatch::configuration::Route;
 use dunlinward_dispatch::content::Digest;
+use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::prefix::Prompt;
 use dunlinward_dispatch::region::Constraint;
@@ -78,6 +80,8 @@
     pub resume_after: Option<u64>,
     /// Id of the attempt that brought the first event of that stream.
     pub resumes: Option<Arc<str>>,
+    /// Targets that may send the next event of its answer.
+    pub binding: Cell<Binding>,
 }
 
 /// Whether a request that failed may have run.
@@ -158,7 +162,11 @@
     // The target may have been barred since the place was granted, also while a connection was
     // opened.
     let now = node.now();
-    let barred = node.state.borrow().exclusion(&target, job.allowed, now);
+    let binding = job.binding.get();
+    let barred = {
+        let state = node.state.borrow();
+        state.exclusion_for(&target, job.allowed, binding, now)
+    };
     if let Some(bar) = barred {
         node.metrics.add("places_barred", bar.name(), 1);
         return Err(Failure::new(Verdict::NotSent, bar.name()));
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -29,6 +29,7 @@
 
 use crate::admission;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
+use crate::continuation;
 use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
@@ -174,7 +175,8 @@
 ) -> Result<PlaceRequest, Refusal> {
     let draft = Draft::new(node, job);
     let state = node.state.borrow();
-    let home = state.home(&job.service, draft.prefix, job.allowed, node.now());
+    let binding = job.binding.get();
+    let home = state.home(&job.service, draft.prefix, job.allowed, binding, node.now());
     let cell = home.ok_or_else(|| Refusal::new(Reason::NoTarget))?;
     Ok(draft.placement_request(&state, cell, failed, until))
 }
@@ -190,7 +192,8 @@
     let draft = Draft::new(node, job);
     let state = node.state.borrow();
     let (customer, now) = (draft.customer(), node.now());
-    let cell = state.home_elsewhere(full, draft.prefix, customer, job.allowed, now)?;
+    let (allowed, binding) = (job.allowed, job.binding.get());
+    let cell = state.home_elsewhere(full, draft.prefix, customer, allowed, binding, now)?;
     let wish = draft.placement_request(&state, cell, failed, until);
     Some(PlaceRequest {
         demand_counted: true,
@@ -244,11 +247,15 @@
         let Self { node, job, .. } = self;
         let mut avoid = state.ejected_targets(cell, node.now());
         avoid.extend(failed);
+        // The owner need not know that the request is bound.
+        let binding = job.binding.get();
+        avoid.extend(state.other_versions(cell, binding));
         PlaceRequest {
             cell,
             router: node.peer,
             domain: node.settings.domain.clone(),
             allowed: job.allowed,
+            binding,
             content: self.content,
             prompt: job.prompt.clone(),
             customer,
@@ -279,6 +286,7 @@
     // The last failure after which the request may have run; no later refusal may claim that it
     // has not.
     let mut may_have_run: Option<Failure> = None;
+    continuation::bind(node, job).await?;
     loop {
         tries += 1;
         let lease = spillover::place(node, job, exclude).await;
--- a/crates/path/src/inbound.rs
+++ b/crates/path/src/inbound.rs
@@ -11,7 +11,7 @@
 
 use crate::node::Node;
 use crate::pending::Answer;
-use crate::{gossip, leaving, observation, owner, quarantine};
+use crate::{continuation, gossip, leaving, observation, owner, quarantine};
 
 /// Limit of a message: it is one datagram.
 const MAX_MESSAGE_BYTES: usize = 60_000;
@@ -103,5 +103,8 @@
         Content::Findings(findings) => quarantine::receive_findings(node, &findings),
         Content::Leaving(report) => leaving::receive(node, report.notices()),
         Content::Observations(report) => observation::receive(node, sender, &report),
+        Content::StreamNotes(report) => continuation::receive_notes(node, &report),
+        Content::StreamQuery(stream) => continuation::receive_query(node, from, stream),
+        Content::StreamAnswer(answer) => continuation::receive_answer(node, from, answer),
     }
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::continuation::Queries;
 use crate::dialect::Dialect;
 use crate::gossip::{self, Gossip};
 use crate::inbound::Buffer;
@@ -107,6 +108,7 @@
     pub(crate) gossip: Gossip,
     pub(crate) fetches: Fetches,
     pub(crate) pending: Pending,
+    pub(crate) queries: Queries,
     pub(crate) overload: Detector,
     /// Admission control by utilization.
     pub intake: Gate,
@@ -152,6 +154,7 @@
             gossip: Gossip::default(),
             fetches: Fetches::default(),
             pending: Pending::default(),
+            queries: Queries::default(),
             overload: Detector::default(),
             intake: Gate::new(&settings),
             observations: RefCell::default(),
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::cell::Cell;
+use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::message::{Content, LoadReport, Request, Return, TargetLoad};
 use dunlinward_dispatch::prefix::Use;
@@ -20,6 +21,7 @@
 use dunlinward_dispatch::target::Tag;
 use dunlinward_dispatch::usage::Peer;
 
+use crate::continuation;
 use crate::interruption;
 use crate::node::Node;
 use crate::observation;
@@ -61,6 +63,8 @@
             domain: domain.unwrap_or_else(|| node.settings.domain.clone()),
             // The requesting router has chosen the cell by the allowed regions.
             allowed: Constraint::ANY,
+            // It has named the targets of other versions as targets to avoid.
+            binding: Binding::Free,
             content: ask.content,
             prompt: ask.prompt.map(Rc::new),
             customer: ask.customer,
@@ -195,6 +199,7 @@
             log_returns(&node);
             log_level(&node);
         }
+        continuation::sync(&node);
         let mut reports = reporter.due(&node);
         for (owner, numbers) in node.pending.confirmations() {
             reports.entry(owner).or_default().accepted = numbers;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -164,7 +164,10 @@
     /// becomes available later, the callers' retry times are spread out.
     fn early_refusal(&self, wish: &PlaceRequest) -> Option<Refusal> {
         let now = self.now();
-        let opening = self.state.borrow().availability(wish.cell, now);
+        let opening = self
+            .state
+            .borrow()
+            .availability(wish.cell, wish.binding, now);
         match opening {
             Availability::Never => Some(Refusal::new(Reason::NoTarget)),
             Availability::Now | Availability::At(_) => {
@@ -405,7 +408,7 @@
             return Outcome::Failed;
         };
         let state = self.node.state.borrow();
-        let bar = state.exclusion(&target, wish.allowed, now);
+        let bar = state.exclusion_for(&target, wish.allowed, wish.binding, now);
         drop(state);
         if let Some(bar) = bar {
             self.refuse(grant, &target, bar);
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::attempt::{self, Attempt, Job, Verdict};
+use crate::continuation;
 use crate::event::Splitter;
 use crate::exchange;
 use crate::interruption::Cause;
@@ -280,6 +281,7 @@
             Chunk::Bytes(bytes) => {
                 self.record_data();
                 let events = self.splitter.push(bytes)?;
+                self.record_begin();
                 self.timing.record(self.node.now());
                 self.record_pause();
                 self.hold_or_forward(events)
@@ -300,6 +302,14 @@
         }
     }
 
+    /// Binds the stream to the software version of the target that sends its first event.
+    fn record_begin(&self) {
+        let first = self.timing.first.is_none();
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| first) {
+            continuation::record_begin(&self.node, &self.job, &attempt.lease.target);
+        }
+    }
+
     fn hold_or_forward(&mut self, events: Bytes) -> Option<Step> {
         let pace = Pace {
             last_forwarded: self.held.last_forwarded,
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -42,6 +42,8 @@
     ExpiredUnsent,
     /// The deadline has passed and the request may have run.
     Expired,
+    /// The stream that it resumes was begun by an unknown software version.
+    UnknownOrigin,
     /// Targets have refused to run it.
     Rejected,
     /// A target failed and the request may have run.
@@ -72,6 +74,7 @@
             Self::Crowded => "crowded",
             Self::ExpiredUnsent => "expired_unsent",
             Self::Expired => "expired",
+            Self::UnknownOrigin => "unknown_origin",
             Self::Rejected => "turned_away",
             Self::TargetFailed => "target_failed",
             Self::Leaving => "leaving",
@@ -98,6 +101,7 @@
             | Self::OverShare
             | Self::Crowded
             | Self::ExpiredUnsent
+            | Self::UnknownOrigin
             | Self::Rejected
             | Self::Leaving
             | Self::Suspected
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -14,6 +14,7 @@
 use dunlinward_dispatch::cold_start::{self, Limiter, Peak};
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::content::ContentTag;
+use dunlinward_dispatch::continuation::{Binding, Ledger as Streams};
 use dunlinward_dispatch::evacuation::{self, Evacuations};
 use dunlinward_dispatch::grants::Grants;
 use dunlinward_dispatch::health::{Health, Outcome};
@@ -81,6 +82,8 @@
     pub domain: Arc<str>,
     /// Regions in which it may run.
     pub allowed: Constraint,
+    /// Software version to which the stream that it continues is bound.
+    pub binding: Binding,
     /// Content, unless it was answered recently.
     pub content: Option<ContentTag>,
     /// Prompt, if it is for a model engine.
@@ -202,6 +205,8 @@
     pub(crate) in_flight: InFlight,
     /// Contents that were answered to this router's clients.
     pub(crate) answered: Answered,
+    /// Software versions that began streams.
+    pub(crate) streams: Streams,
     /// Measured speeds of the targets of this router's cells.
     pub(crate) speeds: Speeds,
     /// Largest number of engines of a service seen when placing a prompt.
@@ -266,6 +271,7 @@
             interruptions: Interruptions::new(),
             in_flight: InFlight::new(),
             answered: Answered::new(),
+            streams: Streams::default(),
             speeds: Speeds::new(),
             engines_seen: 0,
         }
--- a/crates/path/src/state/availability.rs
+++ b/crates/path/src/state/availability.rs
@@ -4,9 +4,11 @@
 //! newer one, or receive it while it opens a connection. So targets are checked three times: when
 //! the owner places a request, when a grant is accepted, and before the first byte is sent.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dunlinward_dispatch::cell::Cell;
+use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::region::Constraint;
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
 
@@ -23,6 +25,8 @@
     BackedOff,
     /// Its region is not allowed for the request.
     OutOfRegion,
+    /// The stream was begun by another software version.
+    OtherVersion,
 }
 
 /// When a cell has a target that may get requests.
@@ -54,6 +58,7 @@
             Self::Leaving => "leaving",
             Self::BackedOff => "backed_off",
             Self::OutOfRegion => "out_of_region",
+            Self::OtherVersion => "other_version",
         }
     }
 }
@@ -81,6 +86,37 @@
         until.map(|_| Exclusion::BackedOff)
     }
 
+    /// Why a target must not get a request of this router's clients that is bound to a software
+    /// version; none if it may.
+    pub(crate) fn exclusion_for(
+        &self,
+        target: &Target,
+        allowed: Constraint,
+        binding: Binding,
+        now: Duration,
+    ) -> Option<Exclusion> {
+        if !self.admits(binding, target) {
+            return Some(Exclusion::OtherVersion);
+        }
+        self.exclusion(target, allowed, now)
+    }
+
+    /// Whether a target may continue a stream; its newest entry counts.
+    fn admits(&self, binding: Binding, target: &Target) -> bool {
+        let known = self.registry.get(target.tag());
+        binding.admits(known.map_or(target, AsRef::as_ref).software())
+    }
+
+    /// Targets of a cell that may not continue a stream.
+    pub(crate) fn other_versions(&self, cell: Cell, binding: Binding) -> Vec<Tag> {
+        if binding == Binding::Free {
+            return Vec::new();
+        }
+        let targets = self.registry.targets_of_cell(cell).iter();
+        let others = targets.filter(|it| !binding.admits(it.software()));
+        others.map(|it| it.tag()).collect()
+    }
+
     /// Whether a target's failure domain is evacuated.
     pub(crate) fn is_evacuated(&self, target: &Target) -> bool {
         self.evacuations.is_evacuated(&target.domain)
@@ -94,14 +130,15 @@
     /// When the first target of a cell may get requests of this router's clients, by the backoff
     /// that the targets requested from it. A request that stops waiting before then cannot be
     /// placed.
-    pub(crate) fn availability(&self, cell: Cell, now: Duration) -> Availability {
-        self.first_available(cell, |tag| self.backoffs.backoff_until(self.peer, tag, now))
+    pub(crate) fn availability(&self, cell: Cell, binding: Binding, now: Duration) -> Availability {
+        let backoff = |tag| self.backoffs.backoff_until(self.peer, tag, now);
+        self.first_available(cell, binding, backoff)
     }
 
     /// When the first target of a cell may get a request of any router, as known to the cell's
     /// owner.
     pub(crate) fn availability_for(&self, request: &PlaceRequest, now: Duration) -> Availability {
-        self.first_available(request.cell, |tag| {
+        self.first_available(request.cell, request.binding, |tag| {
             let available_at = self.backoffs.available_at(request.router, tag, now);
             Some(available_at).filter(|it| *it > now)
         })
@@ -112,6 +149,7 @@
     fn first_available(
         &self,
         cell: Cell,
+        binding: Binding,
         backoff: impl Fn(Tag) -> Option<Duration>,
     ) -> Availability {
         let targets = self.registry.targets_of_cell(cell);
@@ -120,7 +158,8 @@
             return Availability::Now;
         }
         let mut first = Availability::Never;
-        for target in targets.iter().filter(|it| self.is_available(it)) {
+        let usable = |it: &&Arc<Target>| self.is_available(it) && binding.admits(it.software());
+        for target in targets.iter().filter(usable) {
             let Some(until) = backoff(target.tag()) else {
                 return Availability::Now;
             };
--- a/crates/path/src/state/candidates.rs
+++ b/crates/path/src/state/candidates.rs
@@ -34,6 +34,7 @@
                 && self.backoffs.available_at(request.router, tag, now) <= now
                 && !self.reported_health.is_ejected(tag, now)
                 && !request.avoid.contains(&tag)
+                && request.binding.admits(target.software())
         };
         let usable = self
             .registry
--- a/crates/path/src/state/homes.rs
+++ b/crates/path/src/state/homes.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::cell::{self, Cell, ServiceTag};
+use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::message::CustomerTag;
 use dunlinward_dispatch::prefix::Prefix;
 use dunlinward_dispatch::region::{Constraint, Region};
@@ -21,14 +22,15 @@
 
 impl State {
     /// Home cell of a prefix, or of a number that stands in for one. If no target of it is
-    /// available, the next cell with an available target, or the home if there is none. None if no
-    /// target may run the request or, while no target of the service is known, if this router's
+    /// available, the next cell with an available target, or the first one if there is none. None if no
+    /// target may run the request, or continue a stream with this binding, or, while no target of the service is known, if this router's
     /// region is not allowed.
     pub(crate) fn home(
         &self,
         service: &str,
         prefix: Prefix,
         allowed: Constraint,
+        binding: Binding,
         now: Duration,
     ) -> Option<Cell> {
         let service = ServiceTag::new(service);
@@ -43,12 +45,20 @@
             return allowed.admits(region).then_some(cell);
         }
         let regions = self.regions(service, prefix, allowed);
-        let mut cells = regions
-            .iter()
-            .flat_map(|it| self.ranked_cells(service, *it, prefix));
-        let available = cells.find(|it| self.availability(*it, now) == Availability::Now);
-        let first = || self.ranked_cells(service, *regions.first()?, prefix).next();
-        available.or_else(first)
+        let cells = || {
+            let regions = regions.iter();
+            let cells = regions.flat_map(|it| self.ranked_cells(service, *it, prefix));
+            cells.filter(|it| self.has_version(*it, binding))
+        };
+        let available =
+            cells().find(|it| self.availability(*it, binding, now) == Availability::Now);
+        available.or_else(|| cells().next())
+    }
+
+    /// Whether a cell has a target that may continue a stream, available or not.
+    fn has_version(&self, cell: Cell, binding: Binding) -> bool {
+        let mut targets = self.registry.targets_of_cell(cell).iter();
+        binding == Binding::Free || targets.any(|it| binding.admits(it.software()))
     }
 
     /// Home cell of a prefix in the first other region whose cell is available and had no lack of
@@ -59,6 +69,7 @@
         prefix: Prefix,
         customer: Option<CustomerTag>,
         allowed: Constraint,
+        binding: Binding,
         now: Duration,
     ) -> Option<Cell> {
         let regions = self.regions(full.service, prefix, allowed);
@@ -67,7 +78,7 @@
         let mut available = homes.filter(|it| {
             let full_at = self.full_cells.get(&(*it, customer)).copied();
             let is_full = full_at.is_some_and(|at| now.saturating_sub(at) < FULL_CELL_RETRY_DELAY);
-            !is_full && self.availability(*it, now) == Availability::Now
+            !is_full && self.availability(*it, binding, now) == Availability::Now
         });
         available.next()
     }
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -8,6 +8,7 @@
 use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::configuration::{Configuration, Engine, Limits, Service, Table};
 use dunlinward_dispatch::content::ContentTag;
+use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::message::{Content, CustomerTag, Grant, Return, Wait};
 use dunlinward_dispatch::placement::Policy;
 use dunlinward_dispatch::prefix::{Part, Prefix, Prompt};
@@ -586,6 +587,7 @@
         deadline: arrived + OBJECTIVE.mul_f64(QueuePolicy::default().first_wait),
         expiry: arrived + EXPIRY,
         arrival: Arrival::Unscheduled,
+        binding: Binding::Free,
         claim: Claim::All,
         tie_breaker,
         first_attempt: arrived,
--- a/crates/path/src/state/tests/homes.rs
+++ b/crates/path/src/state/tests/homes.rs
@@ -1,5 +1,6 @@
 //! Cells of requests with random region restrictions, in random deployments over several regions.
 
+use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::region::{Region, Regions};
 
 use super::*;
@@ -59,7 +60,7 @@
             found.unwrap().1
         };
         let prefix = Prefix(random.random());
-        let home = state.home("pool", prefix, allowed, START);
+        let home = state.home("pool", prefix, allowed, Binding::Free, START);
         let has_target = listed.iter().any(|it| admits(region_of(it)));
         assert_eq!(home.is_some(), has_target);
         let Some(home) = home else {
@@ -73,7 +74,7 @@
                 "the router's own region comes first"
             );
         }
-        let other = state.home_elsewhere(home, prefix, None, allowed, START);
+        let other = state.home_elsewhere(home, prefix, None, allowed, Binding::Free, START);
         elsewhere += usize::from(other.is_some());
         assert_ne!(other.map(|it| it.region), Some(home.region));
         for cell in [Some(home), other].into_iter().flatten() {
--- a/crates/path/src/state/tests/refusals.rs
+++ b/crates/path/src/state/tests/refusals.rs
@@ -1,6 +1,7 @@
 //! Engines that refuse requests, under an owner that places requests of many routers.
 
 use dunlinward_dispatch::backoff::{FIRST_PAUSE, Refusal};
+use dunlinward_dispatch::continuation::Binding;
 
 use super::*;
 
@@ -176,9 +177,16 @@
     let own = Peer(7);
     let mut state = State::new(&settings, own);
     state.registry.apply_list(targets(), START);
-    let home_of = |state: &State, at| state.home("pool", Prefix(1), Constraint::ANY, at).unwrap();
+    let home_of = |state: &State, at| {
+        state
+            .home("pool", Prefix(1), Constraint::ANY, Binding::Free, at)
+            .unwrap()
+    };
     let home = home_of(&state, START);
-    assert_eq!(state.availability(home, START), Availability::Now);
+    assert_eq!(
+        state.availability(home, Binding::Free, START),
+        Availability::Now
+    );
     let requested = Some(FIRST_PAUSE);
     let tags: Vec<_> = state
         .registry
@@ -193,11 +201,17 @@
     }
     let other = home_of(&state, START);
     assert_ne!(other, home);
-    assert_eq!(state.availability(other, START), Availability::Now);
+    assert_eq!(
+        state.availability(other, Binding::Free, START),
+        Availability::Now
+    );
     assert_eq!(home_of(&state, START + FIRST_PAUSE), home);
     for target in targets() {
         state.registry.record_leaving(target.tag(), START);
     }
     assert_eq!(home_of(&state, START), home);
-    assert_eq!(state.availability(home, START), Availability::Never);
+    assert_eq!(
+        state.availability(home, Binding::Free, START),
+        Availability::Never
+    );
 }
--- a/crates/path/src/targets.rs
+++ b/crates/path/src/targets.rs
@@ -6,6 +6,7 @@
 use dunlinward_dispatch::store::Position;
 use dunlinward_dispatch::target::{Tag, Target};
 
+use crate::continuation;
 use crate::gossip;
 use crate::interruption;
 use crate::node::{Node, PeerDelta, STORE, TargetList};
@@ -86,6 +87,7 @@
         if changed {
             self.pool.evict(self.now(), |tag| self.is_removed(tag));
             self.notify_capacity();
+            continuation::sync(self);
         }
     }
 
@@ -206,6 +208,12 @@
         self.state.borrow_mut().registry_position = None;
     }
 
+    /// Whether the software version of some target is unknown.
+    #[must_use]
+    pub fn lacks_target_versions(&self) -> bool {
+        self.state.borrow().registry.lacks_versions()
+    }
+
     /// Removes a target whose address is now used by another one.
     pub fn remove_replaced_target(&self, target: &Target) {
         self.state
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -15,7 +15,7 @@
 use dunlinward_dispatch::evacuation::Order;
 use dunlinward_dispatch::quarantine::Entry;
 use dunlinward_dispatch::reading::Reading;
-use dunlinward_dispatch::registry::{Checksums, Difference, Versions};
+use dunlinward_dispatch::registry::{Checksums, Difference, VersionList};
 use dunlinward_dispatch::store::Position;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -244,7 +244,8 @@
     let rest = &bytes[length..];
     if let Some(mut targets) = view.targets.take() {
         if !rest.is_empty() {
-            let (versions, _) = bincode::serde::decode_from_slice::<Versions, _>(rest, standard())?;
+            let (versions, _) =
+                bincode::serde::decode_from_slice::<VersionList, _>(rest, standard())?;
             targets.difference = targets.difference.with_versions(&versions);
         }
         view.targets = Some(targets);
