Soak of streams before several versions; notes follow a new writer and a store that returns

Cause: in a soak (five routers, faults every 0.2 to 0.9 s) streams were refused as of unknown origin after a kill of all routers, although they had begun long before. The notes of a failed append were dropped, and those sent to a writer that had just ended were lost.

--- a/crates/dispatch/src/continuation.rs
+++ b/crates/dispatch/src/continuation.rs
@@ -283,6 +283,30 @@
         unsent
     }
 
+    /// Notes of this router's streams of these services, up to an age.
+    #[must_use]
+    pub fn own_notes(
+        &self,
+        services: &[ServiceTag],
+        max_age: Duration,
+        now: Duration,
+    ) -> Vec<Note> {
+        let own = self.entries.iter().filter(|(_, it)| {
+            it.told.is_some()
+                && now.saturating_sub(it.at) <= max_age
+                && services.contains(&it.service)
+        });
+        let notes = own.filter_map(|(stream, it)| {
+            Some(Note {
+                stream: *stream,
+                service: it.service,
+                version: it.version?,
+                age: now.saturating_sub(it.at),
+            })
+        });
+        notes.collect()
+    }
+
     /// Records that the keepers of a stream were sent its note.
     pub fn record_sent(&mut self, stream: Stream, keepers: Vec<Peer>) {
         if let Some(entry) = self.entries.get_mut(&stream) {
--- a/crates/path/src/continuation.rs
+++ b/crates/path/src/continuation.rs
@@ -16,6 +16,7 @@
 use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::configuration::Kind;
 use dunlinward_dispatch::continuation::{Answer, Binding, MAX_NOTES, Note, Origin, Report, Stream};
+use dunlinward_dispatch::member::Duty;
 use dunlinward_dispatch::message::Content;
 use dunlinward_dispatch::target::Target;
 use dunlinward_dispatch::usage::Peer;
@@ -37,6 +38,10 @@
 /// Limit of routers that are asked if the keepers don't know a stream.
 const MAX_ASKED: usize = 32;
 
+/// Age up to which streams may not have been stored when another router begins to store them: the
+/// time until the end of a router is noticed.
+const UNSTORED_AGE: Duration = Duration::from_secs(5);
+
 /// `Retry-After` of a request for which some routers did not answer.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -45,8 +50,19 @@
 pub struct Queries {
     next: Cell<u64>,
     waiting: RefCell<HashMap<Stream, HashMap<u64, Sender>>>,
-    /// State of the fleet and of the services as of which all keepers have been sent their notes.
-    synced: RefCell<Option<(u64, Vec<ServiceTag>)>>,
+    /// State as of which all keepers have been sent their notes.
+    synced: RefCell<Option<Synced>>,
+}
+
+/// What determines which router is sent which notes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Synced {
+    /// Digest of the live routers.
+    routers: u64,
+    /// Services with several versions.
+    services: Vec<ServiceTag>,
+    /// The router that stores notes.
+    writer: SocketAddr,
 }
 
 type Sender = mpsc::UnboundedSender<(SocketAddr, Origin)>;
@@ -288,14 +304,21 @@
     let state = &mut *state;
     state.streams.prune(now);
     let services = state.registry.mixed_services(now);
-    let current = (state.members.keepers_digest(), services);
-    let mut synced = node.queries.synced.borrow_mut();
-    if synced.as_ref() == Some(&current) {
+    let current = Synced {
+        routers: state.members.keepers_digest(),
+        writer: state.members.first(Duty::Streams),
+        services,
+    };
+    let before = node.queries.synced.replace(Some(current.clone()));
+    if before.as_ref() == Some(&current) || current.services.is_empty() {
         return;
     }
-    let (_, services) = synced.insert(current);
-    if services.is_empty() {
-        return;
+    let services = &current.services;
+    if before.is_none_or(|it| it.writer != current.writer || it.services != *services) {
+        // What the earlier writer was sent last may not have been stored.
+        for begun in state.streams.own_notes(services, UNSTORED_AGE, now) {
+            node.stream_log.add(begun, now.saturating_sub(begun.age));
+        }
     }
     let members = &state.members;
     let keepers = |stream: Stream| {
--- a/crates/path/src/continuation/stored.rs
+++ b/crates/path/src/continuation/stored.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinward_dispatch::continuation::{MAX_NOTES, Note, Report};
+use dunlinward_dispatch::continuation::{MAX_NOTES, MAX_RESENT_AGE, Note, Report};
 use dunlinward_dispatch::member::Duty;
 use dunlinward_dispatch::message::Content;
 use tokio::sync::{Notify, watch};
@@ -67,9 +67,9 @@
 }
 
 impl Log {
-    /// Adds the note of a stream that this router has begun.
-    pub(super) fn add(&self, begun: Note, now: Duration) {
-        self.gathered.borrow_mut().push((begun, now));
+    /// Adds the note of a stream that this router has begun at `at`.
+    pub(super) fn add(&self, begun: Note, at: Duration) {
+        self.gathered.borrow_mut().push((begun, at));
         self.gathered_some.notify_one();
     }
 
@@ -154,6 +154,15 @@
         }
     }
 
+    /// Queues notes again that could not be appended, unless no client resumes their streams any
+    /// more.
+    pub fn requeue_stream_notes(&self, notes: &[Note]) {
+        let now = self.now();
+        let notes = notes.iter().filter(|it| it.age <= MAX_RESENT_AGE);
+        let notes = notes.map(|it| (*it, now.saturating_sub(it.age)));
+        self.stream_log.queue(notes);
+    }
+
     /// Waits until the log of streams is to be read; the number of the read.
     pub async fn next_stream_read(&self) -> u64 {
         let log = &self.stream_log;
