A stream of a split route is resumed at the service that began it

The service of a split route was drawn from the id of each attempt, so a resumption went to another service than the one that had begun the stream in half of the cases (two services of equal weight), with the last event of the first one. Change: the draw is by the attempt that brought the first event, if the request names it. Test: a_stream_of_a_split_route_is_resumed_at_the_service_that_began_it, seen to fail before (first of 12 streams). A route that moves to another service altogether still resumes there: the old service may not be used any more.

--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -73,7 +73,9 @@
     if table.has_customers() && !route.anonymous && customer.is_none() {
         return Err(Refusal::new(Reason::UnknownKey));
     }
-    let draw = xxh64(call.id.as_bytes(), 0);
+    // A stream is resumed at the service that began it, also if its route is split.
+    let attempt = call.resumes.as_ref().unwrap_or(&call.id);
+    let draw = xxh64(attempt.as_bytes(), 0);
     let service = route.service(draw).cloned();
     let service = service.ok_or_else(|| Refusal::new(Reason::NoTarget))?;
     Ok(Admission {
