A router with an outdated list does not assume that a service has one version

What callers could see: a stream resumed at a router that was cut off or suspended while another version came, at a version that did not begin it. Cause: a service of one listed version needs no search; the list of such a router may lack the other version. Change: if the list is older than an outage (2 s) and the router was suspended, or has lost routers within a minute, the origin is searched for, and an unknown one is refused, with a time to come back. While the store is away for all routers and none was lost, no version can come and all stays as it was.

--- a/crates/path/src/continuation.rs
+++ b/crates/path/src/continuation.rs
@@ -15,9 +15,12 @@
 
 use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::configuration::Kind;
-use dunlinward_dispatch::continuation::{Answer, Binding, MAX_NOTES, Note, Origin, Report, Stream};
+use dunlinward_dispatch::continuation::{
+    Answer, Binding, MAX_NOTES, Note, Origin, RETENTION, Report, Stream,
+};
 use dunlinward_dispatch::member::Duty;
 use dunlinward_dispatch::message::Content;
+use dunlinward_dispatch::registry::OUTAGE_GAP;
 use dunlinward_dispatch::target::Target;
 use dunlinward_dispatch::usage::Peer;
 use tokio::sync::mpsc;
@@ -92,7 +95,9 @@
         stored::learn_versions(node).await;
     }
     let versions = versions(node, job);
-    if let [software] = versions.as_slice() {
+    if let [software] = versions.as_slice()
+        && !may_lack_versions(node)
+    {
         // All targets have the same version, or can't be told apart.
         let binding = Binding::of_first_event(*software, &versions);
         job.binding.set(binding);
@@ -112,6 +117,17 @@
     Ok(())
 }
 
+/// Whether targets of another version may have come that this router does not know: its list is
+/// outdated, and it was suspended or has lost routers that may have newer ones. While the store is
+/// away for all routers, no target can come.
+fn may_lack_versions(node: &Node) -> bool {
+    let now = node.now();
+    let read_at = node.targets_at().unwrap_or_default();
+    let outdated = now.saturating_sub(read_at) > OUTAGE_GAP;
+    let lost = node.time_since_loss().is_some_and(|it| it < RETENTION);
+    outdated && (lost || !node.views_confirmed())
+}
+
 /// Software versions of the targets of a request's service.
 fn versions(node: &Node, job: &Job) -> Vec<Option<dunlinward_dispatch::target::Version>> {
     let service = ServiceTag::new(&job.service);
