--- a/crates/dispatch/examples/continuation-cost.rs
+++ b/crates/dispatch/examples/continuation-cost.rs
@@ -66,9 +66,9 @@
         };
         let began = Instant::now();
         for number in 0..STREAMS {
-            let begun = note(number);
-            ledger.record_own(begun, Duration::ZERO);
-            ledger.record_sent(begun.stream, keepers(&members, begun.stream));
+            let origin = note(number);
+            ledger.record_own(origin, Duration::ZERO);
+            ledger.record_sent(origin.stream, keepers(&members, origin.stream));
         }
         let recording = began.elapsed();
         members.remove(&router(1));
