--- a/crates/path/src/continuation.rs
+++ b/crates/path/src/continuation.rs
@@ -2,8 +2,8 @@
 //! others, and what a request may run on.
 //!
 //! [`dunlinward_dispatch::continuation`] says which router knows what. A request that resumes a
-//! stream is bound before it is placed ([`bind`]); any other one is bound when the first event of
-//! its answer arrives ([`record_begin`]), so that it may break off and be resumed here. The binding
+//! stream is bound before it is placed (`bind`); any other one is bound when the first event of
+//! its answer arrives (`record_begin`), so that it may break off and be resumed here. The binding
 //! is checked wherever targets are: by the choice of the cell, by the list of targets that the owner
 //! must avoid, when a grant is accepted, and before the first byte is sent.
 
--- a/crates/router/src/explain/mod.rs
+++ b/crates/router/src/explain/mod.rs
@@ -1,7 +1,7 @@
 //! Why a request went where it went.
 //!
 //! The driver writes down each decision on a request as it carries it out, in a
-//! [`ring::Ring`] of fixed-size records: when, which request, which step. Names
+//! `ring::Ring` of fixed-size records: when, which request, which step. Names
 //! are looked up only when somebody asks, so a record costs no allocation, and
 //! the ring's bound is the bound on memory. Neither prompts nor keys come here.
 //!
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,7 +1,7 @@
 //! What other threads may see of the driver.
 //!
 //! The driver owns the kernel alone. Others see a few facts that it publishes
-//! ([`State`]) or ask for a copy of the rest ([`Snapshot`]).
+//! (`State`) or ask for a copy of the rest ([`Snapshot`]).
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
--- a/crates/router/src/targets/stream.rs
+++ b/crates/router/src/targets/stream.rs
@@ -159,7 +159,7 @@
 }
 
 /// Reads one event; `None` at the end of the stream. An event that the end cuts
-/// short is an error, as is one beyond [`EVENT_LIMIT`].
+/// short is an error, as is one beyond `EVENT_LIMIT`.
 ///
 /// # Errors
 ///
--- a/crates/router/src/targets/transport.rs
+++ b/crates/router/src/targets/transport.rs
@@ -1,7 +1,7 @@
 //! One exchange with one target.
 //!
 //! The verdict on a failed attempt rests on one fact: whether any byte of the
-//! request was handed to the socket. [`Line`] wraps the library's TCP transport
+//! request was handed to the socket. `Line` wraps the library's TCP transport
 //! and notes it just before the first write. Each attempt has an agent of its
 //! own, without a pool: a reused connection that the target has closed meanwhile
 //! would look as if the request had been sent. It also lets one attempt be
--- a/crates/router/src/worker.rs
+++ b/crates/router/src/worker.rs
@@ -2,7 +2,7 @@
 //!
 //! An attempt blocks on its target, so it has a thread for as long as it runs;
 //! waiting requests have none. Threads are made when no idle one is there, up to
-//! a bound, and end after [`IDLE`] without work. Beyond the bound jobs wait in
+//! a bound, and end after `IDLE` without work. Beyond the bound jobs wait in
 //! order; the kernel grants no more than the targets' slots, so that is rare.
 
 use std::collections::VecDeque;
--- a/crates/standin/src/measure/convergence.rs
+++ b/crates/standin/src/measure/convergence.rs
@@ -5,12 +5,12 @@
 //! `configuration::reader` of the router, with its times:
 //!
 //! - the two routers of a failure domain with the greatest rendezvous weights wait
-//!   at the log and get a record [`LOG`] after its append;
+//!   at the log and get a record `LOG` after its append;
 //! - such a reader tells the live routers of its failure domain, one after the
-//!   other, each copy taking [`COPY`] to write and the network's delay;
-//! - every other router asks a random peer every [`ASK`];
-//! - a reader that is cut from the log finds out after [`LOST`], asks a random
-//!   peer, and tries again after [`AWAY`].
+//!   other, each copy taking `COPY` to write and the network's delay;
+//! - every other router asks a random peer every `ASK`;
+//! - a reader that is cut from the log finds out after `LOST`, asks a random
+//!   peer, and tries again after `AWAY`.
 //!
 //! Not modelled: parsing, links that are lost, and the load on the routers. From
 //! the kernels come the rounds, which carry the greatest revision in force; when
--- a/crates/standin/src/measure/fairness.rs
+++ b/crates/standin/src/measure/fairness.rs
@@ -1,7 +1,7 @@
 //! Fairness, utilisation and control traffic of many kernels in virtual time.
 //!
 //! The figures are those of [`dunlinward_trial::report::Report`]; this only turns
-//! a command line into a [`Trial`]. From [`LARGE`] routers on, sizes that are not
+//! a command line into a [`Trial`]. From `LARGE` routers on, sizes that are not
 //! given follow the design's: one customer in ten has work waiting all the time,
 //! several model services exist, and rounds are as long as the traffic allows.
 
--- a/crates/standin/src/measure/path.rs
+++ b/crates/standin/src/measure/path.rs
@@ -6,7 +6,7 @@
 //! answer. Added time is the difference of the quantiles of both ways.
 //!
 //! Slots are plentiful, so that nothing queues: this is the cost of the path, not
-//! of sharing. [`Arrival`] shows that events of a stream pass through as they come.
+//! of sharing. `Arrival` shows that events of a stream pass through as they come.
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
