--- a/crates/dispatch/src/continuation.rs
+++ b/crates/dispatch/src/continuation.rs
@@ -9,7 +9,7 @@
 //! ([`Stream`]), and sends a [`Note`] to a few keepers that follow from that id and the live routers
 //! ([`crate::member::Members::keepers`]), before the event leaves. A router that gets a request to
 //! resume a stream looks into its own [`Ledger`], then asks the keepers, then the other routers. If
-//! nobody knows the version, the request is refused: a guess could join two versions.
+//! no router has it, the request is refused: a guess could join two versions.
 //!
 //! While all targets of a service have had the same version for [`RETENTION`], streams are recorded
 //! but no message is sent. Once a router learns of a second version, it sends the notes of the
@@ -44,8 +44,8 @@
 pub struct Stream(pub u64);
 
 impl Stream {
-    /// The identity of the stream that was begun by `attempt`. Ids are chosen by clients, so those of
-    /// two customers are told apart.
+    /// The identity of the stream that was begun by `attempt`. Ids are chosen by clients, so the
+    /// customer is part of it.
     #[must_use]
     pub fn new(service: &str, customer: Option<&str>, attempt: &str) -> Self {
         let customer = customer.map_or(0, |it| xxh64(it.as_bytes(), 1));
@@ -78,7 +78,7 @@
     }
 
     /// The binding of a stream whose first event a target of this version sends; `versions` are
-    /// those of its service. If no version is known at all, targets can't be told apart.
+    /// those of its service. If no version is known at all, targets can't be distinguished.
     #[must_use]
     pub fn of_first_event(software: Option<Version>, versions: &[Option<Version>]) -> Self {
         match software {
@@ -89,7 +89,7 @@
     }
 }
 
-/// What a router knows of the software version that began a stream.
+/// What a router has recorded about the software version that began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Origin {
     /// Nothing.
@@ -153,7 +153,7 @@
 pub struct Answer {
     /// The stream.
     pub stream: Stream,
-    /// What the sender knows.
+    /// What the sender has recorded.
     pub origin: Origin,
     checksum: u64,
 }
@@ -194,7 +194,7 @@
     version: Option<Version>,
     at: Duration,
     /// Keepers that were sent a note, if this router has forwarded the stream's events.
-    told: Option<Vec<Peer>>,
+    informed: Option<Vec<Peer>>,
 }
 
 /// Versions that began recent streams.
@@ -216,7 +216,7 @@
     pub fn record_own(&mut self, note: Note, now: Duration) {
         self.record(note, now, now);
         if let Some(entry) = self.entries.get_mut(&note.stream) {
-            entry.told.get_or_insert_default();
+            entry.informed.get_or_insert_default();
         }
     }
 
@@ -233,7 +233,7 @@
             service: note.service,
             version: Some(note.version),
             at,
-            told: None,
+            informed: None,
         };
         self.entries.insert(note.stream, entry);
         self.order.push_back((now, note.stream));
@@ -262,7 +262,7 @@
         let mut unsent: HashMap<Peer, Vec<Note>> = HashMap::new();
         for (stream, entry) in &mut self.entries {
             let age = now.saturating_sub(entry.at);
-            let (Some(told), Some(version)) = (&mut entry.told, entry.version) else {
+            let (Some(informed), Some(version)) = (&mut entry.informed, entry.version) else {
                 continue;
             };
             if age > MAX_RESENT_AGE || !services.contains(&entry.service) {
@@ -275,10 +275,10 @@
                 age,
             };
             let keepers = keepers(*stream);
-            for keeper in keepers.iter().filter(|it| !told.contains(it)) {
+            for keeper in keepers.iter().filter(|it| !informed.contains(it)) {
                 unsent.entry(*keeper).or_default().push(note);
             }
-            *told = keepers;
+            *informed = keepers;
         }
         unsent
     }
@@ -292,7 +292,7 @@
         now: Duration,
     ) -> Vec<Note> {
         let own = self.entries.iter().filter(|(_, it)| {
-            it.told.is_some()
+            it.informed.is_some()
                 && now.saturating_sub(it.at) <= max_age
                 && services.contains(&it.service)
         });
@@ -310,7 +310,7 @@
     /// Records that the keepers of a stream were sent its note.
     pub fn record_sent(&mut self, stream: Stream, keepers: Vec<Peer>) {
         if let Some(entry) = self.entries.get_mut(&stream) {
-            entry.told = Some(keepers);
+            entry.informed = Some(keepers);
         }
     }
 
--- /dev/null
+++ b/crates/path/src/continuation/search.rs
@@ -0,0 +1,182 @@
+//! Search for the software version that began a stream.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dunlinward_dispatch::continuation::{Answer, Origin, Stream};
+use dunlinward_dispatch::message::Content;
+use tokio::sync::mpsc;
+
+use super::stored;
+use crate::inbound;
+use crate::node::Node;
+
+/// Time within which a router must answer a query: some round trips between failure domains.
+const ANSWER_TIME: Duration = Duration::from_millis(25);
+
+/// Times that a router is asked, as a datagram may be lost.
+const MAX_QUERIES: u32 = 2;
+
+/// Limit of routers that are asked after the keepers.
+const MAX_ASKED: usize = 32;
+
+/// Queries that wait for answers.
+#[derive(Debug, Default)]
+pub struct Queries {
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<Stream, HashMap<u64, Sender>>>,
+}
+
+type Sender = mpsc::UnboundedSender<(SocketAddr, Origin)>;
+
+/// Result of a search for the version that began a stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Found {
+    /// What was found; all routers have answered if that is nothing.
+    Origin(Origin),
+    /// Nothing was found, and some routers have not answered or the store could not be read.
+    Unanswered,
+}
+
+/// Searches for the version that began a stream: here, at its keepers, at other routers, then in
+/// the store.
+pub(super) async fn find(node: &Rc<Node>, stream: Stream) -> (Found, &'static str) {
+    let now = node.now();
+    let own = node.state.borrow().streams.origin(stream, now);
+    if own != Origin::Unknown {
+        return (Found::Origin(own), "own");
+    }
+    let link = node.settings.link;
+    let (keepers, others) = {
+        let state = node.state.borrow();
+        let keepers = state.members.keepers(stream.0);
+        let keepers: Vec<_> = keepers.iter().map(|it| it.address).collect();
+        let others = state.members.others().map(|it| it.address);
+        let mut others: Vec<_> = others.filter(|it| !keepers.contains(it)).collect();
+        others.sort_unstable();
+        if others.len() > MAX_ASKED {
+            let first = usize::try_from(stream.0 % others.len() as u64).unwrap_or_default();
+            others.rotate_left(first);
+            others.truncate(MAX_ASKED);
+        }
+        let keepers = keepers.into_iter().filter(|it| *it != link);
+        (keepers.collect::<Vec<_>>(), others)
+    };
+    let mut unanswered = false;
+    for (asked, source) in [(keepers, "keeper"), (others, "other")] {
+        match ask(node, stream, asked).await {
+            Found::Origin(Origin::Unknown) => {}
+            Found::Unanswered => unanswered = true,
+            found @ Found::Origin(_) => return (found, source),
+        }
+    }
+    let read = stored::read(node, stored::READ_TIMEOUT).await;
+    let stored = node.state.borrow().streams.origin(stream, node.now());
+    match (stored, read && !unanswered) {
+        (Origin::Unknown, true) => (Found::Origin(Origin::Unknown), "unknown"),
+        (Origin::Unknown, false) => (Found::Unanswered, "unanswered"),
+        (stored, _) => (Found::Origin(stored), "store"),
+    }
+}
+
+/// Asks routers for the version that began a stream; returns once it was found or all have answered.
+async fn ask(node: &Rc<Node>, stream: Stream, mut asked: Vec<SocketAddr>) -> Found {
+    let mut query = Query::new(node, stream);
+    for _ in 0..MAX_QUERIES {
+        if asked.is_empty() {
+            break;
+        }
+        node.send_all(&asked, Content::StreamQuery(stream));
+        let until = node.now() + ANSWER_TIME.max(longest_round_trip(node, &asked));
+        while let Some((from, origin)) = query.receive(until).await {
+            if origin != Origin::Unknown {
+                return Found::Origin(origin);
+            }
+            asked.retain(|it| *it != from);
+            if asked.is_empty() {
+                break;
+            }
+        }
+    }
+    if asked.is_empty() {
+        Found::Origin(Origin::Unknown)
+    } else {
+        Found::Unanswered
+    }
+}
+
+fn longest_round_trip(node: &Node, addresses: &[SocketAddr]) -> Duration {
+    let state = node.state.borrow();
+    let domains = addresses.iter().filter_map(|it| state.members.domain(*it));
+    let times = domains.filter_map(|it| state.round_trips.to(&it));
+    times.map(|it| it.timeout).max().unwrap_or_default()
+}
+
+/// A query that waits for answers until it is dropped.
+struct Query<'a> {
+    node: &'a Rc<Node>,
+    stream: Stream,
+    number: u64,
+    answers: mpsc::UnboundedReceiver<(SocketAddr, Origin)>,
+}
+
+impl<'a> Query<'a> {
+    fn new(node: &'a Rc<Node>, stream: Stream) -> Self {
+        let (sender, answers) = mpsc::unbounded_channel();
+        let number = node.queries.next.get();
+        node.queries.next.set(number + 1);
+        let mut waiting = node.queries.waiting.borrow_mut();
+        waiting.entry(stream).or_default().insert(number, sender);
+        drop(waiting);
+        Self {
+            node,
+            stream,
+            number,
+            answers,
+        }
+    }
+
+    async fn receive(&mut self, until: Duration) -> Option<(SocketAddr, Origin)> {
+        if let Some(answer) = self.node.timeout_at(until, self.answers.recv()).await {
+            return answer;
+        }
+        // On a late router, timers fire before the messages that came in time have been read.
+        inbound::receive_batch(self.node);
+        self.answers.try_recv().ok()
+    }
+}
+
+impl Drop for Query<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.node.queries.waiting.borrow_mut();
+        if let Some(queries) = waiting.get_mut(&self.stream) {
+            queries.remove(&self.number);
+            if queries.is_empty() {
+                waiting.remove(&self.stream);
+            }
+        }
+    }
+}
+
+/// Answers another router's query.
+pub(crate) fn receive_query(node: &Node, from: SocketAddr, stream: Stream) {
+    let now = node.now();
+    let origin = node.state.borrow().streams.origin(stream, now);
+    node.send(from, Content::StreamAnswer(Answer::new(stream, origin)));
+}
+
+/// Delivers an answer to the queries that wait for it.
+pub(crate) fn receive_answer(node: &Node, from: SocketAddr, answer: Answer) {
+    let waiting = node.queries.waiting.borrow();
+    for sender in waiting
+        .get(&answer.stream)
+        .into_iter()
+        .flat_map(HashMap::values)
+    {
+        // A query that has ended needs no answer.
+        sender.send((from, answer.origin)).ok();
+    }
+}
--- a/crates/path/src/continuation/stored.rs
+++ b/crates/path/src/continuation/stored.rs
@@ -1,9 +1,9 @@
 //! Notes in a log of the platform's store, which outlives all routers.
 //!
-//! What routers know of streams ends when all of them are killed at once. The notes of streams of
+//! Ledgers are lost when all routers are killed at once. The notes of streams of
 //! services with several versions are therefore also appended to a log, by one router for all: the
 //! others send it theirs in batches, so the number of calls does not depend on the size of the
-//! fleet. No event waits for that. The log is read only for a stream that no router knows, and once
+//! fleet. No event waits for that. The log is read only for a stream that no router has recorded, and once
 //! by a router that has just started and may have missed that a version has ended.
 
 use std::cell::{Cell, RefCell};
@@ -24,7 +24,7 @@
 /// Time for which a request that only the log can answer waits for it to be read.
 pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time for which a request waits for the log to be read if no router knows of a second version.
+/// Time for which a request waits for the log to be read if one version is known.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time after its start in which a router may have missed that a version has ended.
@@ -133,7 +133,7 @@
 }
 
 /// Reads the log once after the start, as this router may have missed that a version has ended: if
-/// all routers were killed, no other one can tell. If that fails, what is listed counts.
+/// all routers were killed, no other one has recorded it. If that fails, the listed versions count.
 pub(super) async fn learn_versions(node: &Rc<Node>) {
     if node.now() < UNCERTAIN_TIME && !node.stream_log.read_once.get() {
         read(node, CHECK_TIMEOUT).await;
--- a/crates/path/src/inbound.rs
+++ b/crates/path/src/inbound.rs
@@ -105,7 +105,7 @@
         Content::Observations(report) => observation::receive(node, sender, &report),
         Content::StreamNotes(report) => continuation::receive_notes(node, &report),
         Content::StreamRecords(report) => continuation::stored::receive(node, &report),
-        Content::StreamQuery(stream) => continuation::receive_query(node, from, stream),
-        Content::StreamAnswer(answer) => continuation::receive_answer(node, from, answer),
+        Content::StreamQuery(stream) => continuation::search::receive_query(node, from, stream),
+        Content::StreamAnswer(answer) => continuation::search::receive_answer(node, from, answer),
     }
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -22,7 +22,8 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
-use crate::continuation::{Queries, stored};
+use crate::continuation::search::Queries;
+use crate::continuation::{Synced, stored};
 use crate::dialect::Dialect;
 use crate::gossip::{self, Gossip};
 use crate::inbound::Buffer;
@@ -109,6 +110,7 @@
     pub(crate) fetches: Fetches,
     pub(crate) pending: Pending,
     pub(crate) queries: Queries,
+    pub(crate) synced: Synced,
     pub(crate) stream_log: stored::Log,
     pub(crate) overload: Detector,
     /// Admission control by utilization.
@@ -156,6 +158,7 @@
             fetches: Fetches::default(),
             pending: Pending::default(),
             queries: Queries::default(),
+            synced: Synced::default(),
             stream_log: stored::Log::default(),
             overload: Detector::default(),
             intake: Gate::new(&settings),
