A bound stream whose version has only cold targets left is resumed at one of them

What callers could see: a stream that broke off in a release waited until its deadline and was cut, as a request that has failed gets no cold target and the warm ones were of the other version. Found when walking what narrows the targets of a bound request. Change: such a request counts as failed only if it may go to another target of its version or of any: the cold targets' rate holds for it as for first attempts. Where no target is excluded by its version, nothing changed. Test: a_stream_whose_version_has_only_cold_targets_left_is_resumed_at_one_of_them, seen to fail before (cut after the first event).

--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -249,7 +249,10 @@
         avoid.extend(failed);
         // The owner need not know that the request is bound.
         let binding = job.binding.get();
-        avoid.extend(state.other_versions(cell, binding));
+        let other_versions = state.other_versions(cell, binding);
+        // A failed request gets no cold target, unless it has no choice of the version.
+        let avoids_cold = failed.is_some() && other_versions.is_empty();
+        avoid.extend(other_versions);
         PlaceRequest {
             cell,
             router: node.peer,
@@ -267,7 +270,7 @@
             demand_counted: failed.is_some(),
             withheld: 0,
             homes_recorded_at: None,
-            failed: failed.is_some(),
+            failed: avoids_cold,
             avoid,
             deadline: until,
             expiry: job.deadline,
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -107,7 +107,7 @@
     pub withheld: u64,
     /// Time at which it was recorded whether the homes of its prefix had capacity for it.
     pub homes_recorded_at: Option<Duration>,
-    /// Whether it has failed at a target.
+    /// Whether it has failed at a target and may go to one that is not cold.
     pub failed: bool,
     /// Targets on which it must not be placed: those that failed it, are ejected at its router, or
     /// were found excluded there after a grant.
