--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -32,7 +32,7 @@
 /// Limit on the number of times that the duration of an exclusion doubles.
 const MAX_EXCLUSION_DOUBLINGS: u32 = 4;
 
-/// Routers that keep what is known of a stream. With three failure domains, one is in each.
+/// Routers that record the origin of a stream. With three failure domains, one is in each.
 const KEEPERS: usize = 3;
 
 /// Description of one start of a router.
@@ -305,7 +305,7 @@
         self.own.address
     }
 
-    /// Live routers that keep what is known of a stream, by its hash: the one with the highest
+    /// Live routers that record the origin of a stream, by its hash: the one with the highest
     /// weight in each of several failure domains, then those with the next highest weights.
     #[must_use]
     pub fn keepers(&self, key: u64) -> Vec<&Descriptor> {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -250,7 +250,7 @@
         // The owner need not know that the request is bound.
         let binding = job.binding.get();
         let other_versions = state.other_versions(cell, binding);
-        // A failed request gets no cold target, unless it has no choice of the version.
+        // A failed request gets no cold target, unless its binding excludes the others.
         let avoids_cold = failed.is_some() && other_versions.is_empty();
         avoid.extend(other_versions);
         PlaceRequest {
--- a/crates/path/src/state/homes.rs
+++ b/crates/path/src/state/homes.rs
@@ -22,9 +22,9 @@
 
 impl State {
     /// Home cell of a prefix, or of a number that stands in for one. If no target of it is
-    /// available, the next cell with an available target, or the first one if there is none. None if no
-    /// target may run the request, or continue a stream with this binding, or, while no target of the service is known, if this router's
-    /// region is not allowed.
+    /// available, the next cell with an available target, or the first one if there is none. Only
+    /// cells with a target that the binding admits count. None if no target may run the request or,
+    /// while no target of the service is known, if this router's region is not allowed.
     pub(crate) fn home(
         &self,
         service: &str,
