Logs and a counter name the framing of answers

`answered` and `stream_cut` have `framing` and `incomplete_bytes` now, and `answer_framings` counts answers by framing. No decision changes.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -19,6 +19,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::dialect::{Answer, Dispatch};
+use crate::framing::Framing;
 use crate::interruption::{self, Cause};
 use crate::lease::Lease;
 use crate::leaving;
@@ -118,6 +119,8 @@
     pub head: response::Parts,
     /// Body, not read yet.
     pub body: Incoming,
+    /// What marks the end of the body.
+    pub framing: Framing,
     /// Place at the target.
     pub lease: Lease,
     connection: Connection,
@@ -177,6 +180,7 @@
     let keep_alive = pool::keep_alive(&head.headers);
     validate(node, job, &lease, &head)?;
     Ok(Attempt {
+        framing: Framing::new(&job.head.method, &head),
         head,
         body,
         lease,
--- a/crates/path/src/event.rs
+++ b/crates/path/src/event.rs
@@ -52,6 +52,12 @@
         self.rest.split_to(length).freeze()
     }
 
+    /// Number of buffered bytes of an incomplete event.
+    #[must_use]
+    pub fn incomplete_bytes(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Id of the last complete event.
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -472,10 +472,13 @@
     let line = node.journal.line("answered").with("id", job.id.as_ref());
     let line = line
         .with("status", head.status.as_u16())
+        .with("framing", attempt.framing.name())
         .with("sends", sends);
     drop(line.with_ms("after_ms", node.now().saturating_sub(job.arrived)));
     let total = node.now().saturating_sub(job.arrived);
     node.metrics.time("answer_seconds", &job.route.name, total);
+    node.metrics
+        .add("answer_framings", attempt.framing.name(), 1);
     attempt.finish(node);
     Ok(Response::from_parts(head, Payload::Complete(body)))
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod event;
 pub mod exchange;
 pub mod flags;
+pub mod framing;
 pub mod gossip;
 pub mod inbound;
 pub mod intake;
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::continuation;
 use crate::event::Splitter;
 use crate::exchange;
+use crate::framing::Framing;
 use crate::interruption::Cause;
 use crate::journal::millis;
 use crate::node::Node;
@@ -111,6 +112,10 @@
     job: Rc<Job>,
     attempt: Option<Attempt>,
     splitter: Splitter,
+    /// What marks the end of the target's answer.
+    framing: Framing,
+    /// Bytes of an incomplete event when the answer last ended.
+    incomplete_bytes: usize,
     sends: u32,
     answering: bool,
     ended: bool,
@@ -227,6 +232,8 @@
         let policy = Policy::new(load_policy.intake_utilization, load_policy.event_delay);
         Self {
             splitter: Splitter::new(job.resume_after),
+            framing: attempt.framing,
+            incomplete_bytes: 0,
             node,
             job,
             attempt: Some(attempt),
@@ -287,6 +294,7 @@
                 self.hold_or_forward(events)
             }
             Chunk::End => {
+                self.incomplete_bytes = self.splitter.incomplete_bytes();
                 let rest = self.splitter.take_incomplete();
                 self.finish();
                 let rest = self.held.release(rest);
@@ -447,6 +455,8 @@
         let line = node.journal.line(event).with("id", self.job.id.as_ref());
         let line = line.with("reason", reason).with("sends", self.sends);
         let line = line.with("last_event", self.splitter.last_id());
+        let line = line.with("framing", self.framing.name());
+        let line = line.with("incomplete_bytes", self.incomplete_bytes);
         let first = self
             .timing
             .first
@@ -457,6 +467,7 @@
         let line = line.with("held_events", held);
         drop(line.with_ms("after_ms", node.now().saturating_sub(self.job.arrived)));
         node.metrics.add("streams", reason, 1);
+        node.metrics.add("answer_framings", self.framing.name(), 1);
         let route = &self.job.route.name;
         if held > 0 {
             node.metrics.add("held_events", route, held);
@@ -483,6 +494,8 @@
         let line = line.with("target", target.id.as_ref());
         let line = line.with("version", target.version.as_deref());
         let line = line.with("last_event", self.splitter.last_id());
+        let line = line.with("framing", self.framing.name());
+        let line = line.with("incomplete_bytes", self.splitter.incomplete_bytes());
         let line = line.with("content", self.job.content.to_string());
         drop(line.with("reason", reason));
     }
@@ -530,6 +543,7 @@
             request_log::sent(&self.node, &self.job, &lease, self.sends - 1, last);
             match attempt::send(&self.node, &self.job, lease, last, limit).await {
                 Ok(attempt) if attempt.head.status.is_success() => {
+                    self.framing = attempt.framing;
                     self.attempt = Some(attempt);
                     return Ok(());
                 }
