Answers that end with their connection are not framed as complete

What callers saw: an answer that broke off arrived in chunks with a last chunk, or with a length, as if it were whole.

Cause: the end of a body was taken for the end of the answer whatever framed it. With a length or chunks the HTTP library reports an early end as an error; with neither, the end of the connection is the end of the body, so a run that crashed with a regular close ended its answer. The relay forwarded what was left of an event, framed the answer in chunks and recorded a success; plain answers got a length. The class: absence of an error taken for a proof of success.

Change: framing and what an end proves are determined in one place, `path::framing`. A stream that ends within an event is interrupted. After an end of the connection a new one is opened to the target: if it is not accepted, the answer is interrupted; else the caller gets it as it was framed, by the end of its connection, and its content does not count as answered. Such an answer that breaks off ends with a reset. Event ends are found with LF, CR and CRLF, and an event that is forwarded in parts counts as one.

Why this works: nothing that the caller gets claims more than the target did.

--- a/crates/path/src/event.rs
+++ b/crates/path/src/event.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     rest: BytesMut,
+    /// Whether the bytes returned last were a part of an event.
+    within: bool,
     last: Option<u64>,
 }
 
@@ -22,6 +24,7 @@
     pub fn new(last: Option<u64>) -> Self {
         Self {
             rest: BytesMut::new(),
+            within: false,
             last,
         }
     }
@@ -30,14 +33,16 @@
     /// `MAX_EVENT_BYTES`.
     pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         let events = if self.rest.is_empty() && ends_event(&bytes) {
+            self.within = false;
             bytes
         } else {
             self.rest.extend_from_slice(&bytes);
-            let end = match last_event_end(&self.rest) {
-                Some(end) => end,
-                None if self.rest.len() > MAX_EVENT_BYTES => self.rest.len(),
-                None => return None,
-            };
+            let end = last_event_end(&self.rest);
+            if end.is_none() && self.rest.len() <= MAX_EVENT_BYTES {
+                return None;
+            }
+            self.within = end.is_none();
+            let end = end.unwrap_or(self.rest.len());
             self.rest.split_to(end).freeze()
         };
         if let Some(id) = last_event_id(&events) {
@@ -52,6 +57,12 @@
         self.rest.split_to(length).freeze()
     }
 
+    /// Whether the bytes so far end within an event. Line ends between events belong to none.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        self.within || !self.rest.iter().all(|it| matches!(it, b'\r' | b'\n'))
+    }
+
     /// Number of buffered bytes of an incomplete event.
     #[must_use]
     pub fn incomplete_bytes(&self) -> usize {
@@ -65,25 +76,25 @@
     }
 }
 
+/// Whether `bytes` end with an empty line; lines end with LF, CR or both.
 fn ends_event(bytes: &[u8]) -> bool {
-    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
+    strip_line_end(bytes).is_some_and(|it| strip_line_end(it).is_some())
 }
 
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = rfind(bytes, b"\n\n");
-    let crlf = rfind(bytes, b"\r\n\r\n");
-    lf.max(crlf)
+fn strip_line_end(bytes: &[u8]) -> Option<&[u8]> {
+    let line = bytes.strip_suffix(b"\r\n");
+    let line = line.or_else(|| bytes.strip_suffix(b"\n"));
+    line.or_else(|| bytes.strip_suffix(b"\r"))
 }
 
-fn rfind(bytes: &[u8], delimiter: &[u8]) -> Option<usize> {
-    let at = bytes
-        .windows(delimiter.len())
-        .rposition(|it| it == delimiter)?;
-    Some(at + delimiter.len())
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    (1..=bytes.len())
+        .rev()
+        .find(|end| matches!(bytes[end - 1], b'\r' | b'\n') && ends_event(&bytes[..*end]))
 }
 
 fn last_event_id(events: &[u8]) -> Option<u64> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let mut lines = events.rsplit(|byte| matches!(byte, b'\r' | b'\n'));
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -30,6 +30,7 @@
 use crate::admission;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::continuation;
+use crate::framing::{self, End, Framing};
 use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
@@ -423,7 +424,10 @@
         }
     }
     if job.route.kind.streams() && attempt.head.status.is_success() {
-        let head = response_head(&attempt.head, true);
+        let mut head = response_head(&attempt.head, true);
+        if attempt.framing == Framing::Connection {
+            framing::frame_by_connection(&mut head);
+        }
         let relay = Relay::new(node.clone(), job.clone(), attempt, sends);
         return Ok(Response::from_parts(
             head,
@@ -444,8 +448,15 @@
     let limit = answer_limit(node, job, sends.saturating_sub(1));
     let reading = Limited::new(&mut attempt.body, MAX_ANSWER_BYTES).collect();
     let read = node.timeout_at(limit, reading).await;
+    let end = match &read {
+        Some(Ok(_)) => {
+            let target = &attempt.lease.target;
+            framing::resolve_end(node, job, target, attempt.framing).await
+        }
+        _ => End::Interrupted,
+    };
     let body = match read {
-        Some(Ok(body)) => body.to_bytes(),
+        Some(Ok(body)) if end != End::Interrupted => body.to_bytes(),
         broken => {
             attempt.lease.record_outcome(Outcome::Bad);
             attempt.lease.record_interruption(match broken {
@@ -463,12 +474,15 @@
     } else {
         Outcome::Good
     };
+    if end == End::Unproven {
+        attempt.lease.record_alive();
+    }
     attempt.lease.record_outcome(outcome);
     attempt.lease.record_alive();
     if outcome == Outcome::Good && job.prompt.is_none() {
         attempt.lease.record_answer();
     }
-    let head = response_head(&attempt.head, false);
+    let mut head = response_head(&attempt.head, false);
     let line = node.journal.line("answered").with("id", job.id.as_ref());
     let line = line
         .with("status", head.status.as_u16())
@@ -480,6 +494,10 @@
     node.metrics
         .add("answer_framings", attempt.framing.name(), 1);
     attempt.finish(node);
+    if end == End::Unproven {
+        framing::frame_by_connection(&mut head);
+        return Ok(Response::from_parts(head, Payload::Unframed(body)));
+    }
     Ok(Response::from_parts(head, Payload::Complete(body)))
 }
 
--- a/crates/path/src/framing.rs
+++ b/crates/path/src/framing.rs
@@ -1,9 +1,21 @@
-//! Framing of answers: what marks the end of a body.
+//! Framing of answers: what marks the end of a body, and what that proves.
+//!
+//! A length or a last chunk proves that a body is whole: the HTTP library reports an error if the
+//! connection ends earlier. The end of the connection alone proves little, as a process that is
+//! terminated closes its connections like one that is done. An answer that is framed by its
+//! connection is therefore interrupted if it ends within an event, or if its target accepts no new
+//! connection afterwards. Otherwise its end is unproven: the caller gets the answer as it was
+//! framed, so that nothing claims more than the target did, and the run does not count as an
+//! answer of its content.
 
-use hyper::Method;
-use hyper::StatusCode;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use dunlinward_dispatch::target::Target;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response;
+use hyper::{Method, StatusCode, Version};
+
+use crate::attempt::Job;
+use crate::interruption;
+use crate::node::Node;
 
 /// What marks the end of an answer's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,3 +66,43 @@
         }
     }
 }
+
+/// What the end of an answer's body proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The answer is whole.
+    Whole,
+    /// The answer may be whole: its connection ended, and its target goes on.
+    Unproven,
+    /// The answer broke off.
+    Interrupted,
+}
+
+/// Determines what the regular end of a body proves. Opens a connection to the target if the answer
+/// was framed by its own.
+pub(crate) async fn resolve_end(node: &Node, job: &Job, target: &Target, framing: Framing) -> End {
+    if framing != Framing::Connection {
+        return End::Whole;
+    }
+    let probe = interruption::probe(node, target);
+    let accepted = node.timeout_at(job.deadline, probe).await;
+    let end = if accepted.unwrap_or(false) {
+        End::Unproven
+    } else {
+        End::Interrupted
+    };
+    let label = match end {
+        End::Unproven => "unproven",
+        End::Whole | End::Interrupted => "interrupted",
+    };
+    node.metrics.add("unframed_answers", label, 1);
+    end
+}
+
+/// Frames an answer to the caller by its connection. An HTTP/1.1 response without a length would be
+/// sent in chunks, whose last one claims that it is complete.
+pub(crate) fn frame_by_connection(head: &mut response::Parts) {
+    head.version = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    head.headers.insert(CONNECTION, close);
+}
--- a/crates/path/src/interruption.rs
+++ b/crates/path/src/interruption.rs
@@ -60,23 +60,29 @@
     };
     report_findings(node, &[report]);
     if !probing && how == Cause::Closed {
-        tokio::task::spawn_local(probe(node.clone(), target.clone()));
+        let (node, target) = (node.clone(), target.clone());
+        tokio::task::spawn_local(async move {
+            probe(&node, &target).await;
+        });
     }
 }
 
-async fn probe(node: Rc<Node>, target: Arc<Target>) {
+/// Opens a connection to a target and keeps it for later requests; returns whether it was accepted.
+pub(crate) async fn probe(node: &Node, target: &Target) -> bool {
     let opened = pool::open(target.address, PROBE_TIMEOUT).await;
     node.metrics.add("connections", &target.service, 1);
     match opened {
         Ok(connection) => {
-            record_connection(&node, &target);
+            record_connection(node, target);
             let now = node.now();
             node.pool
                 .put(target.tag(), connection, pool::DEFAULT_KEEP_ALIVE, now);
+            true
         }
         Err(error) => {
-            node.record_outcome(&target, Outcome::Unreachable);
-            record_connect_error(&node, &target, &error);
+            node.record_outcome(target, Outcome::Unreachable);
+            record_connect_error(node, target, &error);
+            false
         }
     }
 }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -4,6 +4,11 @@
 //! resumed at another target within the same answer. The failed attempt is dropped first, so that
 //! no two targets work on the stream. Dropping a [`Relay`], for example because the caller has
 //! disconnected, ends the work at the target.
+//!
+//! [`framing`] determines whether the end of a body is the end of the answer. The framing of the
+//! first target's answer is kept for the caller: if a stream that has a framing of its own is
+//! resumed at a target whose answer has none, its end is not known, and the caller's connection is
+//! closed without it.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -15,6 +20,7 @@
 use dunlinward_dispatch::configuration::Kind;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::target::Tag;
+use hyper::Version;
 use hyper::body::{Body, Frame};
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep};
@@ -23,7 +29,7 @@
 use crate::continuation;
 use crate::event::Splitter;
 use crate::exchange;
-use crate::framing::Framing;
+use crate::framing::{self, End, Framing};
 use crate::interruption::Cause;
 use crate::journal::millis;
 use crate::node::Node;
@@ -44,15 +50,27 @@
 /// Reason of a failure by a closed connection.
 const CONNECTION_CLOSED: &str = "broken_off";
 
+/// Reason of a failure by an end within an event.
+const WITHIN_EVENT: &str = "within_event";
+
+/// Reason of a failure by a target that has terminated at the end of its answer.
+const TARGET_ENDED: &str = "target_ended";
+
+/// Reason for which an answer has no end that can be forwarded.
+const UNPROVEN: &str = "unproven_end";
+
 /// Failure of an answer before its end, after which the caller's connection is closed.
 #[derive(Debug, Snafu)]
 #[snafu(display("answer is incomplete: {reason}"))]
 pub struct Error {
     /// Why.
     pub reason: &'static str,
+    /// Whether the caller can't tell from the framing that the answer is incomplete.
+    pub unframed: bool,
 }
 
 type Item = Option<Result<Bytes, Error>>;
+type Resolution = Pin<Box<dyn Future<Output = End>>>;
 type Resumption = Pin<Box<dyn Future<Output = (Box<Stream>, Result<(), Error>)>>>;
 
 enum Phase {
@@ -114,6 +132,10 @@
     splitter: Splitter,
     /// What marks the end of the target's answer.
     framing: Framing,
+    /// What marks the end of the answer to the caller.
+    envelope: Framing,
+    /// Finds out what the end of the body proves.
+    resolution: Option<Resolution>,
     /// Bytes of an incomplete event when the answer last ended.
     incomplete_bytes: usize,
     sends: u32,
@@ -233,6 +255,12 @@
         Self {
             splitter: Splitter::new(job.resume_after),
             framing: attempt.framing,
+            envelope: match job.head.version {
+                // The server sends no chunks to such a caller.
+                Version::HTTP_10 => Framing::Connection,
+                _ => attempt.framing,
+            },
+            resolution: None,
             incomplete_bytes: 0,
             node,
             job,
@@ -267,6 +295,12 @@
             if let Some(reason) = self.interrupted.take() {
                 return Poll::Ready(Step::Interrupted(reason));
             }
+            if let Some(resolution) = &mut self.resolution {
+                let end = ready!(resolution.as_mut().poll(context));
+                self.resolution = None;
+                self.handle_end(end);
+                continue;
+            }
             let Poll::Ready(chunk) = self.poll_chunk(context) else {
                 if self.held.bytes.is_empty() {
                     return Poll::Pending;
@@ -295,21 +329,58 @@
             }
             Chunk::End => {
                 self.incomplete_bytes = self.splitter.incomplete_bytes();
-                let rest = self.splitter.take_incomplete();
-                self.finish();
-                let rest = self.held.release(rest);
-                (!rest.is_empty()).then_some(Step::Forward(rest))
-            }
-            Chunk::Failed(reason) => {
-                self.log_interruption(reason);
-                self.interrupted = Some(reason);
-                self.flushing = !self.held.bytes.is_empty();
-                // Complete events are not delayed by the resumption.
-                self.flushing.then(|| self.forward(Bytes::new()))
+                if self.splitter.is_within_event() {
+                    return self.interrupt(WITHIN_EVENT);
+                }
+                let line_ends = self.splitter.take_incomplete();
+                self.held.bytes.extend_from_slice(&line_ends);
+                self.resolve_end();
+                self.flush_held()
             }
+            Chunk::Failed(reason) => self.interrupt(reason),
         }
     }
 
+    /// Interrupts the answer once the complete events that were held are forwarded.
+    fn interrupt(&mut self, reason: &'static str) -> Option<Step> {
+        self.log_interruption(reason);
+        self.interrupted = Some(reason);
+        self.flush_held()
+    }
+
+    /// Forwards the held events, which are delayed neither by a resumption nor by the end.
+    fn flush_held(&mut self) -> Option<Step> {
+        self.flushing = !self.held.bytes.is_empty();
+        self.flushing.then(|| self.forward(Bytes::new()))
+    }
+
+    /// Begins to find out what the end of the body proves.
+    fn resolve_end(&mut self) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        if self.framing != Framing::Connection {
+            self.finish(End::Whole);
+            return;
+        }
+        let (node, job) = (self.node.clone(), self.job.clone());
+        let target = attempt.lease.target.clone();
+        self.resolution = Some(Box::pin(async move {
+            framing::resolve_end(&node, &job, &target, Framing::Connection).await
+        }));
+    }
+
+    /// Handles the end of the body; all that came before was forwarded.
+    fn handle_end(&mut self, end: End) {
+        let reason = match end {
+            End::Unproven if self.envelope != Framing::Connection => UNPROVEN,
+            End::Whole | End::Unproven => return self.finish(end),
+            End::Interrupted => TARGET_ENDED,
+        };
+        self.log_interruption(reason);
+        self.interrupted = Some(reason);
+    }
+
     /// Binds the stream to the software version of the target that sends its first event.
     fn record_begin(&self) {
         let first = self.timing.first.is_none();
@@ -438,16 +509,24 @@
         }
     }
 
-    fn finish(&mut self) {
+    fn finish(&mut self, end: End) {
         self.ended = true;
         if let Some(attempt) = self.attempt.as_ref().filter(|_| self.pauses.ends_clean()) {
             attempt.lease.record_stream(false, self.pauses.longest());
         }
         if let Some(attempt) = self.attempt.take() {
+            if end != End::Whole {
+                attempt.lease.record_alive();
+            }
             attempt.lease.record_outcome(Outcome::Good);
             attempt.finish(&self.node);
         }
-        self.report("answered", "complete");
+        let reason = if end == End::Whole {
+            "complete"
+        } else {
+            "unproven"
+        };
+        self.report("answered", reason);
     }
 
     fn report(&mut self, event: &str, reason: &str) {
@@ -517,7 +596,7 @@
         let mut failed = self.end_attempt(reason);
         let mut reason = reason;
         if !self.may_resume() {
-            return Err(Error { reason });
+            return Err(self.error(reason));
         }
         self.report("resumed", reason);
         self.sends += 1;
@@ -530,12 +609,10 @@
         for _ in 0..MAX_RESUME_TARGETS {
             let until = self.job.deadline;
             let Ok(wish) = exchange::placement_request(&self.node, &self.job, failed, until) else {
-                return Err(Error {
-                    reason: "no_target",
-                });
+                return Err(self.error("no_target"));
             };
             let Ok(lease) = self.node.place(wish).await else {
-                return Err(Error { reason: "no_room" });
+                return Err(self.error("no_room"));
             };
             let target = lease.target.tag();
             let limit = self.job.deadline;
@@ -548,8 +625,7 @@
                     return Ok(());
                 }
                 Ok(_) => {
-                    let reason = "not_resumed";
-                    return Err(Error { reason });
+                    return Err(self.error("not_resumed"));
                 }
                 Err(failure) => {
                     reason = failure.reason;
@@ -561,21 +637,30 @@
                 }
             }
         }
-        Err(Error { reason })
+        Err(self.error(reason))
+    }
+
+    fn error(&self, reason: &'static str) -> Error {
+        Error {
+            reason,
+            unframed: self.envelope == Framing::Connection,
+        }
     }
 
     /// Ends the work of an attempt that failed; returns its target.
     fn end_attempt(&mut self, reason: &'static str) -> Option<Tag> {
         let attempt = self.attempt.take()?;
-        if reason != "expired" {
-            attempt.lease.record_outcome(Outcome::Bad);
-            attempt
-                .lease
-                .record_interruption(if reason == CONNECTION_CLOSED {
-                    Cause::Closed
-                } else {
-                    Cause::Silent
-                });
+        let cause = match reason {
+            "expired" => None,
+            CONNECTION_CLOSED | WITHIN_EVENT | TARGET_ENDED | UNPROVEN => Some(Cause::Closed),
+            _ => Some(Cause::Silent),
+        };
+        if let Some(cause) = cause {
+            // A target that goes on after an unproven end has not failed.
+            if reason != UNPROVEN {
+                attempt.lease.record_outcome(Outcome::Bad);
+            }
+            attempt.lease.record_interruption(cause);
         }
         Some(attempt.lease.target.tag())
     }
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -202,6 +202,8 @@
 pub enum Payload {
     /// Complete bytes.
     Complete(Bytes),
+    /// The same, framed by the end of the connection.
+    Unframed(Bytes),
     /// Bytes that are forwarded from a target.
     Relayed(Box<Relay>),
 }
@@ -215,8 +217,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
-            Self::Complete(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Complete(bytes) => {
+            Self::Complete(bytes) | Self::Unframed(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Complete(bytes) | Self::Unframed(bytes) => {
                 let bytes = std::mem::take(bytes);
                 Poll::Ready(Some(Ok(Frame::data(bytes))))
             }
@@ -233,7 +235,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Relayed(_) => SizeHint::default(),
+            Self::Unframed(_) | Self::Relayed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -1,6 +1,8 @@
 //! HTTP servers for callers, the platform's readiness checks and operators.
 
 use std::convert::Infallible;
+use std::error::Error as _;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,11 +16,13 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::exchange;
 use crate::node::Node;
 use crate::pool;
+use crate::relay;
 use crate::shutdown;
 
 /// Limit of connections that wait to be accepted.
@@ -105,24 +109,41 @@
     let server = node.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let node = server.clone();
-        async move { Ok::<_, Infallible>(exchange::serve(node, request).await) }
+        Box::pin(async move { Ok::<_, Infallible>(exchange::serve(node, request).await) })
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size(head_bytes.max(16 * 1024))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
+    let result = tokio::select! {
         // An answer that broke off was logged for its request.
-        _ = connection.as_mut() => return,
-        () = shutdown::idle_close(&node) => connection.as_mut().graceful_shutdown(),
-    }
-    drop(connection.await);
+        result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
+        () = shutdown::idle_close(&node) => {
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
+        }
+    };
+    close(connection.into_parts().io.into_inner(), result).await;
     drop(guard);
 }
 
+/// Closes a caller's connection. A regular close would look like the end of an answer that is
+/// framed by its connection, so one that broke off is reset.
+async fn close(mut stream: TcpStream, result: hyper::Result<()>) {
+    let Err(error) = result else {
+        // The caller may have closed it already.
+        drop(stream.shutdown().await);
+        return;
+    };
+    let cause = error.source().and_then(|it| it.downcast_ref());
+    if let Some(relay::Error { unframed: true, .. }) = cause {
+        let socket = socket2::SockRef::from(&stream);
+        drop(socket.set_linger(Some(Duration::ZERO)));
+    }
+}
+
 /// Counts a caller's connection as open until it is dropped.
 struct OpenConnection(Rc<Node>);
 
