Logs name the parts of a prompt whose stream broke off

Nothing told which parts had run at a target that ended, nor how long its runs had been answering, so that a harmful part and a lost finding could not be told apart. `stream_cut` has `parts` and `answering_ms` now. No decision changes.

--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -47,6 +47,9 @@
 /// does not fill the router's memory.
 const MAX_HELD_BYTES: usize = 64 * 1024;
 
+/// Limit of the parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Reason of a failure by a closed connection.
 const CONNECTION_CLOSED: &str = "broken_off";
 
@@ -576,9 +579,22 @@
         let line = line.with("framing", self.framing.name());
         let line = line.with("incomplete_bytes", self.splitter.incomplete_bytes());
         let line = line.with("content", self.job.content.to_string());
+        let line = line.with("parts", self.shared_parts());
+        let answering = self
+            .timing
+            .first
+            .map(|it| millis(node.now().saturating_sub(it)));
+        let line = line.with("answering_ms", answering);
         drop(line.with("reason", reason));
     }
 
+    /// Tags of the first shared parts of the prompt.
+    fn shared_parts(&self) -> Vec<String> {
+        let prompt = self.job.prompt.iter();
+        let parts = prompt.flat_map(|it| it.shared()).take(MAX_LOGGED_PARTS);
+        parts.map(|it| format!("{:08x}", it.id)).collect()
+    }
+
     /// Resumes the stream; logs its end if that fails.
     async fn resumed(mut self: Box<Self>, reason: &'static str) -> (Box<Self>, Result<(), Error>) {
         let resumed = self.resume(reason).await;
