Parts of prompts that end their targets are found and refused

Cause: what a request has done is remembered by its whole content. Requests with the harmful part are no two alike, so each content was charged once: 365 charges in the logs, nine of them a second one, none a third. The class: the key of a record is finer than the cause of what it records.

Ruled out: our own repeats (the reported sends are first ones, 13 of 165 broken streams were resumed); findings that are lost (80 `target_down` lines in the logs).

Change: each router reports the parts of its runs that had just begun at a target that ended to one collector, with the age of its own last answer to each. The collector (`dispatch::harmful_part`) finds a part harmful at four ends, more than of any other part and two fifths of the unexplained ones, after it has asked all routers for answers. The ledger keeps it as a record of its own kind; sharing, store, listing and lifting are those of contents. Requests with it are refused at entry, before each send and each repeat, as not run.

Why this works: a harmful part is in a run that had just begun at each target that ends and is never answered; any other part is answered somewhere, or is in fewer of these runs.

--- a/crates/dispatch/src/content.rs
+++ b/crates/dispatch/src/content.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
+use crate::cache::PartTag;
+
 /// Digest of a request's content: 128 bits of SHA-256, which are collision-resistant. It covers
 /// the customer, so no caller can collide with another customer's content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -49,6 +51,19 @@
 }
 
 impl Digest {
+    /// Identifies a part of prompts in records of contents. A digest of a content has such a value
+    /// once in 2^96.
+    #[must_use]
+    pub fn of_part(part: PartTag) -> Self {
+        Self(u128::from(part))
+    }
+
+    /// The part of prompts that it identifies; none if it is the digest of a content.
+    #[must_use]
+    pub fn part(self) -> Option<PartTag> {
+        PartTag::try_from(self.0).ok()
+    }
+
     /// Parses a hexadecimal digest.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`configuration`]: routes, services, customers and limits in force.
 //! - [`content`]: identity of what a request asks, independent of its caller.
 //! - [`quarantine`], [`interruptions`], [`inflight`]: contents whose runs end targets.
+//! - [`harmful_part`]: parts of prompts whose runs end targets.
 //! - [`target`], [`registry`]: known targets, and which of them may receive work.
 //! - [`store`], [`evacuation`]: state read from the store of the platform, and failure domains that
 //!   receive no work.
@@ -46,6 +47,7 @@
 pub mod continuation;
 pub mod evacuation;
 pub mod grants;
+pub mod harmful_part;
 pub mod health;
 pub mod inflight;
 pub mod intake;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -57,6 +57,8 @@
     Targets,
     /// Writes the software versions that began streams to the store.
     Streams,
+    /// Collects what ran at targets that terminated.
+    Terminations,
 }
 
 impl Duty {
@@ -66,6 +68,7 @@
             Self::Configuration => ("duty of configuration", 0),
             Self::Targets => ("duty of targets", 0),
             Self::Streams => ("duty of streams", 0),
+            Self::Terminations => ("duty of terminations", 0),
         };
         Cell {
             service: ServiceTag::new(name),
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -13,9 +13,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::backoff::Refusal;
+use crate::cache::PartTag;
 use crate::cell::Cell;
 use crate::content::ContentTag;
 use crate::continuation::{self, Stream};
+use crate::harmful_part;
 use crate::health::Outcome;
 use crate::leaving;
 use crate::membership::Packet;
@@ -245,6 +247,12 @@
     StreamAnswer(continuation::Answer),
     /// Software versions that began streams, to be written to the store.
     StreamRecords(continuation::Report),
+    /// Parts of prompts that the sender ran at a target that terminated.
+    Termination(harmful_part::Report),
+    /// When was a part of prompts last answered?
+    PartQuery(PartTag),
+    /// Answer to that question, if there was one.
+    PartAnswer(harmful_part::Evidence),
 }
 
 /// A message.
@@ -284,7 +292,12 @@
             Self::Observations(report) => report.is_plausible(),
             Self::StreamNotes(report) | Self::StreamRecords(report) => report.plausible(),
             Self::StreamAnswer(answer) => answer.plausible(),
-            Self::Withdraw(_) | Self::Findings(_) | Self::StreamQuery(_) => true,
+            Self::Termination(report) => report.plausible(),
+            Self::Withdraw(_)
+            | Self::Findings(_)
+            | Self::StreamQuery(_)
+            | Self::PartQuery(_)
+            | Self::PartAnswer(_) => true,
         }
     }
 }
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -18,6 +18,10 @@
 //! three targets got no answer is not sent to a fourth one before the state of these targets is
 //! known.
 //!
+//! A part of prompts that terminates targets whatever else a request holds is a record of its own
+//! kind, identified by [`Digest::of_part`]. [`crate::harmful_part`] finds such parts; from then on
+//! their records are held, shared, stored and lifted like those of contents.
+//!
 //! The router that owns a content's cell receives the findings about all its runs and decides.
 //! Records with more than one termination are shared with all routers, which converge to the same
 //! [`Ledger::digest`]: records of the same content are merged, and a record that was cleared or
@@ -30,7 +34,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh64::xxh64;
 
+use crate::cache::PartTag;
 use crate::content::{ContentTag, Digest};
+use crate::harmful_part::Harm;
+use crate::prefix::Prompt;
 use crate::target::Tag;
 
 /// Terminations at which a content is kept away from other suspects. With one, all contents that
@@ -229,6 +236,8 @@
     records: HashMap<ContentTag, Record>,
     /// Targets whose termination is explained by a content that is or was quarantined.
     explained: HashSet<Tag>,
+    /// Parts that are or were quarantined.
+    parts: HashSet<PartTag>,
     /// Digest of the shared records.
     digest: u64,
 }
@@ -288,12 +297,46 @@
         change
     }
 
+    /// Quarantines a part of prompts under which targets terminated.
+    pub fn quarantine_part(&mut self, harm: &Harm, now: Duration) -> Option<Change> {
+        let content = Digest::of_part(harm.part);
+        let record = self.record_mut(content, now)?;
+        record.ends.extend(&harm.ends);
+        record.changed = now;
+        record.confirmed = true;
+        let change = self.evaluate(content.tag());
+        self.refresh();
+        change
+    }
+
+    /// Whether a prompt has a part that is quarantined, and the remaining time.
+    #[must_use]
+    pub fn part_status(&self, prompt: &Prompt, now: Duration) -> Option<(PartTag, Duration)> {
+        if self.parts.is_empty() {
+            return None;
+        }
+        let parts = prompt.shared().iter().map(|it| it.id);
+        let mut held = parts.filter(|it| self.parts.contains(it)).filter_map(|it| {
+            match self.status(Digest::of_part(it), now) {
+                Status::Quarantined(left) => Some((it, left)),
+                Status::Free | Status::Suspect | Status::Held => None,
+            }
+        });
+        held.next()
+    }
+
+    /// Parts of a prompt that are or were quarantined.
+    pub fn recorded_parts(&self, prompt: &Prompt) -> impl Iterator<Item = PartTag> {
+        let parts = prompt.shared().iter().map(|it| it.id);
+        parts.filter(|it| self.parts.contains(it))
+    }
+
     /// Updates a content's flags after its terminations have changed.
     fn evaluate(&mut self, tag: ContentTag) -> Option<Change> {
         let record = self.records.get_mut(&tag)?;
         let ends = record.counted_ends(&self.explained);
         record.confirmed |= ends >= QUARANTINE_ENDS;
-        record.shared |= ends >= SUSPECT_ENDS;
+        record.shared |= ends >= SUSPECT_ENDS || record.confirmed;
         if record.confirmed {
             return Some(Change::Quarantined(record.ends.len()));
         }
@@ -400,6 +443,8 @@
     fn refresh(&mut self) {
         let confirmed = self.records.values().filter(|it| it.confirmed);
         self.explained = confirmed.flat_map(|it| it.ends.iter().copied()).collect();
+        let confirmed = self.records.values().filter(|it| it.confirmed);
+        self.parts = confirmed.filter_map(|it| it.content.part()).collect();
         self.digest = self.shared().fold(0, |sum, it| sum ^ it.hash());
     }
 
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::leaving;
 use crate::node::Node;
 use crate::pool::{self, Connection};
+use crate::quarantine;
 use crate::request_log;
 
 /// Connect timeout as a fraction of the route's objective.
@@ -174,6 +175,10 @@
         node.metrics.add("places_barred", bar.name(), 1);
         return Err(Failure::new(Verdict::NotSent, bar.name()));
     }
+    // It may have been quarantined while it waited.
+    if let Some(refusal) = quarantine::refusal(node, job) {
+        return Err(Failure::new(Verdict::NotSent, refusal.reason.name()));
+    }
     let (response, connection) =
         exchange(node, job, &lease, connection, resume_after, limit).await?;
     let (head, body) = response.into_parts();
@@ -224,7 +229,7 @@
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let request = request(node, job, lease, resume_after);
     let sent_at = node.now();
-    lease.record_sent(job.content);
+    lease.record_sent(job.content, job.prompt.clone());
     let sent = connection.sender.try_send_request(request);
     let sent = await_answer(node, job, lease, sent, limit).await;
     let Some(sent) = sent else {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -15,7 +15,7 @@
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::message::CustomerTag;
 use dunlinward_dispatch::prefix::{Prefix, Prompt};
-use dunlinward_dispatch::quarantine::{self, Status};
+use dunlinward_dispatch::quarantine::Status;
 use dunlinward_dispatch::queue_order::RouteTag;
 use dunlinward_dispatch::retry;
 use dunlinward_dispatch::return_schedule::{self, Arrival};
@@ -34,6 +34,7 @@
 use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
+use crate::quarantine;
 use crate::relay::Relay;
 use crate::reply::{Payload, Reason, Refusal};
 use crate::request_log;
@@ -118,7 +119,7 @@
         .map_err(refused)?;
     let job = admission::job(node, head, body, call, admitted, is_retry, arrived);
     let job = Rc::new(job);
-    if let Some(refusal) = quarantine_refusal(node, &job) {
+    if let Some(refusal) = quarantine::refusal(node, &job) {
         request_log::refusal(node, &job.id, arrived, refusal, Some(&job));
         return Err(refusal);
     }
@@ -135,18 +136,6 @@
     answer
 }
 
-/// Refusal of a request whose content has terminated targets, or may have, and would terminate the
-/// next one; with the time after which it may be tried again.
-pub(crate) fn quarantine_refusal(node: &Rc<Node>, job: &Job) -> Option<Refusal> {
-    match node.content_status(job.content) {
-        Status::Free | Status::Suspect => None,
-        Status::Held => {
-            Some(Refusal::new(Reason::Suspected).with_retry_after(quarantine::OPEN_TIMEOUT))
-        }
-        Status::Quarantined(left) => Some(Refusal::new(Reason::Quarantined).with_retry_after(left)),
-    }
-}
-
 async fn read_body(node: &Rc<Node>, table: &Rc<Table>, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = table.limits();
     let reading = Limited::new(body, limits.body_bytes).collect();
@@ -362,7 +351,7 @@
 fn may_try_again(node: &Rc<Node>, job: &Job, failure: Failure, sends: u32, tries: u32) -> bool {
     let attempts = job.route.attempts;
     let exhausted = node.now() >= job.deadline || tries > attempts + EXTRA_TRIES;
-    if exhausted || quarantine_refusal(node, job).is_some() {
+    if exhausted || quarantine::refusal(node, job).is_some() {
         return false;
     }
     match failure.verdict {
@@ -376,6 +365,10 @@
 }
 
 fn final_refusal(node: &Rc<Node>, job: &Job, failure: Failure) -> Refusal {
+    let not_run = matches!(failure.verdict, Verdict::NotSent | Verdict::NotRun);
+    if let Some(refusal) = quarantine::refusal(node, job).filter(|_| not_run) {
+        return refusal;
+    }
     let expired = node.now() >= job.deadline;
     let reason = match (failure.verdict, expired) {
         (Verdict::Unknown | Verdict::Repeat, true) => Reason::Expired,
--- a/crates/path/src/interruption.rs
+++ b/crates/path/src/interruption.rs
@@ -122,6 +122,7 @@
     if resolved.is_empty() {
         return;
     }
+    quarantine::report_parts(node, target.tag(), resolution == Resolution::Ended);
     if resolution == Resolution::Ended {
         node.metrics.add("targets_down", &target.service, 1);
         let line = node.journal.line("target_down");
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -1,6 +1,6 @@
 //! A place at a target, from sending the request to the end of the answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -9,8 +9,10 @@
 use dunlinward_dispatch::backoff::Refusal;
 use dunlinward_dispatch::cell;
 use dunlinward_dispatch::content::{ContentTag, Digest};
+use dunlinward_dispatch::harmful_part::FRESH;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::message::{Content, Return};
+use dunlinward_dispatch::prefix::Prompt;
 use dunlinward_dispatch::share::{Charge, Standing};
 use dunlinward_dispatch::target::Target;
 
@@ -66,6 +68,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     content: Digest,
+    /// When the target first sent some of its answer.
+    first_progress: Option<Duration>,
     /// When the request was sent, or the target last sent some of its answer.
     last_progress: Duration,
 }
@@ -94,6 +98,8 @@
     sent_at: Cell<Option<Duration>>,
     /// The request that the target runs, until its end is known.
     run: Cell<Option<Run>>,
+    /// Prompt of that request, if an engine runs it.
+    prompt: RefCell<Option<Rc<Prompt>>>,
     /// Whether the target may run the request or has run it.
     used: Cell<bool>,
     outcome: Cell<Option<Outcome>>,
@@ -118,6 +124,7 @@
             content: place.content,
             sent_at: Cell::new(None),
             run: Cell::new(None),
+            prompt: RefCell::default(),
             used: Cell::new(false),
             outcome: Cell::new(None),
             refusal: Cell::new(None),
@@ -140,20 +147,32 @@
         if outcome == Outcome::Good
             && let Some(run) = self.run.take()
         {
-            node.state.borrow_mut().answered.record(run.content);
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            state.answered.record(run.content);
+            let prompt = self.prompt.borrow();
+            if let Some(prompt) = prompt.as_deref() {
+                state.part_runs.record_answer(prompt, now);
+            }
+            drop(state);
+            if let Some(prompt) = prompt.as_deref() {
+                quarantine::record_answered_parts(&node, prompt);
+            }
             quarantine::record_answer(&node, run.content.tag());
         }
     }
 
     /// Records that the request is sent: from now on the target may run it. A request that is lost
     /// after that stays charged, as the target may have read the prompt.
-    pub fn record_sent(&self, content: Digest) {
+    pub fn record_sent(&self, content: Digest, prompt: Option<Rc<Prompt>>) {
         self.used.set(true);
+        self.prompt.replace(prompt);
         if let Some(node) = self.node.upgrade() {
             let last_progress = node.now();
             self.sent_at.set(Some(last_progress));
             self.run.set(Some(Run {
                 content,
+                first_progress: None,
                 last_progress,
             }));
         }
@@ -164,6 +183,7 @@
         if let (Some(node), Some(run)) = (self.node.upgrade(), self.run.get()) {
             let last_progress = node.now();
             self.run.set(Some(Run {
+                first_progress: run.first_progress.or(Some(last_progress)),
                 last_progress,
                 ..run
             }));
@@ -179,10 +199,24 @@
     /// target.
     pub fn record_interruption(&self, how: Cause) {
         if let (Some(node), Some(run)) = (self.node.upgrade(), self.run.take()) {
+            self.record_interrupted_parts(&node, run);
             interruption::record(&node, &self.target, self.cell, run.content, how);
         }
     }
 
+    /// Records the parts of a run that had no answer yet, or had just begun to answer.
+    fn record_interrupted_parts(&self, node: &Node, run: Run) {
+        let now = node.now();
+        let begun = run.first_progress.unwrap_or(now);
+        if let Some(prompt) = self.prompt.borrow().as_deref()
+            && now.saturating_sub(begun) < FRESH
+        {
+            let tag = self.target.tag();
+            let mut state = node.state.borrow_mut();
+            state.part_runs.record_interrupted(tag, prompt, now);
+        }
+    }
+
     /// Treats a run that is abandoned as an interrupted one if its target was silent before.
     fn record_abandoned(&self, node: &Node) {
         if let Some(run) = self.run.get()
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -120,6 +120,8 @@
     pub(crate) state: RefCell<State>,
     /// Quarantine entries that are to be written to the store.
     pub(crate) quarantine_writes: WriteQueue,
+    /// Notified of reports on targets that terminated.
+    pub(crate) terminations: Notify,
     pub(crate) clock: Clock,
     pub(crate) suspensions: Monitor,
     pub(crate) capacity: Notify,
@@ -165,6 +167,7 @@
             observations: RefCell::default(),
             state: RefCell::new(state),
             quarantine_writes: WriteQueue::default(),
+            terminations: Notify::new(),
             clock,
             suspensions: Monitor::default(),
             capacity: Notify::new(),
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -34,6 +34,7 @@
 use crate::journal::millis;
 use crate::node::Node;
 use crate::observation::Pauses;
+use crate::quarantine;
 use crate::request_log;
 
 /// Time without data after which a resumable stream is resumed at another target, in multiples of
@@ -689,7 +690,7 @@
     /// retry budget allows it.
     fn may_repeat(&self) -> bool {
         let expired = self.node.now() >= self.job.deadline;
-        let unsafe_to_send = exchange::quarantine_refusal(&self.node, &self.job).is_some();
+        let unsafe_to_send = quarantine::refusal(&self.node, &self.job).is_some();
         !expired && !unsafe_to_send && self.node.try_take_retry(&self.job.service)
     }
 }
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -54,6 +54,8 @@
     Suspected,
     /// Its content is quarantined because it has terminated targets.
     Quarantined,
+    /// A part of its prompt is quarantined because it has terminated targets.
+    HarmfulPart,
 }
 
 impl Reason {
@@ -80,6 +82,7 @@
             Self::Leaving => "leaving",
             Self::Suspected => "suspected",
             Self::Quarantined => "quarantined",
+            Self::HarmfulPart => "harmful_part",
         }
     }
 
@@ -105,7 +108,8 @@
             | Self::Rejected
             | Self::Leaving
             | Self::Suspected
-            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined
+            | Self::HarmfulPart => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -17,6 +17,7 @@
 use dunlinward_dispatch::continuation::{Binding, Ledger as Streams};
 use dunlinward_dispatch::evacuation::{self, Evacuations};
 use dunlinward_dispatch::grants::Grants;
+use dunlinward_dispatch::harmful_part;
 use dunlinward_dispatch::health::{Health, Outcome};
 use dunlinward_dispatch::inflight::{Answered, InFlight};
 use dunlinward_dispatch::interruptions::Interruptions;
@@ -201,6 +202,10 @@
     pub(crate) quarantine_known: bool,
     /// Runs of this router that ended without an answer.
     pub(crate) interruptions: Interruptions,
+    /// Parts of prompts in runs that broke off, and in answers.
+    pub(crate) part_runs: harmful_part::Runs,
+    /// What ran at targets that terminated, if this router collects it.
+    pub(crate) part_cases: harmful_part::Cases,
     /// Contents in flight for which this router granted places, and their targets.
     pub(crate) in_flight: InFlight,
     /// Contents that were answered to this router's clients.
@@ -269,6 +274,8 @@
             quarantine: Ledger::new(),
             quarantine_known: false,
             interruptions: Interruptions::new(),
+            part_runs: harmful_part::Runs::new(),
+            part_cases: harmful_part::Cases::new(),
             in_flight: InFlight::new(),
             answered: Answered::new(),
             streams: Streams::default(),
