Answers without framing clear the parts of their prompts

What callers would see: at a service whose answers have neither a length nor chunks no part ever counts as answered, so the part that all prompts share could be taken for the harmful one.

Cause: an unproven end clears nothing. For parts it proves enough: the target goes on after the run, and none goes on under a harmful part.

Tried and taken out: to let parts that were answered before not compete with those that never were.

--- a/crates/dispatch/tests/harmful_part.rs
+++ b/crates/dispatch/tests/harmful_part.rs
@@ -77,6 +77,21 @@
     assert_eq!(found(reports), [(7, HARMFUL)]);
 }
 
+/// Targets crash by themselves too, and the common part is not answered meanwhile.
+#[test]
+fn a_harmful_part_is_found_though_an_answered_one_has_more_ends() {
+    let reports = (0..8).map(|number| {
+        let harmful = (HARMFUL, None);
+        let common = (COMMON, Some(5_000 + number * 250));
+        if number == 1 {
+            vec![common]
+        } else {
+            vec![harmful, common]
+        }
+    });
+    assert_eq!(found(reports), [(5, HARMFUL)]);
+}
+
 #[test]
 fn two_harmful_parts_are_both_found() {
     let reports =
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -467,8 +467,8 @@
     } else {
         Outcome::Good
     };
-    if end == End::Unproven {
-        attempt.lease.record_alive();
+    if end == End::Unproven && outcome == Outcome::Good {
+        attempt.lease.record_unproven();
     }
     attempt.lease.record_outcome(outcome);
     attempt.lease.record_alive();
--- a/crates/path/src/lease.rs
+++ b/crates/path/src/lease.rs
@@ -147,17 +147,8 @@
         if outcome == Outcome::Good
             && let Some(run) = self.run.take()
         {
-            let now = node.now();
-            let mut state = node.state.borrow_mut();
-            state.answered.record(run.content);
-            let prompt = self.prompt.borrow();
-            if let Some(prompt) = prompt.as_deref() {
-                state.part_runs.record_answer(prompt, now);
-            }
-            drop(state);
-            if let Some(prompt) = prompt.as_deref() {
-                quarantine::record_answered_parts(&node, prompt);
-            }
+            node.state.borrow_mut().answered.record(run.content);
+            self.record_answered_parts(&node);
             quarantine::record_answer(&node, run.content.tag());
         }
     }
@@ -195,6 +186,24 @@
         self.run.set(None);
     }
 
+    /// Records that the answer has ended and may be whole, and that the target goes on. That clears the
+    /// parts of its prompt, under which no target goes on if they are harmful.
+    pub fn record_unproven(&self) {
+        if let (Some(node), Some(_)) = (self.node.upgrade(), self.run.take()) {
+            self.record_answered_parts(&node);
+        }
+    }
+
+    fn record_answered_parts(&self, node: &Node) {
+        if let Some(prompt) = self.prompt.borrow().as_deref() {
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            state.part_runs.record_answer(prompt, now);
+            drop(state);
+            quarantine::record_answered_parts(node, prompt);
+        }
+    }
+
     /// Records that the answer broke off or did not come, and starts to find out what became of the
     /// target.
     pub fn record_interruption(&self, how: Cause) {
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -520,7 +520,7 @@
         }
         if let Some(attempt) = self.attempt.take() {
             if end != End::Whole {
-                attempt.lease.record_alive();
+                attempt.lease.record_unproven();
             }
             attempt.lease.record_outcome(Outcome::Good);
             attempt.finish(&self.node);
