Terminations in bursts count against no part of a prompt

Cause, from the logs: at 33.75 s over a dozen targets terminated at once, the part that most prompts share had runs at 16 of them, and within that moment no router could have answered it. Until it was answered again, half a second later, it was held.

Change: five targets or more that terminate within 100 ms have a common reason; their terminations count against no part.

Test: a_part_of_all_prompts_is_not_held_when_a_failure_domain_terminates.

--- a/crates/dispatch/src/harmful_part.rs
+++ b/crates/dispatch/src/harmful_part.rs
@@ -13,6 +13,7 @@
 //! fifths of all that are unexplained since its first one. The limit is higher for a part that was
 //! answered at some time before. Parts that always occur together are harmful together, one
 //! termination later. Terminations that a harmful part explains are not counted against any other.
+//! Nor are those of many targets at once counted.
 //! Reports of one termination arrive within some milliseconds of each other, so the counts are
 //! evaluated [`SETTLE`] after the last report and not in between.
 
@@ -42,6 +43,13 @@
 /// Time since its first data for which a run counts as one that has just begun.
 pub const FRESH: Duration = Duration::from_secs(1);
 
+/// Targets that terminate within [`BURST_WINDOW`] for a common reason, such as the loss of their
+/// failure domain, and not under one part.
+const BURST: usize = 5;
+
+/// Time within which the terminations of a burst are reported.
+const BURST_WINDOW: Duration = Duration::from_millis(100);
+
 /// Time after a report until the counts are evaluated, and after a query until its answers are: some
 /// round trips between regions.
 pub const SETTLE: Duration = Duration::from_millis(50);
@@ -257,6 +265,8 @@
     /// Evaluates what was reported so far. Each harmful part is returned once.
     pub fn evaluate(&mut self, now: Duration) -> Verdict {
         self.prune(now);
+        let burst = self.burst();
+        self.explain(&burst, now);
         let mut verdict = Verdict::default();
         while let Some((part, missing)) = self.suspect() {
             let Some(case) = self.parts.get_mut(&part) else {
@@ -282,6 +292,15 @@
         verdict
     }
 
+    /// Targets that terminated in bursts.
+    fn burst(&self) -> BTreeSet<Tag> {
+        let mut ends: Vec<_> = self.ends.iter().map(|(tag, at)| (*at, *tag)).collect();
+        ends.sort_unstable();
+        let bursts = ends.windows(BURST);
+        let bursts = bursts.filter(|it| it[BURST - 1].0 <= it[0].0 + BURST_WINDOW);
+        bursts.flatten().map(|it| it.1).collect()
+    }
+
     /// Counts terminations against no other part.
     fn explain(&mut self, ends: &BTreeSet<Tag>, now: Duration) {
         for case in self.parts.values_mut() {
--- a/crates/dispatch/tests/harmful_part.rs
+++ b/crates/dispatch/tests/harmful_part.rs
@@ -137,6 +137,20 @@
     }
 }
 
+#[test]
+fn a_part_of_all_prompts_is_not_held_when_a_failure_domain_terminates() {
+    for answered in [None, Some(500)] {
+        let mut cases = Cases::new();
+        for number in 0..16 {
+            let parts = [(COMMON, answered), (10 + number, None)];
+            cases.record(&report(number, &parts), MS * 4 * number);
+        }
+        for at in [100, 200, 300] {
+            assert_eq!(cases.evaluate(MS * at), Verdict::default());
+        }
+    }
+}
+
 #[test]
 fn reports_hold_the_parts_of_interrupted_runs_and_the_age_of_answers() {
     let mut runs = Runs::new();
