--- a/crates/dispatch/src/harmful_part.rs
+++ b/crates/dispatch/src/harmful_part.rs
@@ -93,7 +93,7 @@
 }
 
 impl Evidence {
-    /// Whether it says anything in favour of the part.
+    /// Whether the router knows an answer to the part.
     #[must_use]
     pub fn is_answered(&self) -> bool {
         self.answered.is_some()
@@ -170,7 +170,7 @@
         reports.collect()
     }
 
-    /// What this router knows in favour of a part.
+    /// The age of this router's last answer to a part.
     #[must_use]
     pub fn evidence(&self, part: PartTag, now: Duration) -> Evidence {
         let answered = self.newer.get(&part).or_else(|| self.older.get(&part));
