dunlinctl shares, and tokens in each line of a refusal

The logs could not tell how much a customer was refused for lack of processor time: `crowded` and `refusals` had counts without tokens, and a refusal without an owner's answer had no cost, so what a customer asked for could not be added up. No decision changes.

- `sent` and `refused` always have `cost`, and `objective_ms`.
- `refusals` and `crowded` have `tokens` by customer; the cost of a request that is refused before its body is read is that of the prompt in its head.
- `dunlinctl shares LOG...` adds up what each customer asked for and got, the seconds in which it waited, and the period in which it got least of what it was due.

Tested: crates/ctl/tests/shares.rs, crates/path/tests/refusal_log.rs.

--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -6,6 +6,7 @@
 pub mod diff;
 pub mod drain;
 pub mod explain;
+pub mod shares;
 pub mod status;
 pub mod story;
 
@@ -35,7 +36,7 @@
   5  the file may or may not have been accepted; run the command again
   6  a system can't be reached and nothing was changed; run the command again
   7  the log no longer tells which revision is accepted
-  8  no router that was asked knows what explain asks about";
+  8  no router that was asked knows what explain asks about, or no log has a line for story or shares";
 
 /// The whole command line.
 #[must_use]
@@ -52,6 +53,7 @@
         .subcommand(status::command())
         .subcommand(explain::command())
         .subcommand(story::command())
+        .subcommand(shares::command())
         .subcommand(drain::command())
         .subcommand(completions::command())
 }
@@ -68,6 +70,7 @@
         Some(("status", matches)) => status::run(matches, out),
         Some(("explain", matches)) => explain::run(matches, out),
         Some(("story", matches)) => story::run(matches, out),
+        Some(("shares", matches)) => shares::run(matches, out),
         Some(("drain", matches)) => drain::run(matches, out),
         Some(("completions", matches)) => completions::run(matches, out),
         other => unreachable!("clap lets no other command pass: {other:?}"),
--- a/crates/ctl/src/command/story.rs
+++ b/crates/ctl/src/command/story.rs
@@ -1,20 +1,18 @@
 //! `dunlinctl story`: what the logs of several routers say of one request.
 //!
-//! Lines are JSON objects, one each; what stands before the first brace, as a log
-//! collector may add, is passed over. Beside the lines of the request itself come
-//! those by which its routers changed their mind about its targets, and lost or
-//! regained a dependency, while the request was under way.
+//! Beside the lines of the request itself come those by which its routers changed their mind about
+//! its targets, and lost or regained a dependency, while the request was under way.
 
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use serde_json::{Map, Value};
 use snafu::ResultExt;
 
 use crate::error::{Error, FileSnafu, WriteSnafu};
 use crate::exit::Exit;
+use crate::line::Line;
 
 /// Fields that a line of the story begins with.
 const LEADING: [&str; 4] = ["at", "node", "event", "id"];
@@ -70,37 +68,19 @@
     Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
-struct Line {
-    at: f64,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    fn parse(text: &str) -> Option<Self> {
-        let object = &text[text.find('{')?..];
-        let fields: Map<String, Value> = serde_json::from_str(object).ok()?;
-        let at = fields.get("at")?.as_f64()?;
-        Some(Self { at, fields })
-    }
-
-    fn text(&self, name: &str) -> Option<&str> {
-        self.fields.get(name)?.as_str()
-    }
-
-    fn show(&self, begun: f64) -> String {
-        let node = self.text("node").unwrap_or("?");
-        let event = self.text("event").unwrap_or("?");
-        let mut shown = format!("{:+9.3} s  {node}  {event}", self.at - begun);
-        for (name, value) in &self.fields {
-            if !LEADING.contains(&name.as_str()) && !value.is_null() {
-                shown.push_str("  ");
-                shown.push_str(name);
-                shown.push('=');
-                shown.push_str(&value.to_string());
-            }
+fn show(line: &Line, begun: f64) -> String {
+    let node = line.text("node").unwrap_or("?");
+    let event = line.text("event").unwrap_or("?");
+    let mut shown = format!("{:+9.3} s  {node}  {event}", line.at - begun);
+    for (name, value) in &line.fields {
+        if !LEADING.contains(&name.as_str()) && !value.is_null() {
+            shown.push_str("  ");
+            shown.push_str(name);
+            shown.push('=');
+            shown.push_str(&value.to_string());
         }
-        shown
     }
+    shown
 }
 
 fn tell(id: &str, mut lines: Vec<Line>) -> Vec<String> {
@@ -122,5 +102,5 @@
     let story = lines
         .iter()
         .filter(|it| it.text("id") == Some(id) || explains(it));
-    story.map(|it| it.show(begun)).collect()
+    story.map(|it| show(it, begun)).collect()
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod error;
 pub mod exit;
 pub mod follower;
+pub mod line;
 pub mod operators;
+pub mod shares;
 mod table;
 
 use std::ffi::OsString;
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -32,6 +32,20 @@
     service: Arc<str>,
 }
 
+impl Admission {
+    /// Whether an engine runs the service.
+    fn has_engine(&self) -> bool {
+        let service = self.table.service(&self.service);
+        service.is_some_and(|it| it.engine.is_some())
+    }
+
+    /// Tokens charged to the customer of a request.
+    pub(crate) fn cost(&self, call: &Call) -> u64 {
+        let prompt = call.prompt.as_ref().filter(|_| self.has_engine());
+        prompt.map_or(0, share::cost)
+    }
+}
+
 /// Host of a request, without the port; empty if it names none.
 fn host(head: &request::Parts) -> &str {
     let host = head.headers.get(HOST).and_then(|it| it.to_str().ok());
@@ -104,19 +118,17 @@
     returning: bool,
     arrived: Duration,
 ) -> Job {
+    let engine = admission.has_engine();
+    let cost = admission.cost(&call);
     let Admission {
         table,
         route,
         customer,
         service,
     } = admission;
-    let engine = table
-        .service(&service)
-        .is_some_and(|it| it.engine.is_some());
     let timeout = call.timeout.unwrap_or(route.timeout);
     let prompt = call.prompt.filter(|_| engine);
     let prompt = prompt.map(|it| Rc::new(it.compact()));
-    let cost = prompt.as_deref().map_or(0, share::cost);
     let regions = &node.settings.regions;
     let customer_regions = customer.as_deref().and_then(|it| table.regions_of(it));
     let allowed = regions.allowed(&route.regions);
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -110,7 +110,8 @@
     // Refused requests count too: without their timeouts, those of retries would be frequent.
     let is_retry = admission::record_timeout(node, &call, &admitted);
     let resumes = call.resume_after.is_some();
-    if let Err(refusal) = intake::admit(node, &admitted, is_retry, resumes) {
+    let tokens = admitted.cost(&call);
+    if let Err(refusal) = intake::admit(node, &admitted, tokens, is_retry, resumes) {
         intake::drain(node, &admitted.table, body).await;
         return Err(refusal);
     }
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -20,11 +20,11 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rustix::time::{ClockId, Timespec, clock_gettime};
+use serde_json::{Map, Value};
 use tokio::runtime::Handle;
 use tokio::time::MissedTickBehavior;
 
 use crate::admission::Admission;
-use crate::journal::Line;
 use crate::node::Node;
 use crate::reply::{Reason, Refusal};
 use crate::settings::Settings;
@@ -72,6 +72,7 @@
     first_attempts: u64,
     others: u64,
     by_customer: BTreeMap<String, u64>,
+    tokens: BTreeMap<String, u64>,
 }
 
 /// Admission control of one router.
@@ -110,7 +111,7 @@
     }
 }
 
-/// Decides whether a request is accepted.
+/// Decides whether a request, of which its customer would be charged `tokens`, is accepted.
 ///
 /// # Errors
 ///
@@ -118,6 +119,7 @@
 pub(crate) fn admit(
     node: &Rc<Node>,
     admission: &Admission,
+    tokens: u64,
     is_retry: bool,
     resumes: bool,
 ) -> Result<(), Refusal> {
@@ -143,6 +145,7 @@
         Priority::High => refusals.others += 1,
     }
     let name = customer.map(ToString::to_string).unwrap_or_default();
+    *refusals.tokens.entry(name.clone()).or_default() += tokens;
     *refusals.by_customer.entry(name).or_default() += 1;
     node.metrics.add("refusals", Reason::Crowded.name(), 1);
     Err(Refusal::new(Reason::Crowded).with_retry_after(RETRY_AFTER))
@@ -252,7 +255,8 @@
     let line = node.journal.line("crowded").with("accepted", accepted);
     let line = line.with("refused", count);
     let line = line.with("refused_last", refusals.others);
-    let line = with_customers(line, refusals.by_customer);
+    let line = line.with("by_customer", largest(refusals.by_customer));
+    let line = line.with("tokens", largest(refusals.tokens));
     let summary = node.intake.decision.borrow().summary();
     let line = line.with("utilization", rounded(summary.utilization));
     let line = line.with("idle_utilization", rounded(summary.idle));
@@ -263,15 +267,13 @@
     drop(line.with("customers", summary.customers));
 }
 
-fn with_customers(line: Line, by_customer: BTreeMap<String, u64>) -> Line {
-    let mut customers: Vec<_> = by_customer.into_iter().collect();
-    customers.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-    customers.truncate(MAX_NAMED_CUSTOMERS);
-    let customers: serde_json::Map<_, _> = customers
-        .into_iter()
-        .map(|(name, count)| (name, count.into()))
-        .collect();
-    line.with("by_customer", customers)
+/// The largest counts by customer.
+fn largest(counts: BTreeMap<String, u64>) -> Map<String, Value> {
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    counts.truncate(MAX_NAMED_CUSTOMERS);
+    let counts = counts.into_iter();
+    counts.map(|(name, count)| (name, count.into())).collect()
 }
 
 fn rounded(value: f64) -> f64 {
--- a/crates/path/src/refusal_log.rs
+++ b/crates/path/src/refusal_log.rs
@@ -38,6 +38,8 @@
     pub customer: Option<Arc<str>>,
     /// Route, if known.
     pub route: Option<Arc<str>>,
+    /// Tokens that the customer would have been charged.
+    pub tokens: u64,
     /// Age of the customer's standing on which the refusal is based, if there is one.
     pub standing_age: Option<Duration>,
 }
@@ -65,6 +67,8 @@
     pub reasons: HashMap<&'static str, u64>,
     /// Number by customer.
     pub customers: HashMap<Option<Arc<str>>, u64>,
+    /// Tokens by customer.
+    pub tokens: HashMap<Option<Arc<str>>, u64>,
     /// Number by route.
     pub routes: HashMap<Option<Arc<str>>, u64>,
     /// Least and greatest age of the standings.
@@ -75,6 +79,7 @@
     fn add(&mut self, refused: Refused) {
         self.count += 1;
         *self.reasons.entry(refused.reason.name()).or_default() += 1;
+        *self.tokens.entry(refused.customer.clone()).or_default() += refused.tokens;
         *self.customers.entry(refused.customer).or_default() += 1;
         *self.routes.entry(refused.route).or_default() += 1;
         if let Some(age) = refused.standing_age {
@@ -155,6 +160,7 @@
     let line = line
         .with("reasons", reasons)
         .with("customers", largest(summary.customers))
+        .with("tokens", largest(summary.tokens))
         .with("routes", largest(summary.routes));
     let (least, greatest) = summary.standing_ages.unzip();
     drop(
--- a/crates/path/src/request_log.rs
+++ b/crates/path/src/request_log.rs
@@ -57,6 +57,7 @@
             reason,
             customer: job.and_then(|it| it.customer.clone()),
             route: job.map(|it| it.route.name.clone()),
+            tokens: job.map_or(0, |it| it.cost),
             standing_age: refused.standing_at.map(|at| now.saturating_sub(at)),
         };
         if !refusal_log::record(node, entry) {
@@ -86,12 +87,13 @@
         .with("route", job.route.name.as_ref())
         .with("customer", job.customer.as_deref())
         .with("returning", job.returning)
-        .with_ms("caller_waits_ms", job.caller_timeout);
+        .with_ms("caller_waits_ms", job.caller_timeout)
+        .with_ms("objective_ms", job.route.objective)
+        .with("cost", job.cost);
     let Some(standing) = standing else {
         return line;
     };
-    line.with("cost", job.cost)
-        .with("granted", standing.granted)
+    line.with("granted", standing.granted)
         .with("level", standing.level)
 }
 
--- a/crates/path/tests/refusal_log.rs
+++ b/crates/path/tests/refusal_log.rs
@@ -10,6 +10,7 @@
         reason,
         customer: Some(customer.into()),
         route: Some("r".into()),
+        tokens: 100,
         standing_age: Some(Duration::from_millis(age_ms)),
     }
 }
@@ -57,6 +58,8 @@
         assert_eq!(summary.reasons["crowded"], 1);
         assert_eq!(summary.customers[&Some("a".into())], 3);
         assert_eq!(summary.customers[&Some("b".into())], 1);
+        assert_eq!(summary.tokens[&Some("a".into())], 300);
+        assert_eq!(summary.tokens[&Some("b".into())], 100);
         assert_eq!(summary.routes[&Some("r".into())], 4);
         let ms = Duration::from_millis;
         assert_eq!(summary.standing_ages, Some((ms(5), ms(700))));
