--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -24,6 +24,7 @@
 use crate::queue::Requester;
 use crate::settings::{ColdBound, LoadPolicy, QueuePolicy};
 
+mod contention;
 mod homes;
 mod limits;
 mod on_time;
@@ -298,10 +299,12 @@
     }
 
     fn run(mut self, until: Duration) -> Self {
-        while let Some(((now, _), event)) = self.events.pop_first() {
+        while let Some(entry) = self.events.first_entry() {
+            let now = entry.key().0;
             if now >= until {
                 break;
             }
+            let event = entry.remove();
             self.handle(event, now);
         }
         self
