A harmful part is found beside an answered part with a few more ends

What callers saw: a part of most prompts hid the harmful part, so that more targets terminated, and was then refused in its place, with all prompts that share it. It needs one target that crashes by itself under the common part, which nobody answers meanwhile.

Cause: the part with the most terminations was the only one considered. One that was never answered reaches its limit at four, an answered one at seven, and until then hid all others.

Change: a part that was never answered is also considered if it has three quarters of the ends of each other part and of all unexplained ones since its own first.

New: a_new_part_is_not_held_in_place_of_an_answered_harmful_one, which passes on the code before too.

--- a/crates/dispatch/src/harmful_part.rs
+++ b/crates/dispatch/src/harmful_part.rs
@@ -11,7 +11,9 @@
 //!
 //! A part is harmful if its terminations reach a limit, exceed those of each other part, and are two
 //! fifths of all that are unexplained since its first one. The limit is higher for a part that was
-//! answered at some time before. Parts that always occur together are harmful together, one
+//! answered at some time before. A part that was never answered is also found if an answered one has
+//! a few more: targets that terminate for other reasons too give a part of most prompts more
+//! terminations than the harmful one. Parts that always occur together are harmful together, one
 //! termination later. Terminations that a harmful part explains are not counted against any other.
 //! Nor are those of many targets at once counted.
 //! Reports of one termination arrive within some milliseconds of each other, so the counts are
@@ -40,6 +42,10 @@
 /// about half.
 const COVERAGE: (usize, usize) = (2, 5);
 
+/// Fraction that a part which was never answered must have of the unexplained terminations since its
+/// first one, and of those of an answered part, to be found although that part has more.
+const UNANSWERED_COVERAGE: (usize, usize) = (3, 4);
+
 /// Time since its first data for which a run counts as one that has just begun.
 pub const FRESH: Duration = Duration::from_secs(1);
 
@@ -310,11 +316,28 @@
         self.explained.extend(ends.iter().map(|it| (*it, now)));
     }
 
-    /// The part with the most terminations, and how many more it needs to be harmful. Of those with
-    /// equal counts, one that was never answered.
+    /// The part that is most likely harmful, and how many more terminations it needs: one that was
+    /// never answered and has nearly as many as each other part, or the one that has most.
     fn suspect(&self) -> Option<(PartTag, usize)> {
-        let count = self.parts.values().map(|it| it.ends.len()).max()?;
-        let tied = self.parts.iter().filter(|(_, it)| it.ends.len() == count);
+        let most = self.parts.values().map(|it| it.ends.len()).max()?;
+        let (numerator, denominator) = UNANSWERED_COVERAGE;
+        let unanswered = self.parts.iter().filter(|(_, it)| {
+            it.answered.is_none() && it.ends.len() * denominator >= most * numerator
+        });
+        let unanswered = self.leader(unanswered, UNANSWERED_COVERAGE);
+        let unanswered = unanswered.filter(|(_, missing)| *missing == 0);
+        unanswered.or_else(|| self.leader(self.parts.iter(), COVERAGE))
+    }
+
+    /// The part with the most terminations of these, if it has `coverage` of all, and how many more
+    /// it needs to be harmful. Of those with equal counts, one that was never answered.
+    fn leader<'a>(
+        &self,
+        parts: impl Iterator<Item = (&'a PartTag, &'a Case)> + Clone,
+        coverage: (usize, usize),
+    ) -> Option<(PartTag, usize)> {
+        let count = parts.clone().map(|(_, it)| it.ends.len()).max()?;
+        let tied = parts.filter(|(_, it)| it.ends.len() == count);
         let rank = |(part, case): &(&PartTag, &Case)| (case.answered.is_some(), **part);
         let (part, case) = tied.clone().min_by_key(rank)?;
         let equals = tied.filter(|(_, it)| it.answered.is_some() == case.answered.is_some());
@@ -323,14 +346,14 @@
         } else {
             case.limit() + TIED_ENDS
         };
-        let covered = self.covers(case);
+        let covered = self.covers(case, coverage);
         covered.then_some((*part, limit.saturating_sub(count)))
     }
 
     /// Whether a part has enough of the unexplained terminations since its first one.
-    fn covers(&self, case: &Case) -> bool {
+    fn covers(&self, case: &Case, coverage: (usize, usize)) -> bool {
         let all = self.ends.values().filter(|at| **at >= case.since).count();
-        let (numerator, denominator) = COVERAGE;
+        let (numerator, denominator) = coverage;
         case.ends.len() * denominator >= all * numerator
     }
 
--- a/crates/dispatch/tests/harmful_part.rs
+++ b/crates/dispatch/tests/harmful_part.rs
@@ -92,6 +92,17 @@
     assert_eq!(found(reports), [(5, HARMFUL)]);
 }
 
+/// Guards against a new part being held that is in some runs of a part which has become harmful.
+#[test]
+fn a_new_part_is_not_held_in_place_of_an_answered_harmful_one() {
+    let reports = (0..8).map(|number| {
+        let mut parts = vec![(HARMFUL, Some(5_000 + number * 250))];
+        parts.extend((number >= 2).then_some((50, None)));
+        parts
+    });
+    assert_eq!(found(reports), [(7, HARMFUL)]);
+}
+
 #[test]
 fn two_harmful_parts_are_both_found() {
     let reports =
