--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -116,8 +116,8 @@
 /// Refusals within [`CROWDING_WINDOW`] below which a router is not crowded.
 const MIN_CROWDING_REFUSALS: u64 = 5;
 
-/// Fraction of the permitted utilization from which a router is full: a single client of a large
-/// customer may bring a tenth.
+/// Fraction of the permitted utilization from which a router is full. Below it, a router can take
+/// further clients before it refuses requests again.
 const FULL_RATIO: f64 = 0.75;
 
 /// Measured use of the event loop in an interval.
