--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -106,20 +106,6 @@
 /// on some virtual machines it returns the time of day, and a loop cannot use more than it is busy.
 const MAX_CLOCK_RATIO: f64 = 1.25;
 
-/// Time over which requests are counted to tell whether a router is crowded.
-pub const CROWDING_WINDOW: Duration = Duration::from_millis(500);
-
-/// A router is crowded if it refuses more than one request in this many: clients whose first
-/// attempt is refused retry at the same router while it is ready, and a neighbour has room.
-const CROWDING_DIVISOR: u64 = 5;
-
-/// Refusals within [`CROWDING_WINDOW`] below which a router is not crowded.
-const MIN_CROWDING_REFUSALS: u64 = 5;
-
-/// Fraction of the permitted utilization from which a router is full. Below it, a router can take
-/// further clients before it refuses requests again.
-const FULL_RATIO: f64 = 0.75;
-
 /// Measured use of the event loop in an interval.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -183,31 +169,6 @@
     High,
 }
 
-/// Requests at a router since the last check for crowding.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Attempts {
-    accepted: u64,
-    refused: u64,
-}
-
-impl Attempts {
-    /// Records a request.
-    #[must_use]
-    pub fn with(self, accepted: bool) -> Self {
-        Self {
-            accepted: self.accepted + u64::from(accepted),
-            refused: self.refused + u64::from(!accepted),
-        }
-    }
-
-    /// Whether the router refuses so many that its clients should go to others.
-    #[must_use]
-    pub fn is_crowded(self) -> bool {
-        let total = self.accepted + self.refused;
-        self.refused >= MIN_CROWDING_REFUSALS && self.refused * CROWDING_DIVISOR > total
-    }
-}
-
 /// Token bucket.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -349,12 +310,6 @@
         self.utilization
     }
 
-    /// Whether the present load leaves no room for further clients.
-    #[must_use]
-    pub fn is_full(&self) -> bool {
-        self.utilization >= self.target * FULL_RATIO
-    }
-
     /// State for a log line.
     #[must_use]
     pub fn summary(&self) -> Summary {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -74,10 +74,11 @@
     node.detect_suspension();
     let arrived = node.now();
     let (head, body) = request.into_parts();
-    let answer = handle(&node, head, body, arrived).await;
-    let crowded = matches!(&answer, Err(refusal) if refusal.reason == Reason::Crowded);
-    let mut response = answer.unwrap_or_else(Refusal::response);
-    if node.leaving_since().is_some() || node.overload.closes_connection(crowded) {
+    let mut response = match handle(&node, head, body, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
+    };
+    if node.leaving_since().is_some() || node.overload.is_overloaded() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/path/src/overload.rs
+++ b/crates/path/src/overload.rs
@@ -5,14 +5,8 @@
 //! loop is overloaded. An overloaded router reports that it is not ready and asks its clients to
 //! close their connections, so that new connections go to other routers, and it owns no cells until
 //! it has recovered. The same holds for a router that cannot accept connections because its file
-//! descriptors are used up.
-//!
-//! A router that refuses requests because its processor is used up ([`crate::intake`]) is not ready
-//! either, as retries of a client reach the same router while it is. But unless its timers are late
-//! it serves what it accepts in time, so only clients of refused requests are asked to close their
-//! connections. If all were, all connections of a large customer would move to the next router,
-//! which is then crowded too, and the customer would never be served by more than one router at a
-//! time.
+//! descriptors are used up, and for one that refuses requests because its processor is used up
+//! ([`crate::intake`]): retries of a client reach the same router while it is ready.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -50,8 +44,6 @@
     /// Minimum duration of the last overload.
     last_duration: Cell<Duration>,
     recovered_at: Cell<Duration>,
-    /// Whether connections could not be accepted since the overload began.
-    lacks_descriptors: Cell<bool>,
 }
 
 impl Detector {
@@ -61,14 +53,6 @@
         self.min_end.get().is_some()
     }
 
-    /// Whether the client of a request is asked to close its connection; `crowded` if the request is
-    /// refused because the processor is used up.
-    #[must_use]
-    pub fn closes_connection(&self, crowded: bool) -> bool {
-        let answers_late = self.mean_s.get() >= OVERLOAD_LATENESS_S;
-        self.is_overloaded() && (crowded || answers_late || self.lacks_descriptors.get())
-    }
-
     /// Mean lateness of this router's timers.
     #[must_use]
     pub fn mean_lateness(&self) -> Duration {
@@ -84,7 +68,6 @@
             None if mean_s >= OVERLOAD_LATENESS_S => self.start_overload(now),
             Some(min_end) if mean_s < RECOVERY_LATENESS_S && now >= min_end => {
                 self.min_end.set(None);
-                self.lacks_descriptors.set(false);
                 self.recovered_at.set(now);
             }
             _ => return false,
@@ -94,15 +77,13 @@
 
     /// Records that a connection could not be accepted; returns whether the overload state changed.
     pub fn record_accept_failure(&self, now: Duration) -> bool {
-        self.lacks_descriptors.set(true);
         self.prolong(now)
     }
 
-    /// Records a check of the admission control: whether the router is `crowded` by refused requests,
-    /// and whether its processor is `full`. A full router is not ready again, as the next client
-    /// would be refused. Returns whether the overload state changed.
-    pub fn record_admission(&self, crowded: bool, full: bool, now: Duration) -> bool {
-        (crowded || full && self.is_overloaded()) && self.prolong(now)
+    /// Records that requests are refused because the processor is used up; returns whether the
+    /// overload state changed.
+    pub fn record_crowding(&self, now: Duration) -> bool {
+        self.prolong(now)
     }
 
     /// Starts an overload, or prolongs the present one.
@@ -145,9 +126,10 @@
         }
     }
 
-    /// Records a check of the admission control, so that new connections go to other routers.
-    pub(crate) fn record_admission(&self, crowded: bool, full: bool) {
-        if self.overload.record_admission(crowded, full, self.now()) {
+    /// Records that requests are refused because the processor is used up, so that new connections
+    /// go to other routers.
+    pub(crate) fn record_crowding(&self) {
+        if self.overload.record_crowding(self.now()) {
             self.report_overload(Duration::ZERO);
         }
     }
