--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -106,6 +106,16 @@
 /// on some virtual machines it returns the time of day, and a loop cannot use more than it is busy.
 const MAX_CLOCK_RATIO: f64 = 1.25;
 
+/// Time over which requests are counted to tell whether a router is crowded.
+pub const CROWDING_WINDOW: Duration = Duration::from_millis(500);
+
+/// A router is crowded if it refuses more than one request in this many: clients whose first
+/// attempt is refused retry at the same router while it is ready, and a neighbour has room.
+const CROWDING_DIVISOR: u64 = 5;
+
+/// Refusals within [`CROWDING_WINDOW`] below which a router is not crowded.
+const MIN_CROWDING_REFUSALS: u64 = 5;
+
 /// Measured use of the event loop in an interval.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -169,6 +179,31 @@
     High,
 }
 
+/// Requests at a router since the last check for crowding.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Attempts {
+    accepted: u64,
+    refused: u64,
+}
+
+impl Attempts {
+    /// Records a request.
+    #[must_use]
+    pub fn with(self, accepted: bool) -> Self {
+        Self {
+            accepted: self.accepted + u64::from(accepted),
+            refused: self.refused + u64::from(!accepted),
+        }
+    }
+
+    /// Whether the router refuses so many that its clients should go to others.
+    #[must_use]
+    pub fn is_crowded(self) -> bool {
+        let total = self.accepted + self.refused;
+        self.refused >= MIN_CROWDING_REFUSALS && self.refused * CROWDING_DIVISOR > total
+    }
+}
+
 /// Token bucket.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use dunlinward_dispatch::configuration::Table;
-use dunlinward_dispatch::intake::{Intake, Priority, Sample, Work};
+use dunlinward_dispatch::intake::{Attempts, CROWDING_WINDOW, Intake, Priority, Sample, Work};
 use dunlinward_dispatch::share;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -42,30 +42,6 @@
 /// 400 ms is still possible.
 const RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// Time over which requests are counted to tell whether this router is crowded.
-const CROWDING_WINDOW: Duration = Duration::from_millis(500);
-
-/// A router is crowded if it refuses more than one request in this many: clients whose first
-/// attempt is refused retry at the same router while it is ready, and a neighbour has room.
-const CROWDING_DIVISOR: u64 = 5;
-
-/// Refusals within [`CROWDING_WINDOW`] below which a router is not crowded.
-const MIN_CROWDING_REFUSALS: u64 = 5;
-
-/// Requests since the last check for crowding.
-#[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    accepted: u64,
-    refused: u64,
-}
-
-impl Counts {
-    fn is_crowded(self) -> bool {
-        let total = self.accepted + self.refused;
-        self.refused >= MIN_CROWDING_REFUSALS && self.refused * CROWDING_DIVISOR > total
-    }
-}
-
 /// Refusals since the last log line.
 #[derive(Debug, Default)]
 struct Refusals {
@@ -81,7 +57,7 @@
     decision: RefCell<Intake>,
     refusals: RefCell<Refusals>,
     accepted: Cell<u64>,
-    counts: Cell<Counts>,
+    attempts: Cell<Attempts>,
 }
 
 impl Gate {
@@ -93,16 +69,12 @@
             decision: RefCell::new(Intake::new(utilization, settings.millicores)),
             refusals: RefCell::default(),
             accepted: Cell::default(),
-            counts: Cell::default(),
+            attempts: Cell::default(),
         }
     }
 
-    fn count(&self, accepted: u64, refused: u64) {
-        let counts = self.counts.get();
-        self.counts.set(Counts {
-            accepted: counts.accepted + accepted,
-            refused: counts.refused + refused,
-        });
+    fn record_attempt(&self, accepted: bool) {
+        self.attempts.set(self.attempts.get().with(accepted));
     }
 
     /// Records the placement of another router's request.
@@ -135,10 +107,10 @@
     let mut decision = gate.decision.borrow_mut();
     if decision.admit(customer.map(share::tag), work, priority, node.now()) {
         gate.accepted.set(gate.accepted.get() + 1);
-        gate.count(1, 0);
+        gate.record_attempt(true);
         return Ok(());
     }
-    gate.count(0, 1);
+    gate.record_attempt(false);
     let mut refusals = gate.refusals.borrow_mut();
     match priority {
         Priority::Normal => refusals.first_attempts += 1,
@@ -181,7 +153,7 @@
         last = reading;
         if reading.at.saturating_sub(checked_at) >= CROWDING_WINDOW {
             checked_at = reading.at;
-            if node.intake.counts.take().is_crowded() {
+            if node.intake.attempts.take().is_crowded() {
                 node.record_crowding();
             }
         }
