FAIR on floods at once: traced, with a test that is listed as red

Cause: a customer's account is the sum of a window of four seconds. A flood is granted far beyond its level in its first second, then nothing until these tokens leave the window, then the same again. In six seconds one customer has one burst and another one two.

--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -28,6 +28,7 @@
 mod homes;
 mod limits;
 mod on_time;
+mod periods;
 mod refusals;
 mod replicas;
 mod retries;
