--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -102,6 +102,16 @@
     [log, stream, timeout_arg()]
 }
 
+fn router_logs_arg() -> Arg {
+    Arg::new("logs")
+        .value_name("LOG")
+        .required(true)
+        .action(ArgAction::Append)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Logs of routers; - for standard input")
+}
+
 fn routers_arg() -> Arg {
     Arg::new("routers")
         .long("router")
--- a/crates/ctl/src/command/shares.rs
+++ b/crates/ctl/src/command/shares.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use snafu::ResultExt;
 
 use crate::error::{Error, FileSnafu, WriteSnafu};
@@ -20,13 +20,6 @@
 
 /// The command line.
 pub(super) fn command() -> Command {
-    let logs = Arg::new("logs")
-        .value_name("LOG")
-        .required(true)
-        .action(ArgAction::Append)
-        .num_args(1..)
-        .value_parser(value_parser!(PathBuf))
-        .help("Logs of routers; - for standard input");
     let period = Arg::new("period")
         .long("period-s")
         .value_name("SECONDS")
@@ -49,7 +42,7 @@
              the lesser of its demand and of the service of the best served customer, second by \
              second, less three of its largest requests. Seconds count from the first line.",
         )
-        .args([logs, period, most])
+        .args([super::router_logs_arg(), period, most])
 }
 
 /// Runs the command.
--- a/crates/ctl/src/command/story.rs
+++ b/crates/ctl/src/command/story.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command};
 use snafu::ResultExt;
 
 use crate::error::{Error, FileSnafu, WriteSnafu};
@@ -26,16 +26,9 @@
         .value_name("ID")
         .required(true)
         .help("Identity of the request");
-    let logs = Arg::new("logs")
-        .value_name("LOG")
-        .required(true)
-        .action(ArgAction::Append)
-        .num_args(1..)
-        .value_parser(value_parser!(PathBuf))
-        .help("Logs of routers; - for standard input");
     Command::new("story")
         .about("Tells one request's story from the logs of routers")
-        .args([id, logs])
+        .args([id, super::router_logs_arg()])
 }
 
 /// Runs the command.
--- a/crates/path/src/state/tests/contention.rs
+++ b/crates/path/src/state/tests/contention.rs
@@ -5,8 +5,8 @@
 /// End of the shortage, in seconds.
 const SHORTAGE_S: u64 = 5;
 
-/// Number of engines known during the shortage.
-const KNOWN_ENGINES: usize = 1;
+/// Number of engines in the list during the shortage.
+const LISTED_ENGINES: usize = 1;
 
 /// A customer with half of all demand, two with a tenth each and others with little. All engines
 /// together can run six times as much.
@@ -17,15 +17,15 @@
     loads
 }
 
-/// Plays a load during and after a shortage: an owner that knows one engine of six, of which `slots`
-/// may be used, until the list is complete.
+/// Plays a load during and after a shortage: the owner has one engine of six in its list, of which
+/// `slots` may be used, until the list is complete.
 fn after_shortage(slots: u32, load_policy: LoadPolicy, seed: u64) -> Fleet {
     let mut fleet = Fleet::with_policy(load_policy, &loads(), seed);
     fleet.clients_return = true;
-    let mut known = targets();
-    known.truncate(KNOWN_ENGINES);
-    known[0].slots = slots;
-    fleet.owner.registry.apply_list(known, Duration::ZERO);
+    let mut listed = targets();
+    listed.truncate(LISTED_ENGINES);
+    listed[0].slots = slots;
+    fleet.owner.registry.apply_list(listed, Duration::ZERO);
     let mut fleet = fleet.run(Duration::from_secs(SHORTAGE_S));
     let now = Duration::from_secs(SHORTAGE_S);
     fleet.owner.registry.apply_list(targets(), now);
--- a/crates/path/tests/entry_load.rs
+++ b/crates/path/tests/entry_load.rs
@@ -34,7 +34,7 @@
 
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The customer's load begins when routers know the cost of a stream.
+/// The customer's load begins after routers have measured the cost of a stream.
 const FLOOD_FROM: Duration = Duration::from_secs(8);
 
 /// Requests are counted from here on: the platform needs two checks to see that a router is not
