Log answers that are open when the process exits

Cause: the tasks of the process are dropped after its log was last written, so no line says which answers the exit cuts, and what would be logged names the caller as the one who left.

Change: the log is written once more after the tasks are dropped; an open stream is logged as answer_cut with its framing and last event. No decision changes.

--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -133,6 +133,8 @@
     /// Open connections of callers.
     pub(crate) open: Cell<usize>,
     leaving: watch::Sender<Option<Duration>>,
+    /// Whether the process is about to exit.
+    stopped: Cell<bool>,
 }
 
 impl Node {
@@ -176,6 +178,7 @@
             utilization: Cell::new(0.0),
             open: Cell::new(0),
             leaving: watch::Sender::new(None),
+            stopped: Cell::new(false),
             settings,
         })
     }
@@ -226,6 +229,16 @@
         gossip::push_views(self);
     }
 
+    /// Records that the process is about to exit, which cuts all answers that are still open.
+    pub(crate) fn stop(&self) {
+        self.stopped.set(true);
+    }
+
+    /// Whether the process is about to exit.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
     pub(crate) fn watch_leaving(&self) -> watch::Receiver<Option<Duration>> {
         self.leaving.subscribe()
     }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -222,7 +222,12 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        if !self.ended {
+        if self.ended {
+            return;
+        }
+        if self.node.is_stopped() {
+            self.report("answer_cut", "stopped");
+        } else {
             self.report("caller_left", "caller_left");
         }
     }
--- a/crates/path/src/shutdown.rs
+++ b/crates/path/src/shutdown.rs
@@ -74,5 +74,6 @@
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     drop(node.journal.line("stopped").with("cut", node.open.get()));
+    node.stop();
     Ok(())
 }
