Answers without framing are reset when their router exits

Cause: the end of the connection is the end of such an answer, and the kernel closes the sockets of a process that is gone like the process itself does. The router reset a connection only where its own code saw the break.

Change: the socket is set to be reset on close before the first byte of an answer that ends with its connection, and set back once it is whole and written. It holds for whatever ends the process, as the kernel does it; a reset at the end of the drain would leave kills. The same mark covers a caller that closes its sending side, after which the server ended the answer regularly.

--- /dev/null
+++ b/crates/path/src/ending.rs
@@ -0,0 +1,199 @@
+//! Ends of connections whose last message has no framing of its own.
+//!
+//! Such a message is over when its connection is, and the kernel closes the connections of a process
+//! in the same way whether the process has written all of it, exits, or is killed. Therefore a
+//! connection is set to be reset on close before the first byte of the message is written, and is
+//! set back once the message is whole. Whatever ends the process in between, the peer does not take
+//! a part of the message for all of it. A reset may drop bytes that are still to be sent, so
+//! connections whose messages have a length or chunks are left alone.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+/// Sets a connection to be reset when it is closed.
+///
+/// # Errors
+///
+/// If the system rejects the option.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Sets a connection to be closed in the usual way again.
+///
+/// # Errors
+///
+/// If the system rejects the option.
+pub fn close_regularly(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(None)
+}
+
+/// Progress of an answer without framing on a connection, shared by the connection and the body of
+/// the answer.
+#[derive(Clone, Debug, Default)]
+pub struct Marker(Arc<Progress>);
+
+#[derive(Debug, Default)]
+struct Progress {
+    begun: AtomicBool,
+    ended: AtomicBool,
+}
+
+impl Marker {
+    /// Marks the connection: this answer ends with it.
+    #[must_use]
+    pub fn begin<B>(&self, body: B) -> Marked<B> {
+        self.0.begun.store(true, Ordering::Relaxed);
+        Marked {
+            body,
+            marker: Some(self.clone()),
+        }
+    }
+
+    /// Leaves the connection unmarked for an answer with a framing of its own.
+    #[must_use]
+    pub fn pass<B>(&self, body: B) -> Marked<B> {
+        Marked { body, marker: None }
+    }
+
+    fn end(&self) {
+        self.0.ended.store(true, Ordering::Relaxed);
+    }
+
+    fn is_marked(&self) -> bool {
+        self.0.begun.load(Ordering::Relaxed)
+    }
+
+    /// Whether the answer has begun and not ended.
+    fn is_open(&self) -> bool {
+        self.is_marked() && !self.0.ended.load(Ordering::Relaxed)
+    }
+}
+
+/// Body of an answer, which records its end.
+#[derive(Debug)]
+pub struct Marked<B> {
+    body: B,
+    marker: Option<Marker>,
+}
+
+impl<B: Body + Unpin> Body for Marked<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.body).poll_frame(context);
+        if let (Poll::Ready(None), Some(marker)) = (&frame, &this.marker) {
+            marker.end();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // The end of a marked body must be polled.
+        self.marker.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Connection of a caller; an open answer without framing is cut by a reset.
+#[derive(Debug)]
+pub struct Connection {
+    io: TokioIo<TcpStream>,
+    marker: Marker,
+    /// Whether the socket is set to be reset on close.
+    resets: bool,
+}
+
+impl Connection {
+    /// Creates a connection that `marker` marks.
+    #[must_use]
+    pub fn new(stream: TcpStream, marker: Marker) -> Self {
+        Self {
+            io: TokioIo::new(stream),
+            marker,
+            resets: false,
+        }
+    }
+
+    fn io(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
+        Pin::new(&mut self.get_mut().io)
+    }
+
+    /// Sets the socket before the first byte of a marked answer is written.
+    fn prepare_write(&mut self) -> io::Result<()> {
+        if !self.resets && self.marker.is_marked() {
+            reset_on_close(self.io.inner())?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+}
+
+impl Read for Connection {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.io().poll_read(context, buffer)
+    }
+}
+
+impl Write for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
+        self.io().poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
+        self.io().poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.io().poll_flush(context)
+    }
+
+    /// Ends the connection in the usual way, unless a marked answer is open: the connection is then
+    /// reset when it is dropped.
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.marker.is_open() {
+            return Poll::Ready(Ok(()));
+        }
+        if std::mem::take(&mut this.resets) {
+            close_regularly(this.io.inner())?;
+        }
+        Pin::new(&mut this.io).poll_shutdown(context)
+    }
+}
--- a/crates/path/src/framing.rs
+++ b/crates/path/src/framing.rs
@@ -10,10 +10,10 @@
 
 use dunlinward_dispatch::target::Target;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use hyper::http::response;
+use hyper::http::{request, response};
 use hyper::{Method, StatusCode, Version};
 
-use crate::attempt::Job;
+use crate::attempt::{Attempt, Job};
 use crate::interruption;
 use crate::node::Node;
 
@@ -32,11 +32,7 @@
     /// Framing of the answer with this head to a request with this method (RFC 9112, section 6.3).
     #[must_use]
     pub fn new(method: &Method, head: &response::Parts) -> Self {
-        let empty = matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-        if *method == Method::HEAD || empty || head.status.is_informational() {
+        if has_no_body(method, head) {
             return Self::Length;
         }
         let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
@@ -67,6 +63,24 @@
     }
 }
 
+/// Whether an answer has no body, whatever its headers say (RFC 9112, section 6.3).
+fn has_no_body(method: &Method, head: &response::Parts) -> bool {
+    let empty = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    *method == Method::HEAD || empty || head.status.is_informational()
+}
+
+/// What marks the end of a stream towards its caller.
+pub(crate) fn envelope(request: &request::Parts, attempt: &Attempt) -> Framing {
+    // The server sends no chunks to a caller that speaks HTTP/1.0.
+    if request.version == Version::HTTP_10 && !has_no_body(&request.method, &attempt.head) {
+        return Framing::Connection;
+    }
+    attempt.framing
+}
+
 /// What the end of an answer's body proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod clock;
 pub mod continuation;
 pub mod dialect;
+pub mod ending;
 pub mod evacuation;
 pub mod event;
 pub mod exchange;
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -20,7 +20,6 @@
 use dunlinward_dispatch::configuration::Kind;
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::target::Tag;
-use hyper::Version;
 use hyper::body::{Body, Frame};
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep};
@@ -69,8 +68,6 @@
 pub struct Error {
     /// Why.
     pub reason: &'static str,
-    /// Whether the caller can't tell from the framing that the answer is incomplete.
-    pub unframed: bool,
 }
 
 type Item = Option<Result<Bytes, Error>>;
@@ -86,6 +83,8 @@
 /// Body of an answer that is forwarded from a target.
 pub struct Relay {
     phase: Phase,
+    /// What marks the end of the answer to the caller.
+    envelope: Framing,
 }
 
 impl Relay {
@@ -94,10 +93,17 @@
     pub fn new(node: Rc<Node>, job: Rc<Job>, attempt: Attempt, sends: u32) -> Self {
         let stream = Stream::new(node, job, attempt, sends);
         Self {
+            envelope: stream.envelope,
             phase: Phase::Forwarding(Box::new(stream)),
         }
     }
 
+    /// What marks the end of the answer to the caller.
+    #[must_use]
+    pub fn envelope(&self) -> Framing {
+        self.envelope
+    }
+
     /// Polls for the next bytes for the caller.
     pub fn poll_bytes(&mut self, context: &mut Context<'_>) -> Poll<Item> {
         loop {
@@ -264,11 +270,7 @@
         Self {
             splitter: Splitter::new(job.resume_after),
             framing: attempt.framing,
-            envelope: match job.head.version {
-                // The server sends no chunks to such a caller.
-                Version::HTTP_10 => Framing::Connection,
-                _ => attempt.framing,
-            },
+            envelope: framing::envelope(&job.head, &attempt),
             resolution: None,
             incomplete_bytes: 0,
             node,
@@ -618,7 +620,7 @@
         let mut failed = self.end_attempt(reason);
         let mut reason = reason;
         if !self.may_resume() {
-            return Err(self.error(reason));
+            return Err(Error { reason });
         }
         self.report("resumed", reason);
         self.sends += 1;
@@ -631,10 +633,12 @@
         for _ in 0..MAX_RESUME_TARGETS {
             let until = self.job.deadline;
             let Ok(wish) = exchange::placement_request(&self.node, &self.job, failed, until) else {
-                return Err(self.error("no_target"));
+                return Err(Error {
+                    reason: "no_target",
+                });
             };
             let Ok(lease) = self.node.place(wish).await else {
-                return Err(self.error("no_room"));
+                return Err(Error { reason: "no_room" });
             };
             let target = lease.target.tag();
             let limit = self.job.deadline;
@@ -647,7 +651,9 @@
                     return Ok(());
                 }
                 Ok(_) => {
-                    return Err(self.error("not_resumed"));
+                    return Err(Error {
+                        reason: "not_resumed",
+                    });
                 }
                 Err(failure) => {
                     reason = failure.reason;
@@ -659,14 +665,7 @@
                 }
             }
         }
-        Err(self.error(reason))
-    }
-
-    fn error(&self, reason: &'static str) -> Error {
-        Error {
-            reason,
-            unframed: self.envelope == Framing::Connection,
-        }
+        Err(Error { reason })
     }
 
     /// Ends the work of an attempt that failed; returns its target.
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -11,6 +11,7 @@
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+use crate::framing::Framing;
 use crate::relay::Relay;
 
 /// Reason for which a request is refused or given up.
@@ -212,6 +213,18 @@
     Relayed(Box<Relay>),
 }
 
+impl Payload {
+    /// Whether only the end of the caller's connection marks its end.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        match self {
+            Self::Complete(_) => false,
+            Self::Unframed(_) => true,
+            Self::Relayed(relay) => relay.envelope() == Framing::Connection,
+        }
+    }
+}
+
 impl Body for Payload {
     type Data = Bytes;
     type Error = crate::relay::Error;
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -1,9 +1,9 @@
 //! HTTP servers for callers, the platform's readiness checks and operators.
 
 use std::convert::Infallible;
-use std::error::Error as _;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,18 +11,18 @@
 use dunlinward_dispatch::content::Digest;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::rt::Write;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use crate::ending::{self, Marker};
 use crate::exchange;
 use crate::node::Node;
 use crate::pool;
-use crate::relay;
 use crate::shutdown;
 
 /// Limit of connections that wait to be accepted.
@@ -107,16 +107,28 @@
         .map_or(DEFAULT_IDLE_TIMEOUT, |it| it.limits().idle_timeout);
     let head_bytes = node.table().map_or(16 * 1024, |it| it.limits().head_bytes);
     let server = node.clone();
+    let marker = Marker::default();
+    let connection = ending::Connection::new(stream, marker.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let node = server.clone();
-        Box::pin(async move { Ok::<_, Infallible>(exchange::serve(node, request).await) })
+        let (node, marker) = (server.clone(), marker.clone());
+        Box::pin(async move {
+            let response = exchange::serve(node, request).await;
+            let response = response.map(|it| {
+                if it.ends_with_connection() {
+                    marker.begin(it)
+                } else {
+                    marker.pass(it)
+                }
+            });
+            Ok::<_, Infallible>(response)
+        })
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size(head_bytes.max(16 * 1024))
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(connection, service);
     let result = tokio::select! {
         // An answer that broke off was logged for its request.
         result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
@@ -125,23 +137,13 @@
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    close(connection.into_parts().io.into_inner(), result).await;
-    drop(guard);
-}
-
-/// Closes a caller's connection. A regular close would look like the end of an answer that is
-/// framed by its connection, so one that broke off is reset.
-async fn close(mut stream: TcpStream, result: hyper::Result<()>) {
-    let Err(error) = result else {
+    let mut connection = connection.into_parts().io;
+    if result.is_ok() {
         // The caller may have closed it already.
-        drop(stream.shutdown().await);
-        return;
-    };
-    let cause = error.source().and_then(|it| it.downcast_ref());
-    if let Some(relay::Error { unframed: true, .. }) = cause {
-        let socket = socket2::SockRef::from(&stream);
-        drop(socket.set_linger(Some(Duration::ZERO)));
+        drop(poll_fn(|context| Pin::new(&mut connection).poll_shutdown(context)).await);
     }
+    drop(connection);
+    drop(guard);
 }
 
 /// Counts a caller's connection as open until it is dropped.
