--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::ending;
 use crate::node::{Node, PeerDelta};
 
 /// Limit of an encoded view.
@@ -268,13 +269,20 @@
             let view = respond(&node, &request);
             if let Ok(bytes) = encode_response(&view) {
                 // The peer fetches again if this fails.
-                drop(stream.write_all(&bytes).await);
-                drop(stream.shutdown().await);
+                drop(send(&mut stream, &bytes).await);
             }
         });
     }
 }
 
+/// Sends a response, whose end is that of its connection.
+async fn send(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    ending::reset_on_close(stream)?;
+    stream.write_all(bytes).await?;
+    ending::close_regularly(stream)?;
+    stream.shutdown().await
+}
+
 fn respond(node: &Rc<Node>, request: &Request) -> Response {
     let wanted = request.wanted;
     let state = node.state.borrow();
