Log places at targets of another service than was asked for

Cause: sent names the owner that was asked and not the router that granted, nor the number by which an answer finds its request.

Change: an answer keeps its sender; a place at a target of another service is logged with both routers and the number. No decision changes.

--- a/crates/path/src/pending.rs
+++ b/crates/path/src/pending.rs
@@ -33,11 +33,18 @@
     }
 }
 
+/// An owner's answer, and the router that sent it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reply {
+    pub(crate) from: SocketAddr,
+    pub(crate) answer: Answer,
+}
+
 /// Requests that were sent to owners.
 #[derive(Debug, Default)]
 pub struct Pending {
     next: Cell<u64>,
-    waiting: RefCell<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
+    waiting: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
     /// Requests that were abandoned without a place, and when they were first sent.
     abandoned: RefCell<HashMap<u64, Duration>>,
     late: Cell<Late>,
@@ -65,7 +72,7 @@
 
 impl Pending {
     /// Registers a request: its number, and the channel of its answers.
-    pub(crate) fn register(&self) -> (u64, mpsc::UnboundedReceiver<Answer>) {
+    pub(crate) fn register(&self) -> (u64, mpsc::UnboundedReceiver<Reply>) {
         let number = self.next.get();
         self.next.set(number + 1);
         let (sender, answers) = mpsc::unbounded_channel();
@@ -74,9 +81,9 @@
     }
 
     /// Delivers an answer to its request; false if that no longer waits.
-    pub(crate) fn deliver(&self, number: u64, answer: Answer) -> bool {
+    pub(crate) fn deliver(&self, number: u64, reply: Reply) -> bool {
         let waiting = self.waiting.borrow().get(&number).cloned();
-        waiting.is_some_and(|it| it.send(answer).is_ok())
+        waiting.is_some_and(|it| it.send(reply).is_ok())
     }
 
     /// Removes a request that no longer waits.
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::message::{Content, Grant, Request, Wait};
 use dunlinward_dispatch::round_trip::RoundTrip;
 use dunlinward_dispatch::share::Standing;
@@ -21,7 +22,7 @@
 use crate::inbound;
 use crate::lease::{Granter, Lease, Place};
 use crate::node::Node;
-use crate::pending::Answer;
+use crate::pending::{Answer, Reply};
 use crate::reply::{Reason, Refusal};
 use crate::state::{Availability, Claim, Exclusion, PlaceRequest};
 
@@ -280,7 +281,7 @@
     /// Delivers an owner's answer; declines the place if its request no longer waits.
     pub(crate) fn handle_answer(&self, from: SocketAddr, number: u64, answer: Answer) {
         self.state.borrow_mut().members.record_answer(from);
-        if !self.pending.deliver(number, answer) {
+        if !self.pending.deliver(number, Reply { from, answer }) {
             if let Some(time) = self.pending.record_late(number, &answer, self.now()) {
                 self.metrics
                     .time("late_answer_seconds", answer.label(), time);
@@ -328,7 +329,9 @@
     number: u64,
     /// When it was first sent.
     asked: Duration,
-    answers: mpsc::UnboundedReceiver<Answer>,
+    answers: mpsc::UnboundedReceiver<Reply>,
+    /// Router that sent the last answer.
+    answered_by: SocketAddr,
     accepted: bool,
 }
 
@@ -341,6 +344,7 @@
             number,
             asked: node.now(),
             answers,
+            answered_by: owner,
             accepted: false,
         }
     }
@@ -375,17 +379,16 @@
         time: Duration,
         until: Duration,
     ) -> Option<Answer> {
-        let answer = self.receive_answer(time, until).await;
-        if let Some(answer) = &answer {
-            self.node.record_throttle(wish, answer);
-        }
-        answer
+        let Reply { from, answer } = self.receive_reply(time, until).await?;
+        self.answered_by = from;
+        self.node.record_throttle(wish, &answer);
+        Some(answer)
     }
 
-    async fn receive_answer(&mut self, time: Duration, until: Duration) -> Option<Answer> {
+    async fn receive_reply(&mut self, time: Duration, until: Duration) -> Option<Reply> {
         let limit = until.min(self.node.now() + time);
-        if let Some(answer) = self.node.timeout_at(limit, self.answers.recv()).await {
-            return answer;
+        if let Some(reply) = self.node.timeout_at(limit, self.answers.recv()).await {
+            return reply;
         }
         // On a late router, timers fire before the messages that came in time have been read.
         // `timeout_at` has yielded to the event loop once after the deadline, so they are
@@ -407,6 +410,9 @@
             self.node.decline(self.owner, Answer::Grant(grant));
             return Outcome::Failed;
         };
+        if ServiceTag::new(&target.service) != wish.cell.service {
+            self.log_other_service(wish, &target, grant);
+        }
         let state = self.node.state.borrow();
         let bar = state.exclusion_for(&target, wish.allowed, wish.binding, now);
         drop(state);
@@ -442,6 +448,17 @@
 }
 
 impl Query<'_> {
+    /// Logs a place at a target of another service than that of the cell in which it was asked for.
+    fn log_other_service(&self, wish: &PlaceRequest, target: &Target, grant: Grant) {
+        let line = self.node.journal.line("place_of_other_service");
+        let line = line.with("owner", self.owner.to_string());
+        let line = line.with("answered_by", self.answered_by.to_string());
+        let line = line.with("number", grant.number);
+        let line = line.with("target", target.id.as_ref());
+        let line = line.with("service", target.service.as_ref());
+        drop(line.with("cell", format!("{:?}", wish.cell)));
+    }
+
     /// Declines a place at a target that must not be used.
     fn refuse(&self, grant: Grant, target: &Target, bar: Exclusion) {
         let node = self.node;
