--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use dunlinward_dispatch::backoff::Refusal;
+use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::configuration::Route;
 use dunlinward_dispatch::content::Digest;
 use dunlinward_dispatch::continuation::Binding;
@@ -169,7 +170,8 @@
     let binding = job.binding.get();
     let barred = {
         let state = node.state.borrow();
-        state.exclusion_for(&target, job.allowed, binding, now)
+        let service = ServiceTag::new(&job.service);
+        state.exclusion_for(&target, service, job.allowed, binding, now)
     };
     if let Some(bar) = barred {
         node.metrics.add("places_barred", bar.name(), 1);
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -11,7 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::message::{Content, Grant, Request, Wait};
 use dunlinward_dispatch::round_trip::RoundTrip;
 use dunlinward_dispatch::share::Standing;
@@ -410,11 +409,9 @@
             self.node.decline(self.owner, Answer::Grant(grant));
             return Outcome::Failed;
         };
-        if ServiceTag::new(&target.service) != wish.cell.service {
-            self.log_other_service(wish, &target, grant);
-        }
         let state = self.node.state.borrow();
-        let bar = state.exclusion_for(&target, wish.allowed, wish.binding, now);
+        let service = wish.cell.service;
+        let bar = state.exclusion_for(&target, service, wish.allowed, wish.binding, now);
         drop(state);
         if let Some(bar) = bar {
             self.refuse(grant, &target, bar);
@@ -448,24 +445,16 @@
 }
 
 impl Query<'_> {
-    /// Logs a place at a target of another service than that of the cell in which it was asked for.
-    fn log_other_service(&self, wish: &PlaceRequest, target: &Target, grant: Grant) {
-        let line = self.node.journal.line("place_of_other_service");
-        let line = line.with("owner", self.owner.to_string());
-        let line = line.with("answered_by", self.answered_by.to_string());
-        let line = line.with("number", grant.number);
-        let line = line.with("target", target.id.as_ref());
-        let line = line.with("service", target.service.as_ref());
-        drop(line.with("cell", format!("{:?}", wish.cell)));
-    }
-
     /// Declines a place at a target that must not be used.
     fn refuse(&self, grant: Grant, target: &Target, bar: Exclusion) {
         let node = self.node;
         node.metrics.add("places_barred", bar.name(), 1);
         let line = node.journal.line("place_refused");
         let line = line.with("owner", self.owner.to_string());
+        let line = line.with("answered_by", self.answered_by.to_string());
+        let line = line.with("number", grant.number);
         let line = line.with("target", target.id.as_ref());
+        let line = line.with("service", target.service.as_ref());
         drop(line.with("reason", bar.name()));
         node.decline(self.owner, Answer::Grant(grant));
     }
--- a/crates/path/src/state/availability.rs
+++ b/crates/path/src/state/availability.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dunlinward_dispatch::cell::Cell;
+use dunlinward_dispatch::cell::{Cell, ServiceTag};
 use dunlinward_dispatch::continuation::Binding;
 use dunlinward_dispatch::region::Constraint;
 use dunlinward_dispatch::target::{State as Condition, Tag, Target};
@@ -27,6 +27,8 @@
     OutOfRegion,
     /// The stream was begun by another software version.
     OtherVersion,
+    /// It is a target of another service.
+    OtherService,
 }
 
 /// When a cell has a target that may get requests.
@@ -59,6 +61,7 @@
             Self::BackedOff => "backed_off",
             Self::OutOfRegion => "out_of_region",
             Self::OtherVersion => "other_version",
+            Self::OtherService => "other_service",
         }
     }
 }
@@ -86,15 +89,20 @@
         until.map(|_| Exclusion::BackedOff)
     }
 
-    /// Why a target must not get a request of this router's clients that is bound to a software
-    /// version; none if it may.
+    /// Why a target must not get a request of this router's clients for a service that is bound to
+    /// a software version; none if it may.
     pub(crate) fn exclusion_for(
         &self,
         target: &Target,
+        service: ServiceTag,
         allowed: Constraint,
         binding: Binding,
         now: Duration,
     ) -> Option<Exclusion> {
+        // Targets are named by short identities, in messages and here.
+        if ServiceTag::new(&target.service) != service {
+            return Some(Exclusion::OtherService);
+        }
         if !self.admits(binding, target) {
             return Some(Exclusion::OtherVersion);
         }
