--- a/crates/path/src/queue.rs
+++ b/crates/path/src/queue.rs
@@ -48,6 +48,11 @@
     pub(crate) fn matches(&self, peer: Peer, number: u64) -> bool {
         matches!(self, Self::Peer(it) if it.peer == peer && it.number == number)
     }
+
+    /// Whether it is a request of the router `peer`.
+    pub(crate) fn is_of(&self, peer: Peer) -> bool {
+        matches!(self, Self::Peer(it) if it.peer == peer)
+    }
 }
 
 /// A request that waits for capacity.
--- a/crates/path/src/state.rs
+++ b/crates/path/src/state.rs
@@ -311,7 +311,10 @@
                 MemberChange::Updated(descriptor, condition) => {
                     self.members.upsert(descriptor, *condition, now);
                 }
-                MemberChange::Ended(descriptor) => self.members.remove(descriptor),
+                MemberChange::Ended(descriptor) => {
+                    self.members.remove(descriptor);
+                    self.drop_waiting(descriptor.peer);
+                }
             }
         }
         for (address, time) in &effects.round_trips {
@@ -329,6 +332,12 @@
         }
     }
 
+    /// Removes the requests of a start that has ended from the queue: nobody would use their places.
+    /// A router that was wrongly taken to have ended sends its requests again.
+    fn drop_waiting(&mut self, peer: Peer) {
+        self.queue.retain(|it| !it.origin.is_of(peer));
+    }
+
     /// Sets whether this router is overloaded, and announces it.
     pub(crate) fn set_overloaded(&mut self, behind: bool) {
         self.members.set_overloaded(behind);
