Interim answers without end are given up

What was seen: a test with targets that send without end, in a head or a body, at each kind of route. No status line, fields, one field and plain bodies were given up in time; interim answers (100 Continue again and again) were read until the deadline of their request, 4.0 s of 4.

Cause: the HTTP library bounds the head, and skips interim answers before it.

Change: a connection fails once 256 KB have arrived without a head; the request counts as one that may have run, and is repeated only where it may be.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -232,7 +232,7 @@
     let request = request(node, job, lease, resume_after);
     let sent_at = node.now();
     lease.record_sent(job.content, job.prompt.clone());
-    let sent = connection.sender.try_send_request(request);
+    let sent = connection.send(request);
     let sent = await_answer(node, job, lease, sent, limit).await;
     let Some(sent) = sent else {
         close_idle_if_reused(node, lease, &connection);
--- a/crates/path/src/cache_polling.rs
+++ b/crates/path/src/cache_polling.rs
@@ -16,6 +16,7 @@
 use dunlinward_dispatch::region::Constraint;
 use dunlinward_dispatch::target::{Tag, Target};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::TrySendError;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -182,7 +183,8 @@
         request.headers_mut().insert(HOST, host);
     }
     let exchange = async {
-        let response = connection.sender.send_request(request).await;
+        let response = connection.send(request).await;
+        let response = response.map_err(TrySendError::into_error);
         let (head, body) = response.context(HttpSnafu)?.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.context(BodySnafu)?.to_bytes();
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -33,6 +33,7 @@
 
 pub mod admission;
 pub mod attempt;
+mod bounded;
 pub mod cache_polling;
 pub mod clock;
 pub mod continuation;
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -12,14 +12,19 @@
 use bytes::Bytes;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::TcpKeepalive;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::bounded::{Allowance, BUFFER_BYTES, Bounded};
+
 /// Time for which sent bytes may remain unacknowledged before the system closes the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -68,13 +73,45 @@
 /// Connection to a target; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sender of requests.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     task: AbortHandle,
     /// Whether it has carried a request before.
     pub used: bool,
 }
 
+impl Connection {
+    /// Whether it can carry no more requests.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until it can carry a request.
+    ///
+    /// # Errors
+    ///
+    /// If it is closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
+    /// Sends a request; returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// If no answer can be received. The request comes back if no byte of it was sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance.begin();
+        let answer = self.sender.try_send_request(request).await;
+        self.allowance.end();
+        answer
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -157,8 +194,10 @@
         return TimeoutSnafu { address, timeout }.fail();
     };
     let stream = stream.context(ConnectSnafu { address })?;
+    let allowance = Allowance::default();
+    let stream = Bounded::new(stream, allowance.clone());
     let handshake = http1::Builder::new()
-        .max_buf_size(64 * 1024)
+        .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await;
     let (sender, connection) = handshake.context(HandshakeSnafu { address })?;
@@ -166,6 +205,7 @@
     let task = tokio::task::spawn_local(async move { drop(connection.await) });
     Ok(Connection {
         sender,
+        allowance,
         task: task.abort_handle(),
         used: false,
     })
