The answers that are read whole have a bound in memory

What was seen: with all targets sending plain answers without end, 150 at a time, the process reached 613 MB of the 260 that the settings name, so the machine would end it with all that it serves.

Cause: each answer may have 4 MB, and nothing bounded their sum.

Change: when the answers that are being read exceed an eighth of the memory, the longest is given up (dispatch::answer_memory). Its request counts as one that may have run, its target as not failed. The memory comes from the settings; without it nothing changes.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 //! - [`coalescing`]: delays of stream events while a router is under pressure.
 //! - [`message`]: messages between routers.
 
+pub mod answer_memory;
 pub mod backoff;
 pub mod budget;
 pub mod cache;
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -28,6 +28,7 @@
 use hyper::{Request, Response};
 
 use crate::admission;
+use crate::answer;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::continuation;
 use crate::framing::{self, End, Framing};
@@ -50,10 +51,6 @@
 /// route's objective.
 const ANSWER_TIMEOUT_FACTOR: f64 = 0.6;
 
-/// Limit of the body of an answer that is not a stream and is read completely before it is
-/// forwarded.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-
 /// `Retry-After` of requests that are refused by a router that is shutting down; another router can
 /// accept them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -440,7 +437,7 @@
     sends: u32,
 ) -> Result<Response<Payload>, Failure> {
     let limit = answer_limit(node, job, sends.saturating_sub(1));
-    let reading = Limited::new(&mut attempt.body, MAX_ANSWER_BYTES).collect();
+    let reading = answer::read(node, &mut attempt.body);
     let read = node.timeout_at(limit, reading).await;
     let end = match &read {
         Some(Ok(_)) => {
@@ -450,7 +447,16 @@
         _ => End::Interrupted,
     };
     let body = match read {
-        Some(Ok(body)) if end != End::Interrupted => body.to_bytes(),
+        Some(Ok(body)) if end != End::Interrupted => body,
+        Some(Err(answer::Error::GivenUp)) => {
+            // The target has not failed as far as is known.
+            attempt.lease.record_alive();
+            node.metrics.add("answers_given_up", &job.service, 1);
+            return Err(Failure {
+                verdict: Verdict::Unknown,
+                reason: "no_memory",
+            });
+        }
         broken => {
             attempt.lease.record_outcome(Outcome::Bad);
             attempt.lease.record_interruption(match broken {
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -32,6 +32,7 @@
 //! - [`journal`], [`metrics`]: logs and metrics.
 
 pub mod admission;
+pub mod answer;
 pub mod attempt;
 mod bounded;
 pub mod cache_polling;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::answer::Answers;
 use crate::clock::Clock;
 use crate::continuation::search::Queries;
 use crate::continuation::{Synced, stored};
@@ -109,6 +110,7 @@
     pub(crate) gossip: Gossip,
     pub(crate) fetches: Fetches,
     pub(crate) pending: Pending,
+    pub(crate) answers: Answers,
     pub(crate) queries: Queries,
     pub(crate) synced: Synced,
     pub(crate) stream_log: stored::Log,
@@ -161,6 +163,7 @@
             gossip: Gossip::default(),
             fetches: Fetches::default(),
             pending: Pending::new(peer),
+            answers: Answers::new(settings.memory),
             queries: Queries::default(),
             synced: Synced::default(),
             stream_log: stored::Log::default(),
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -45,6 +45,8 @@
     pub heartbeat_interval: Duration,
     /// This router's processor, in thousandths of a core.
     pub millicores: u32,
+    /// Memory of the process in bytes, if it is bounded.
+    pub memory: Option<u64>,
     /// Approximate number of targets per cell.
     pub cell_targets: usize,
     /// Interval between two queries to an engine's cache; zero disables them.
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -91,6 +91,7 @@
         load_policy: LoadPolicy::OFF,
         heartbeat_interval: Duration::from_millis(100),
         millicores: 500,
+        memory: None,
         cell_targets: 48,
         cache_poll_interval: Duration::ZERO,
     }
