A stream is not resumed after a part of an event was forwarded

What callers got: an event longer than 256 KB is forwarded in parts. Found by the test of bytes without end; the deployments' events are far shorter.

Cause: the relay drops the bytes of an incomplete event before it resumes, and did not consider those that were forwarded already.

Change: such a stream is closed without its end.

--- a/crates/path/src/event.rs
+++ b/crates/path/src/event.rs
@@ -15,8 +15,8 @@
     rest: BytesMut,
     /// Bytes of `rest` at the beginning in which no event ends.
     searched: usize,
-    /// Whether the bytes returned last were a part of an event.
-    within: bool,
+    /// Bytes of an incomplete event that were returned already.
+    forwarded: usize,
     last: Option<u64>,
 }
 
@@ -27,7 +27,7 @@
         Self {
             rest: BytesMut::new(),
             searched: 0,
-            within: false,
+            forwarded: 0,
             last,
         }
     }
@@ -36,7 +36,7 @@
     /// `MAX_EVENT_BYTES`.
     pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         let events = if self.rest.is_empty() && ends_event(&bytes) {
-            self.within = false;
+            self.forwarded = 0;
             bytes
         } else {
             self.rest.extend_from_slice(&bytes);
@@ -45,7 +45,10 @@
             if end.is_none() && self.rest.len() <= MAX_EVENT_BYTES {
                 return None;
             }
-            self.within = end.is_none();
+            self.forwarded = match end {
+                Some(_) => 0,
+                None => self.forwarded + self.rest.len(),
+            };
             let end = end.unwrap_or(self.rest.len());
             self.searched -= end;
             self.rest.split_to(end).freeze()
@@ -66,7 +69,13 @@
     /// Whether the bytes so far end within an event. Line ends between events belong to none.
     #[must_use]
     pub fn is_within_event(&self) -> bool {
-        self.within || !self.rest.iter().all(|it| matches!(it, b'\r' | b'\n'))
+        self.forwarded > 0 || !self.rest.iter().all(|it| matches!(it, b'\r' | b'\n'))
+    }
+
+    /// Number of bytes of an incomplete event that were returned already.
+    #[must_use]
+    pub fn forwarded_bytes(&self) -> usize {
+        self.forwarded
     }
 
     /// Number of buffered bytes of an incomplete event.
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -686,8 +686,9 @@
         Some(attempt.lease.target.tag())
     }
 
+    /// Whether another target may go on, which begins with a whole event.
     fn may_resume(&self) -> bool {
-        self.is_resumable() && self.may_repeat()
+        self.is_resumable() && self.splitter.forwarded_bytes() == 0 && self.may_repeat()
     }
 
     /// Whether there is time to send the request again, its content is not quarantined, and the
