An event without end is given up

What was seen: an event without end was forwarded in parts until the deadline of its request, 4.0 s of 4, as fast as its caller read it.

Cause: only the bytes that are held of an event were bounded.

Change: an event of over 4 MB, as long as a plain answer may be, has no end; the answer is closed midway and the target's health receives a failure.

--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -47,6 +47,10 @@
 /// does not fill the router's memory.
 const MAX_HELD_BYTES: usize = 64 * 1024;
 
+/// Limit of the bytes of an event, of which all but the last are forwarded in parts. What is longer
+/// is taken to have no end.
+const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Limit of the parts of a prompt in a log line.
 const MAX_LOGGED_PARTS: usize = 16;
 
@@ -56,6 +60,9 @@
 /// Reason of a failure by an end within an event.
 const WITHIN_EVENT: &str = "within_event";
 
+/// Reason of a failure by an event that is too long.
+const EVENT_TOO_LONG: &str = "event_too_long";
+
 /// Reason of a failure by a target that has terminated at the end of its answer.
 const TARGET_ENDED: &str = "target_ended";
 
@@ -333,6 +340,9 @@
             Chunk::Bytes(bytes) => {
                 self.record_data();
                 let events = self.splitter.push(bytes)?;
+                if self.splitter.forwarded_bytes() > MAX_EVENT_BYTES {
+                    return self.interrupt(EVENT_TOO_LONG);
+                }
                 self.record_begin();
                 self.timing.record(self.node.now());
                 self.record_pause();
@@ -673,7 +683,9 @@
         let attempt = self.attempt.take()?;
         let cause = match reason {
             "expired" => None,
-            CONNECTION_CLOSED | WITHIN_EVENT | TARGET_ENDED | UNPROVEN => Some(Cause::Closed),
+            CONNECTION_CLOSED | WITHIN_EVENT | EVENT_TOO_LONG | TARGET_ENDED | UNPROVEN => {
+                Some(Cause::Closed)
+            }
             _ => Some(Cause::Silent),
         };
         if let Some(cause) = cause {
