--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -7,10 +7,10 @@
 //! a part of the message for all of it. A reset may drop bytes that are still to be sent, so
 //! connections whose messages have a length or chunks are left alone.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -38,22 +38,27 @@
     SockRef::from(stream).set_linger(None)
 }
 
-/// Progress of an answer without framing on a connection, shared by the connection and the body of
-/// the answer.
-#[derive(Clone, Debug, Default)]
-pub struct Marker(Arc<Progress>);
-
-#[derive(Debug, Default)]
-struct Progress {
-    begun: AtomicBool,
-    ended: AtomicBool,
+/// Progress of an answer without framing on a connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Phase {
+    /// There is none.
+    #[default]
+    Unmarked,
+    /// It has begun.
+    Open,
+    /// Its body has ended.
+    Ended,
 }
 
+/// Progress of such an answer, shared by the connection and the body.
+#[derive(Clone, Debug, Default)]
+pub struct Marker(Rc<Cell<Phase>>);
+
 impl Marker {
     /// Marks the connection: this answer ends with it.
     #[must_use]
     pub fn begin<B>(&self, body: B) -> Marked<B> {
-        self.0.begun.store(true, Ordering::Relaxed);
+        self.0.set(Phase::Open);
         Marked {
             body,
             marker: Some(self.clone()),
@@ -65,19 +70,6 @@
     pub fn pass<B>(&self, body: B) -> Marked<B> {
         Marked { body, marker: None }
     }
-
-    fn end(&self) {
-        self.0.ended.store(true, Ordering::Relaxed);
-    }
-
-    fn is_marked(&self) -> bool {
-        self.0.begun.load(Ordering::Relaxed)
-    }
-
-    /// Whether the answer has begun and not ended.
-    fn is_open(&self) -> bool {
-        self.is_marked() && !self.0.ended.load(Ordering::Relaxed)
-    }
 }
 
 /// Body of an answer, which records its end.
@@ -98,7 +90,7 @@
         let this = self.get_mut();
         let frame = Pin::new(&mut this.body).poll_frame(context);
         if let (Poll::Ready(None), Some(marker)) = (&frame, &this.marker) {
-            marker.end();
+            marker.0.set(Phase::Ended);
         }
         frame
     }
@@ -139,7 +131,7 @@
 
     /// Sets the socket before the first byte of a marked answer is written.
     fn prepare_write(&mut self) -> io::Result<()> {
-        if !self.resets && self.marker.is_marked() {
+        if !self.resets && self.marker.0.get() != Phase::Unmarked {
             reset_on_close(self.io.inner())?;
             self.resets = true;
         }
@@ -188,7 +180,7 @@
     /// reset when it is dropped.
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.marker.is_open() {
+        if this.marker.0.get() == Phase::Open {
             return Poll::Ready(Ok(()));
         }
         if std::mem::take(&mut this.resets) {
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -47,8 +47,7 @@
 /// does not fill the router's memory.
 const MAX_HELD_BYTES: usize = 64 * 1024;
 
-/// Limit of the bytes of an event, of which all but the last are forwarded in parts. What is longer
-/// is taken to have no end.
+/// Limit of the length of an event; a longer one is taken to have no end.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Limit of the parts of a prompt in a log line.
