--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -11,7 +11,9 @@
 //!   lines, and the summary of many refusals.
 //! - [`admission`]: checks of a request against the configuration in force; [`intake`]: admission
 //!   control by the utilization of the processor.
-//! - [`pool`], [`attempt`]: connections to targets, and one attempt at a target.
+//! - [`pool`], `bounded`, [`attempt`]: connections to targets, and one attempt at a target.
+//! - [`framing`], [`ending`], [`answer`]: what the end of an answer proves, how a caller sees that it
+//!   was cut, and answers that are read whole.
 //! - [`event`], [`relay`]: event streams, and their resumption at another target; [`continuation`]:
 //!   the software version that a stream is bound to.
 //! - [`place`], [`pending`], [`owner`], `lending`: placement of requests, by the router that owns a
