--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`admission`]: checks of a request against the configuration in force; [`intake`]: admission
 //!   control by the utilization of the processor.
 //! - [`pool`], `bounded`, [`attempt`]: connections to targets, and one attempt at a target.
-//! - [`framing`], [`ending`], [`answer`]: what the end of an answer proves, how a caller sees that it
+//! - [`framing`], [`ending`], `answer`: what the end of an answer proves, how a caller sees that it
 //!   was cut, and answers that are read whole.
 //! - [`event`], [`relay`]: event streams, and their resumption at another target; [`continuation`]:
 //!   the software version that a stream is bound to.
@@ -34,7 +34,7 @@
 //! - [`journal`], [`metrics`]: logs and metrics.
 
 pub mod admission;
-pub mod answer;
+mod answer;
 pub mod attempt;
 mod bounded;
 pub mod cache_polling;
