--- a/crates/path/src/framing.rs
+++ b/crates/path/src/framing.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Whether an answer has no body, whatever its headers say (RFC 9112, section 6.3).
+/// Whether an answer has no body, regardless of its headers (RFC 9112, section 6.3).
 fn has_no_body(method: &Method, head: &response::Parts) -> bool {
     let empty = matches!(
         head.status,
