Shares are used at a bounded pace

Cause: the account is a window with an edge. Whoever is granted a whole share before there is a level gets nothing until it leaves the window, and then all of it again; nothing damps this. Change: a customer whose tokens lie in the newest half of the window to more than 1.3 times the part of all customers counts as having used what this pace comes to over the window.

--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -30,6 +30,19 @@
 /// Number of parts into which the window is divided.
 const WINDOW_PARTS: usize = 8;
 
+/// Number of the newest window parts over which the pace of a customer is measured.
+const PACE_PARTS: usize = WINDOW_PARTS / 2;
+
+/// Part of the tokens of the window that is recent at an even pace.
+const EVEN_PART: f64 = 0.5;
+
+/// Pace at which a customer may use its share, relative to that of all customers: one that has asked
+/// for nothing for a part of the window may still catch up.
+const MAX_PACE: f64 = 1.3;
+
+/// The pace of a customer counts unless more than one part in this many of its tokens was not used.
+const UNUSED_DIVISOR: u64 = 4;
+
 /// Age up to which a computed level is reused.
 const LEVEL_MAX_AGE: Duration = Duration::from_millis(50);
 
@@ -59,6 +72,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Account {
     parts: [Tokens; WINDOW_PARTS],
+    /// Granted tokens of which the place is known to be used, by part.
+    used: [u64; WINDOW_PARTS],
     /// Number of the newest window part.
     newest: u64,
 }
@@ -69,20 +84,54 @@
         let steps = number.saturating_sub(self.newest).min(WINDOW_PARTS as u64);
         for step in 0..steps {
             self.parts[index(number - step)] = Tokens::default();
+            self.used[index(number - step)] = 0;
         }
         self.newest = self.newest.max(number);
         &mut self.parts[index(number)]
     }
 
+    /// Whether a charge lies within the window.
+    fn covers(&mut self, charge: Charge, number: u64) -> bool {
+        self.part(number);
+        self.newest.saturating_sub(charge.part) < WINDOW_PARTS as u64
+    }
+
     /// Refunds a charge, unless it has left the window.
     fn refund(&mut self, charge: Charge, number: u64) {
-        self.part(number);
-        if self.newest.saturating_sub(charge.part) < WINDOW_PARTS as u64 {
+        if self.covers(charge, number) {
             let part = &mut self.parts[index(charge.part)];
             part.granted = part.granted.saturating_sub(charge.tokens);
+            let used = &mut self.used[index(charge.part)];
+            *used = (*used).min(part.granted);
+        }
+    }
+
+    /// Records that the place of a charge is used.
+    fn confirm(&mut self, charge: Charge, number: u64) {
+        if self.covers(charge, number) {
+            let granted = self.parts[index(charge.part)].granted;
+            let used = &mut self.used[index(charge.part)];
+            *used = (*used + charge.tokens).min(granted);
         }
     }
 
+    /// Tokens granted in the newest [`PACE_PARTS`] parts, and in the whole window.
+    fn pace(&mut self, number: u64) -> Pace {
+        self.part(number);
+        let recent = (0..PACE_PARTS as u64).map(|step| number.saturating_sub(step));
+        Pace {
+            recent: recent.map(|it| self.parts[index(it)].granted).sum(),
+            all: self.parts.iter().map(|it| it.granted).sum(),
+        }
+    }
+
+    /// Whether some places were confirmed, and more than one in [`UNUSED_DIVISOR`] was not.
+    fn has_unused(&mut self, number: u64) -> bool {
+        let granted = self.sum(number).granted;
+        let used: u64 = self.used.iter().sum();
+        used > 0 && used < granted - granted / UNUSED_DIVISOR
+    }
+
     pub(crate) fn sum(&mut self, number: u64) -> Tokens {
         self.part(number);
         self.parts.iter().fold(Tokens::default(), |sum, it| Tokens {
@@ -97,6 +146,31 @@
     (number % WINDOW_PARTS as u64) as usize
 }
 
+/// Tokens granted in a part of the window and in all of it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    recent: u64,
+    all: u64,
+}
+
+impl Pace {
+    /// Part of the tokens that is recent.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "token counts are far below 2^52"
+    )]
+    fn recent_part(self) -> f64 {
+        self.recent as f64 / self.all.max(1) as f64
+    }
+
+    fn with(self, other: Self) -> Self {
+        Self {
+            recent: self.recent + other.recent,
+            all: self.all + other.all,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct PeerUsage {
     /// When it was received.
@@ -118,7 +192,8 @@
 /// Usage of a customer and its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
-    /// Tokens granted to it by all routers within the window.
+    /// Tokens granted to it by all routers within the window, or those at its recent pace if these
+    /// are more.
     pub granted: u64,
     /// Tokens that each customer may use; `None` while all demand is met.
     pub level: Option<u64>,
@@ -153,6 +228,8 @@
     level_at: Option<Duration>,
     /// Tokens granted within the window when the level was computed.
     granted: Granted,
+    /// Pace of all customers at this router at that time.
+    pace: Pace,
 }
 
 /// Tokens granted to all customers within the window.
@@ -205,6 +282,7 @@
             level: Level::default(),
             level_at: None,
             granted: Granted::default(),
+            pace: Pace::default(),
         }
     }
 
@@ -280,6 +358,14 @@
         }
     }
 
+    /// Records that the place of a charge is used.
+    pub fn confirm(&mut self, charge: Charge, now: Duration) {
+        let number = self.number(now);
+        if let Some(account) = self.own.get_mut(&charge.customer) {
+            account.confirm(charge, number);
+        }
+    }
+
     /// Refunds the charge for a place that is not used.
     pub fn refund(&mut self, charge: Charge, now: Duration) {
         let number = self.number(now);
@@ -331,7 +417,7 @@
         let Some(level) = self.level.tokens else {
             return 1.0;
         };
-        let used = self.granted(customer, now) + tokens;
+        let used = self.used(customer, now) + tokens;
         #[expect(
             clippy::cast_precision_loss,
             reason = "token counts are far below 2^52"
@@ -361,6 +447,8 @@
             own: own.sum(),
             fleet: granted,
         };
+        let paces = self.own.values_mut().map(|it| it.pace(number));
+        self.pace = paces.fold(Pace::default(), Pace::with);
         let asked: u64 = all.iter().map(|it| it.asked).sum();
         // Without any grant, no engine has been seen to run, so all may use what there is.
         let contended = granted > 0 && asked > granted + granted / CONTENTION_DIVISOR;
@@ -381,7 +469,7 @@
     /// Current usage and limit of a customer.
     pub fn standing(&mut self, customer: CustomerTag, now: Duration) -> Standing {
         Standing {
-            granted: self.granted(customer, now),
+            granted: self.used(customer, now),
             level: self.level.tokens,
         }
     }
@@ -421,6 +509,33 @@
         })
     }
 
+    /// Tokens that a customer counts as having used within the window: those granted to it, or those
+    /// that it would be granted at its recent pace if these are more. Without the pace, a customer
+    /// gets its share in one burst, and the next one when that leaves the window, for as long as it
+    /// floods. A customer of which many places are not used has no known pace: some of its charges
+    /// are refunded later.
+    fn used(&mut self, customer: CustomerTag, now: Duration) -> u64 {
+        let granted = self.granted(customer, now);
+        let number = self.number(now);
+        let Some(account) = self.own.get_mut(&customer) else {
+            return granted;
+        };
+        if account.has_unused(number) {
+            return granted;
+        }
+        // Other owners report sums of the window, so they are taken to grant at the same pace.
+        let part = account.pace(number).recent_part();
+        let usual = self.pace.recent_part().max(EVEN_PART);
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "token counts are far below 2^52"
+        )]
+        let at_pace = (granted as f64 * part / (usual * MAX_PACE)) as u64;
+        granted.max(at_pace)
+    }
+
     /// Tokens granted to a customer by all routers within the window.
     pub fn granted(&mut self, customer: CustomerTag, now: Duration) -> u64 {
         let number = self.number(now);
--- a/crates/path/src/state/leases.rs
+++ b/crates/path/src/state/leases.rs
@@ -68,6 +68,9 @@
                 number: *number,
             };
             let lease = self.grants.confirm(request);
+            if let Some(charge) = lease.and_then(|it| it.charge) {
+                self.shares.confirm(charge, now);
+            }
             if let Some(prefix) = lease.and_then(|it| it.prefix) {
                 self.prefixes.confirm_grant(prefix, now);
             }
--- a/crates/path/src/state/placement.rs
+++ b/crates/path/src/state/placement.rs
@@ -374,6 +374,9 @@
             self.returns.place(content);
         }
         let charge = self.charge(request, now);
+        if let Some(charge) = charge {
+            self.shares.confirm(charge, now);
+        }
         Place {
             target: choice.target,
             cell: request.cell,
