Connections are handed over before the processor is used up

Cause: its limit is known only after ten streams, and most of the cost of a stream, served or forwarded, is still to come when it is accepted; the debt grew while the measured limit fell. Change: connections are handed over from 0.65 of the permitted utilization on, known limit or not, and in debt too while some processor is left. No offers for 0.2 s after all neighbours have declined.

--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -23,12 +23,14 @@
 //!   bucket of their own, filled at most of what duties and refusals leave.
 //!
 //! A new connection is handed over to a neighbour while less than the reserve, a part of the burst,
-//! is left, as forwarding bytes costs a fraction of serving a stream. So what arrives beyond the
-//! limit is mostly served elsewhere and not refused. A router takes connections of a neighbour only
-//! while more than that is left of its own burst, and it does not hand them on.
+//! is left, or the measured utilization leaves no room for forwarding the others: forwarding bytes
+//! costs a fraction of serving a stream, and much of it is still to come when a connection is
+//! accepted. So what arrives beyond the limit is mostly served elsewhere and not refused. A router
+//! takes connections of a neighbour only while neither holds for itself, and it does not hand them
+//! on.
 //!
-//! Invariants: nothing is refused or handed over without a neighbour, before `MIN_UNITS` units were
-//! measured, or while work arrives at less than the limit.
+//! Invariants: nothing is refused without a neighbour that can take the retry, before `MIN_UNITS`
+//! units were measured, or while work arrives at less than the limit.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -52,6 +54,9 @@
 /// use it.
 pub const HANDOVER_RESERVE: f64 = 0.5;
 
+/// Utilization from which new connections are handed over, as a fraction of the target.
+const HANDOVER_UTILIZATION: f64 = 0.65;
+
 /// Units that must be measured before the cost is used: fewer may be one stream with a cold start.
 const MIN_UNITS: f64 = 10.0;
 
@@ -423,19 +428,28 @@
     /// Whether the next connection should be handed over to a neighbour. In deep debt it is not, as
     /// a refusal costs less than forwarding.
     pub fn should_hand_over(&mut self, now: Duration) -> bool {
-        let Some(limit) = self.limit.filter(|_| self.reserve > 0.0) else {
-            return false;
-        };
-        !self.has_reserve(now) && self.bucket.tokens > -limit.units * MAX_DEBT
+        self.is_on() && self.reserve > 0.0 && !self.has_reserve(now) && !self.is_exhausted()
+    }
+
+    /// Whether the processor is used up and the debt is largest.
+    fn is_exhausted(&self) -> bool {
+        let in_debt = |limit: Limit| self.bucket.tokens <= -limit.units * MAX_DEBT;
+        self.utilization >= self.target && self.limit.is_some_and(in_debt)
     }
 
     /// Whether enough of the burst is left to take a connection of a neighbour.
     pub fn has_reserve(&mut self, now: Duration) -> bool {
+        if self.reserve <= 0.0 {
+            return false;
+        }
+        if self.is_on() && self.utilization >= self.target * HANDOVER_UTILIZATION {
+            return false;
+        }
         let Some(limit) = self.limit else {
-            return self.reserve > 0.0;
+            return true;
         };
         self.bucket.refill(limit.units, now);
-        self.reserve > 0.0 && self.bucket.tokens >= burst(limit.units) * self.reserve
+        self.bucket.tokens >= burst(limit.units) * self.reserve
     }
 
     /// Records a request that is forwarded to a neighbour.
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -45,6 +45,10 @@
 /// domain, and a fraction of the shortest objective of a stream.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Pause after all neighbours that were asked have declined: while a whole failure domain is short,
+/// offers would take processor time from requests.
+const DECLINED_PAUSE: Duration = Duration::from_millis(200);
+
 /// Limit of connections that are forwarded at a time, each with two buffers.
 const MAX_HANDED_OVER: usize = 1_024;
 
@@ -56,6 +60,8 @@
 pub struct Handovers {
     open: Cell<usize>,
     counts: Cell<Counts>,
+    /// Until when no connection is offered.
+    paused_until: Cell<Duration>,
     /// Changes whenever a connection may no longer be bound to what it was.
     changes: watch::Sender<u64>,
 }
@@ -65,6 +71,7 @@
         Self {
             open: Cell::default(),
             counts: Cell::default(),
+            paused_until: Cell::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -169,6 +176,9 @@
 /// to the neighbour that takes it.
 async fn offer(node: &Rc<Node>) -> Option<(u64, TcpStream)> {
     let version = node.table()?.version();
+    if node.now() < node.handovers.paused_until.get() {
+        return None;
+    }
     if node.leaving_since().is_some() || node.handovers.open.get() >= MAX_HANDED_OVER {
         return None;
     }
@@ -188,6 +198,8 @@
         };
         count(node, |it| it.declined += 1, result);
     }
+    let paused_until = node.now() + DECLINED_PAUSE;
+    node.handovers.paused_until.set(paused_until);
     None
 }
 
