A single listed version is no proof that there was no other

Cause: no evidence of another version was taken for evidence of no other version. While a service has one version nothing is logged, so the log is empty if that version is replaced while all routers are down; and a log that could not be read within 150 ms counted as empty. Ruled out: notes of the last 0.1 s before a kill; they lead to refusals. Change: the store has a record for each version of a service, written before a list that names a new version is applied, and when the last target of one has ended. In its first minute a router binds a stream to the only version that it knows if the records were read and name no other; else it searches. Evidence: a_single_version_that_is_replaced_during_a_kill_of_all_routers_is_not_continued and a_log_of_streams_that_cannot_be_read_is_no_proof_of_a_single_version failed before (200 instead of 503 each); streams_of_a_single_version_go_on_after_a_kill_of_all_routers passes before and after.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -77,3 +77,4 @@
 pub mod target;
 pub mod throttle;
 pub mod usage;
+pub mod version_record;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -24,6 +24,7 @@
 use crate::leaving::Notices;
 use crate::region::{Region, Regions};
 use crate::target::{State, Tag, Target, Version};
+use crate::version_record::Lineage;
 
 mod delta;
 mod incarnations;
@@ -419,6 +420,11 @@
         self.versions.of(service, now)
     }
 
+    /// Software versions that have targets.
+    pub fn present_versions(&self) -> impl Iterator<Item = Lineage> + '_ {
+        self.versions.present()
+    }
+
     /// Services with targets of which [`Registry::versions`] names several versions.
     #[must_use]
     pub fn mixed_services(&self, now: Duration) -> Vec<ServiceTag> {
--- a/crates/dispatch/src/registry/versions.rs
+++ b/crates/dispatch/src/registry/versions.rs
@@ -7,6 +7,7 @@
 use crate::cell::ServiceTag;
 use crate::continuation::RETENTION;
 use crate::target::{Target, Version};
+use crate::version_record::Lineage;
 
 /// Software version of a target, if known.
 type Software = Option<Version>;
@@ -83,6 +84,17 @@
         versions
     }
 
+    /// Known versions that have targets.
+    pub(super) fn present(&self) -> impl Iterator<Item = Lineage> + '_ {
+        self.present.iter().flat_map(|(service, versions)| {
+            let known = versions.keys().filter_map(|it| *it);
+            known.map(|version| Lineage {
+                service: *service,
+                version,
+            })
+        })
+    }
+
     /// Services that [`Versions::of`] names several versions of.
     pub(super) fn mixed(&self, now: Duration) -> Vec<ServiceTag> {
         let mut services: Vec<_> = self.present.keys().copied().collect();
--- a/crates/path/src/continuation.rs
+++ b/crates/path/src/continuation.rs
@@ -23,6 +23,7 @@
 use dunlinward_dispatch::target::{Target, Version};
 use dunlinward_dispatch::usage::Peer;
 
+pub(crate) mod recorded;
 pub(crate) mod search;
 pub mod stored;
 
@@ -74,11 +75,13 @@
     let Some(stream) = stream(job).filter(|_| resumes(job)) else {
         return Ok(());
     };
-    if versions(node, job).len() == 1 {
-        stored::learn_versions(node).await;
-    }
+    let proven = match versions(node, job).as_slice() {
+        [Some(_)] => stored::prove_single_version(node, ServiceTag::new(&job.service)).await,
+        _ => true,
+    };
     let versions = versions(node, job);
     if let [software] = versions.as_slice()
+        && proven
         && !may_lack_versions(node)
     {
         // All targets have the same version, or can't be distinguished.
@@ -169,6 +172,7 @@
 /// Sends the notes of this router's streams to routers that have become their keepers, and, once a
 /// service has a second version, those of streams that began before.
 pub(crate) fn sync(node: &Node) {
+    node.version_records.announce_change();
     let now = node.now();
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
--- a/crates/path/src/continuation/stored.rs
+++ b/crates/path/src/continuation/stored.rs
@@ -3,16 +3,18 @@
 //! Ledgers are lost when all routers are killed at once. The notes of streams of
 //! services with several versions are therefore also appended to a log, by one router for all: the
 //! others send it theirs in batches, so the number of calls does not depend on the size of the
-//! fleet. No event waits for that. The log is read only for a stream that no router has recorded, and once
-//! by a router that has just started and may have missed that a version has ended.
+//! fleet. No event waits for that. The log is read for a stream that no router has recorded, and by
+//! a router that has just started and may have missed that a version has ended.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use dunlinward_dispatch::continuation::{MAX_NOTES, MAX_RESENT_AGE, Note, Report};
+use dunlinward_dispatch::cell::ServiceTag;
+use dunlinward_dispatch::continuation::{MAX_NOTES, MAX_RESENT_AGE, Note, RETENTION, Report};
 use dunlinward_dispatch::member::Duty;
 use dunlinward_dispatch::message::Content;
+use dunlinward_dispatch::version_record::Record;
 use tokio::sync::{Notify, watch};
 
 use crate::node::Node;
@@ -27,12 +29,18 @@
 /// Time for which a request waits for the log to be read if one version is known.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after its start in which a router may have missed that a version has ended.
-const UNCERTAIN_TIME: Duration = Duration::from_secs(20);
-
 /// Limit of notes that wait to be appended; the oldest are dropped.
 const MAX_QUEUED: usize = 1 << 14;
 
+/// What was read of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Notes of the log of streams.
+    pub notes: Vec<Note>,
+    /// Records of the versions of services.
+    pub versions: Vec<Record>,
+}
+
 /// Notes on their way to the log, and reads of it.
 #[derive(Debug)]
 pub struct Log {
@@ -132,12 +140,18 @@
     }
 }
 
-/// Reads the log once after the start, as this router may have missed that a version has ended: if
-/// all routers were killed, no other one has recorded it. If that fails, the listed versions count.
-pub(super) async fn learn_versions(node: &Rc<Node>) {
-    if node.now() < UNCERTAIN_TIME && !node.stream_log.read_once.get() {
+/// Whether a service of which this router knows one version has had no other recently. After its
+/// start the router may have missed that a version has ended: if all routers were killed, only the
+/// store has a record of that. Without such a record nothing is proven, as it may have been lost or
+/// written by an earlier release.
+pub(super) async fn prove_single_version(node: &Rc<Node>, service: ServiceTag) -> bool {
+    if node.now() >= RETENTION {
+        return true;
+    }
+    if !node.stream_log.read_once.get() || !node.version_records.names(service) {
         read(node, CHECK_TIMEOUT).await;
     }
+    node.stream_log.read_once.get() && node.version_records.names(service)
 }
 
 impl Node {
@@ -172,18 +186,21 @@
         log.requested.get()
     }
 
-    /// Records the result of a read of the log of streams; `None` if it failed.
-    pub fn end_stream_read(&self, number: u64, notes: Option<&[Note]>) {
-        if let Some(notes) = notes {
+    /// Records the result of a read of the log of streams and of the versions of services; `None`
+    /// if it failed.
+    pub fn end_stream_read(&self, number: u64, stored: Option<&Stored>) {
+        if let Some(Stored { notes, versions }) = stored {
             super::record_notes(self, notes);
+            self.record_versions(versions);
             self.stream_log.read_once.set(true);
         }
-        let result = if notes.is_some() { "read" } else { "failed" };
+        let result = if stored.is_some() { "read" } else { "failed" };
         self.metrics.add("stream_log", result, 1);
         let line = self.journal.line("stream_log_read");
-        drop(line.with("notes", notes.map(<[Note]>::len)));
+        let line = line.with("notes", stored.map(|it| it.notes.len()));
+        drop(line.with("versions", stored.map(|it| it.versions.len())));
         self.stream_log
             .ended
-            .send_replace((number, notes.is_some()));
+            .send_replace((number, stored.is_some()));
     }
 }
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -23,6 +23,7 @@
 
 use crate::answer::Answers;
 use crate::clock::Clock;
+use crate::continuation::recorded::Records;
 use crate::continuation::search::Queries;
 use crate::continuation::{Synced, stored};
 use crate::dialect::Dialect;
@@ -116,6 +117,7 @@
     pub(crate) queries: Queries,
     pub(crate) synced: Synced,
     pub(crate) stream_log: stored::Log,
+    pub(crate) version_records: Records,
     pub(crate) overload: Detector,
     /// Admission control by utilization.
     pub intake: Gate,
@@ -170,6 +172,7 @@
             queries: Queries::default(),
             synced: Synced::default(),
             stream_log: stored::Log::default(),
+            version_records: Records::default(),
             overload: Detector::default(),
             intake: Gate::new(&settings),
             observations: RefCell::default(),
