The pace of a customer counts only while there is a level

Cause: the standing in grants and waits took the pace into account also without contention, where nothing had been granted before and any first grant looks like a burst. No decision was affected, as a share has a ratio of 1 then; routers' logs and the account that callers of the owner see were. Change: without a level the standing is what was granted.

--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -192,8 +192,8 @@
 /// Usage of a customer and its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
-    /// Tokens granted to it by all routers within the window, or those at its recent pace if these
-    /// are more.
+    /// Tokens granted to it by all routers within the window, or, while there is a level, those at
+    /// its recent pace if these are more.
     pub granted: u64,
     /// Tokens that each customer may use; `None` while all demand is met.
     pub level: Option<u64>,
@@ -512,10 +512,13 @@
     /// Tokens that a customer counts as having used within the window: those granted to it, or those
     /// that it would be granted at its recent pace if these are more. Without the pace, a customer
     /// gets its share in one burst, and the next one when that leaves the window, for as long as it
-    /// floods. A customer of which many places are not used has no known pace: some of its charges
+    /// floods. While all demand is met there is no pace. A customer of which many places are not used has no known pace: some of its charges
     /// are refunded later.
     fn used(&mut self, customer: CustomerTag, now: Duration) -> u64 {
         let granted = self.granted(customer, now);
+        if self.level.tokens.is_none() {
+            return granted;
+        }
         let number = self.number(now);
         let Some(account) = self.own.get_mut(&customer) else {
             return granted;
