A declined offer is answered

Cause: a neighbour that declined closed the connection, so the offer was counted as unreachable and an operator could not tell a failure domain without room from routers that are gone. Change: it answers with one byte. Ruled out: no decision depends on it.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -38,8 +38,9 @@
 /// not empty, and an earlier release closes the connection.
 pub(crate) const OFFER_MARK: u16 = 0;
 
-/// Reply of a neighbour that takes the connection.
+/// Replies of a neighbour.
 const TAKEN: u8 = 1;
+const DECLINED: u8 = 0;
 
 /// Time within which a neighbour must take a connection: some round trips within the failure
 /// domain, and a fraction of the shortest objective of a stream.
@@ -102,7 +103,7 @@
     }
 }
 
-/// What a neighbour must know to take a connection.
+/// Offer of a connection to a neighbour.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
     /// Router that forwards the connection.
@@ -222,7 +223,8 @@
     let healthy = node.state.borrow().members.condition() == Condition::Healthy;
     let takes =
         healthy && node.ready() && offer.holds(&node) && node.intake.has_reserve(node.now());
-    if !takes || stream.write_u8(TAKEN).await.is_err() {
+    let reply = if takes { TAKEN } else { DECLINED };
+    if stream.write_u8(reply).await.is_err() || !takes {
         return;
     }
     let line = node.journal.line("connection_taken");
