--- a/crates/dispatch/src/version_record.rs
+++ b/crates/dispatch/src/version_record.rs
@@ -11,7 +11,7 @@
 //! Invariants: a version that has served within [`RETENTION`] is recorded, unless the store took no
 //! record when its first target came. A record is never taken for the end of a version; only a list
 //! of targets is. A version that is recorded as present and is not listed counts as having ended
-//! just now, as nobody knows when it did.
+//! just now, as the time is unknown.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/path/src/continuation/recorded.rs
+++ b/crates/path/src/continuation/recorded.rs
@@ -5,7 +5,7 @@
 //! list, so that no stream begins at a version without a record. The router that stores notes of
 //! streams compares all records with its list of targets whenever the versions with targets change,
 //! and records which have ended. Each router reads them once, at the first resumption after its start
-//! for which it knows one version only.
+//! of a service of one known version.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/crates/path/src/continuation/stored.rs
+++ b/crates/path/src/continuation/stored.rs
@@ -140,7 +140,7 @@
     }
 }
 
-/// Whether a service of which this router knows one version has had no other recently. After its
+/// Whether a service of one known version has had no other recently. After its
 /// start the router may have missed that a version has ended: if all routers were killed, only the
 /// store has a record of that. Without such a record nothing is proven, as it may have been lost or
 /// written by an earlier release.
