Ends of forwarded connections that leave a request without an answer are logged

Cause: not known. A request that was forwarded to a neighbour and got no answer left no line at either router: a regular end of the neighbour's connection counted as nothing. Ruled out: nothing yet. Change: the first router logs such an end with its cause, the versions of the configuration and whether it shuts down; the neighbour logs bytes that it left unread. No decision is changed.

--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Discards the bytes that were received and not read, up to a limit; returns their number.
+    pub(crate) fn discard_unread(&self) -> usize {
+        self.io.inner().try_read(&mut [0; 1_024]).unwrap_or(0)
+    }
+
     fn io(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
         Pin::new(&mut self.get_mut().io)
     }
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -235,6 +235,19 @@
     drop(guard);
 }
 
+/// Logs the end of a connection that a neighbour forwards, if it leaves bytes `unread`.
+pub(crate) fn log_end(node: &Node, offer: Offer, unread: usize) {
+    if unread == 0 {
+        return;
+    }
+    let line = node.journal.line("forwarded_bytes_unread");
+    let line = line.with("peer", offer.from.to_string());
+    let version = node.table().map(|it| it.version());
+    let line = line.with("bound", offer.configuration);
+    let line = line.with("version", version).with("bytes", unread);
+    drop(line.with("released", !offer.holds(node)));
+}
+
 /// Returns once this router must end a connection that a neighbour forwards.
 pub(crate) async fn released(node: &Node, offer: Offer) {
     let mut changes = node.handovers.changes.subscribe();
@@ -254,6 +267,17 @@
     answering: Notify,
 }
 
+/// What ended a connection that was forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The neighbour closed it in the usual way.
+    Neighbor,
+    /// The client closed it.
+    Client,
+    /// The client sent a request after the connection was released.
+    Released,
+}
+
 /// Forwards a connection until it ends; no request passes once another configuration than `version`
 /// is in force.
 ///
@@ -275,17 +299,19 @@
         asking: Cell::new(false),
         answering: Notify::new(),
     };
-    let answered = {
+    let peer = neighbor.peer_addr()?;
+    let end = {
         let (from_caller, to_caller) = caller.split();
         let (from_neighbor, to_neighbor) = neighbor.split();
         let answers = forwarding.copy_answers(from_neighbor, to_caller);
         let requests = forwarding.copy_requests(from_caller, to_neighbor);
         tokio::select! {
-            result = answers => result.map(|()| true)?,
-            () = requests => false,
+            result = answers => result,
+            end = requests => Ok(end),
         }
     };
-    if answered {
+    forwarding.log_cut(peer, &end);
+    if end? == End::Neighbor {
         ending::close_regularly(&caller)?;
         // The client may have closed it already.
         drop(caller.shutdown().await);
@@ -300,39 +326,58 @@
         version == Some(self.version) && self.node.leaving_since().is_none()
     }
 
+    /// Logs the end of a connection that leaves a request without an answer.
+    fn log_cut(&self, peer: SocketAddr, end: &io::Result<End>) {
+        let cause = match end {
+            Ok(End::Client) => return,
+            Ok(End::Released) => "released",
+            Ok(End::Neighbor) if self.asking.get() => "neighbour_closed",
+            Err(_) if self.asking.get() => "neighbour_broke_off",
+            Ok(End::Neighbor) | Err(_) => return,
+        };
+        self.node.metrics.add("handovers_unanswered", cause, 1);
+        let line = self.node.journal.line("forwarded_request_cut");
+        let line = line.with("peer", peer.to_string()).with("cause", cause);
+        let version = self.node.table().map(|it| it.version());
+        let line = line.with("bound", self.version).with("version", version);
+        drop(line.with("leaving", self.node.leaving_since().is_some()));
+    }
+
     /// Copies answers until the neighbour closes the connection.
-    async fn copy_answers(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> io::Result<()> {
+    async fn copy_answers(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> io::Result<End> {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             let length = from.read(&mut buffer).await?;
             if length == 0 {
-                return Ok(());
+                return Ok(End::Neighbor);
             }
             self.asking.set(false);
             self.answering.notify_waiters();
             if to.write_all(&buffer[..length]).await.is_err() {
-                // The client has left.
-                return Ok(());
+                return Ok(End::Client);
             }
         }
     }
 
     /// Copies requests until the client closes the connection, or sends one more after the
     /// connection was released.
-    async fn copy_requests(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) {
+    async fn copy_requests(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> End {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             let read = tokio::select! {
                 biased;
                 () = self.released() => {
                     // What arrives now is a request that must not pass, or the end.
-                    drop(from.peek(&mut buffer[..1]).await);
-                    return;
+                    let next = from.peek(&mut buffer[..1]).await;
+                    return match next {
+                        Ok(1..) => End::Released,
+                        Ok(0) | Err(_) => End::Client,
+                    };
                 }
                 read = from.read(&mut buffer) => read,
             };
             let Ok(length @ 1..) = read else {
-                return;
+                return End::Client;
             };
             if !self.asking.replace(true) {
                 self.node.intake.record_handover();
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -143,7 +143,15 @@
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    let mut connection = connection.into_parts().io;
+    let parts = connection.into_parts();
+    let mut connection = parts.io;
+    if let Some(offer) = offer {
+        handover::log_end(
+            &node,
+            offer,
+            parts.read_buf.len() + connection.discard_unread(),
+        );
+    }
     if result.is_ok() {
         // The caller may have closed it already.
         drop(poll_fn(|context| Pin::new(&mut connection).poll_shutdown(context)).await);
