A forwarded connection is returned when its binding ends

Callers saw (LOST): beside a change of the configuration a request that may run once got neither an answer nor a refusal. Cause: the neighbour closed a connection when its configuration was no longer that of the first router, and also when one of the two shut down. A request that the first router had read and forwarded, or was about to forward while its quota was used up, was dropped, and the first router passed the close on. The first router itself reset a connection with the next request after its own change. Ruled out: a deadline or a refusal (there is no line of the requests at any router); the first router's offer (nothing was dropped while one waited). Change: the two routers exchange frames. After a change the neighbour completes the request that has begun, stops, and returns all bytes that it has not used; the first router serves the connection like a new one. Nothing is inferred from a close, so nothing runs twice. The mark of an offer is another one, so routers of different releases decline each other's.

--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -14,6 +14,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -65,6 +66,16 @@
         }
     }
 
+    /// Whether such an answer has begun.
+    pub(crate) fn is_marked(&self) -> bool {
+        self.0.get() != Phase::Unmarked
+    }
+
+    /// Whether such an answer has begun and its body has not ended.
+    pub(crate) fn is_open(&self) -> bool {
+        self.0.get() == Phase::Open
+    }
+
     /// Leaves the connection unmarked for an answer with a framing of its own.
     #[must_use]
     pub fn pass<B>(&self, body: B) -> Marked<B> {
@@ -109,6 +120,8 @@
 #[derive(Debug)]
 pub struct Connection {
     io: TokioIo<TcpStream>,
+    /// Bytes that were received before, and are read first.
+    unread: Bytes,
     marker: Marker,
     /// Whether the socket is set to be reset on close.
     resets: bool,
@@ -120,14 +133,17 @@
     pub fn new(stream: TcpStream, marker: Marker) -> Self {
         Self {
             io: TokioIo::new(stream),
+            unread: Bytes::new(),
             marker,
             resets: false,
         }
     }
 
-    /// Discards the bytes that were received and not read, up to a limit; returns their number.
-    pub(crate) fn discard_unread(&self) -> usize {
-        self.io.inner().try_read(&mut [0; 1_024]).unwrap_or(0)
+    /// Sets the bytes that were received before.
+    #[must_use]
+    pub fn with_unread(mut self, unread: Bytes) -> Self {
+        self.unread = unread;
+        self
     }
 
     fn io(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
@@ -148,9 +164,15 @@
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        self.io().poll_read(context, buffer)
+        let this = self.get_mut();
+        if this.unread.is_empty() {
+            return Pin::new(&mut this.io).poll_read(context, buffer);
+        }
+        let length = this.unread.len().min(buffer.remaining());
+        buffer.put_slice(&this.unread.split_to(length));
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -22,7 +22,7 @@
 use dunlinward_dispatch::share;
 use dunlinward_dispatch::target::Tag;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Request, Response};
@@ -55,6 +55,9 @@
 /// accept them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Error of a body that is read.
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 7] = [
     "connection",
@@ -67,7 +70,11 @@
 ];
 
 /// Handles one request and returns the response to its caller.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Payload> {
+pub async fn serve<B>(node: Rc<Node>, request: Request<B>) -> Response<Payload>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
     node.detect_suspension();
     let arrived = node.now();
     let (head, body) = request.into_parts();
@@ -82,12 +89,23 @@
     response
 }
 
-async fn handle(
+/// Refuses a request that was pipelined on a connection that is being returned to a neighbour.
+pub(crate) fn refuse_released(node: &Node) -> Response<Payload> {
+    let refusal = Refusal::new(Reason::Released).with_retry_after(LEAVING_RETRY_AFTER);
+    node.metrics.add("refusals", refusal.reason.name(), 1);
+    refusal.response()
+}
+
+async fn handle<B>(
     node: &Rc<Node>,
     head: request::Parts,
-    body: Incoming,
+    body: B,
     arrived: Duration,
-) -> Result<Response<Payload>, Refusal> {
+) -> Result<Response<Payload>, Refusal>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
     let call = node.dialect.call(&head).map_err(|error| {
         let line = node.journal.line("refused").with("reason", "malformed");
         drop(line.with("error", error.reason));
@@ -134,7 +152,11 @@
     answer
 }
 
-async fn read_body(node: &Rc<Node>, table: &Rc<Table>, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_body<B>(node: &Rc<Node>, table: &Rc<Table>, body: B) -> Result<Bytes, Refusal>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     let limits = table.limits();
     let reading = Limited::new(body, limits.body_bytes).collect();
     match node
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -9,11 +9,14 @@
 //!
 //! A connection is bound to the configuration in force at both routers: a client must not see an
 //! older one after a newer one. The neighbour takes it only if both have the same. After a change
-//! on either side no further request passes; the answer in progress is forwarded to its end.
+//! on either side, and before either side shuts down, the neighbour completes the requests that
+//! have begun and returns the connection ([`frame`]) with the bytes that it has not used. The first
+//! router then serves it like a new one, so neither side closes a connection on which a request is
+//! on its way.
 //!
 //! The router that forwards does not parse answers, so it can't tell a whole one from one that was
-//! cut. Its client's connection therefore ends as the neighbour's does: in the usual way, or by a
-//! reset, which is also what a killed process leaves behind ([`crate::ending`]).
+//! cut. It closes its client's connection in the usual way only after the neighbour has asked for
+//! that; a connection that breaks in any other way is reset ([`crate::ending`]).
 
 use std::cell::Cell;
 use std::io;
@@ -22,21 +25,30 @@
 use std::time::Duration;
 
 use bincode::config::standard;
+use bytes::{Bytes, BytesMut};
 use dunlinward_dispatch::member::Condition;
+use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::{Notify, watch};
+use tokio_util::codec::{FramedRead, FramedWrite};
 
 use crate::ending;
 use crate::node::Node;
 use crate::pool;
 use crate::server::{self, OpenConnection};
+use crate::shutdown;
+use frame::{Codec, Frame, MAX_BYTES};
+use taken::{Progress, Taken};
 
-/// Length prefix of an offer, on the port at which peers also fetch views: requests for views are
-/// not empty, and an earlier release closes the connection.
-pub(crate) const OFFER_MARK: u16 = 0;
+pub mod frame;
+pub(crate) mod taken;
+
+/// Length prefix of an offer, on the port at which peers also fetch views. Requests for views are
+/// longer; an earlier release, which forwards without frames, closes the connection.
+pub(crate) const OFFER_MARK: u16 = 1;
 
 /// Replies of a neighbour.
 const TAKEN: u8 = 1;
@@ -53,9 +65,6 @@
 /// Limit of connections that are forwarded at a time, each with two buffers.
 const MAX_HANDED_OVER: usize = 1_024;
 
-/// Size of the buffer of each direction.
-const BUFFER_BYTES: usize = 8 * 1024;
-
 /// Connections that this router forwards, and what ends those that neighbours forward to it.
 #[derive(Debug)]
 pub struct Handovers {
@@ -157,22 +166,37 @@
 }
 
 /// Serves a client's connection: here, or by a neighbour if little processor time is left.
-pub(crate) async fn serve(node: Rc<Node>, caller: TcpStream) {
+pub(crate) async fn serve(node: Rc<Node>, mut caller: TcpStream) {
     let guard = OpenConnection::new(&node);
-    if node.intake.should_hand_over(node.now())
+    let mut unread = Bytes::new();
+    while node.intake.should_hand_over(node.now())
         && let Some((version, neighbor)) = offer(&node).await
     {
-        // What went wrong is counted; the client sees its connection reset.
-        if forward(&node, version, caller, neighbor).await.is_err() {
-            node.metrics.add("handovers", "cut", 1);
+        match forward(&node, version, caller, unread, neighbor).await {
+            Ok(Outcome::Returned(stream, bytes)) => (caller, unread) = (stream, bytes),
+            Ok(Outcome::Ended) => return,
+            // The client saw its connection reset.
+            Err(_) => return node.metrics.add("handovers", "cut", 1),
+        }
+        if unread.is_empty() && !has_next_request(&node, &caller).await {
+            return;
         }
-        drop(guard);
-        return;
     }
-    server::serve_caller(node, caller, None).await;
+    server::serve_caller(node, caller, unread).await;
     drop(guard);
 }
 
+/// Waits on an idle connection; whether a request comes before the connection is to be closed.
+async fn has_next_request(node: &Rc<Node>, caller: &TcpStream) -> bool {
+    let until = node.now() + server::idle_timeout(node);
+    let mut first = [0];
+    tokio::select! {
+        read = caller.peek(&mut first) => matches!(read, Ok(1..)),
+        () = shutdown::idle_close(node) => false,
+        () = node.sleep_until(until) => false,
+    }
+}
+
 /// Offers a connection to neighbours; returns the version that it is bound to, and the connection
 /// to the neighbour that takes it.
 async fn offer(node: &Rc<Node>) -> Option<(u64, TcpStream)> {
@@ -231,32 +255,54 @@
     drop(line.with("peer", offer.from.to_string()));
     let guard = OpenConnection::new(&node);
     server::prepare(&stream);
-    server::serve_caller(node, stream, Some(offer)).await;
+    // The first router sees a connection that breaks.
+    if serve_taken(&node, stream, offer).await.is_err() {
+        node.metrics.add("handovers", "left", 1);
+    }
     drop(guard);
 }
 
-/// Logs the end of a connection that a neighbour forwards, if it leaves bytes `unread`.
-pub(crate) fn log_end(node: &Node, offer: Offer, unread: usize) {
-    if unread == 0 {
-        return;
+/// Serves a connection that a neighbour forwards until it ends or is returned.
+async fn serve_taken(node: &Rc<Node>, stream: TcpStream, offer: Offer) -> io::Result<()> {
+    let progress = Progress::default();
+    let taken = Taken::new(stream, progress.clone())?;
+    let end = server::serve_taken(node, taken, progress, released(node, offer)).await;
+    match end {
+        server::End::Returned(taken, read) => taken.give_back(read).await,
+        server::End::Closed(taken) => taken.close().await,
+        server::End::Broken => Err(io::ErrorKind::ConnectionReset.into()),
     }
-    let line = node.journal.line("forwarded_bytes_unread");
-    let line = line.with("peer", offer.from.to_string());
-    let version = node.table().map(|it| it.version());
-    let line = line.with("bound", offer.configuration);
-    let line = line.with("version", version).with("bytes", unread);
-    drop(line.with("released", !offer.holds(node)));
 }
 
-/// Returns once this router must end a connection that a neighbour forwards.
-pub(crate) async fn released(node: &Node, offer: Offer) {
+/// Returns once a connection of a neighbour must be returned.
+async fn released(node: &Node, offer: Offer) {
     let mut changes = node.handovers.changes.subscribe();
-    while offer.holds(node) {
+    while offer.holds(node) && node.leaving_since().is_none() {
         // The sender lives as long as the node.
         drop(changes.changed().await);
     }
 }
 
+/// What became of a connection that was forwarded.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It has ended.
+    Ended,
+    /// The neighbour has returned it, with the bytes of the client that it has not used.
+    Returned(TcpStream, Bytes),
+}
+
+/// What ended the forwarding of a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum End {
+    /// The neighbour has closed it.
+    Closed,
+    /// The neighbour has returned it, with these bytes.
+    Returned(Bytes),
+    /// The client has closed it.
+    Client,
+}
+
 /// A connection that is being forwarded.
 struct Forwarding<'a> {
     node: &'a Node,
@@ -264,22 +310,12 @@
     version: u64,
     /// Whether bytes of a request were forwarded since the last byte of an answer.
     asking: Cell<bool>,
-    answering: Notify,
+    /// Notified when the neighbour uses no further bytes.
+    stopped: Notify,
 }
 
-/// What ended a connection that was forwarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    /// The neighbour closed it in the usual way.
-    Neighbor,
-    /// The client closed it.
-    Client,
-    /// The client sent a request after the connection was released.
-    Released,
-}
-
-/// Forwards a connection until it ends; no request passes once another configuration than `version`
-/// is in force.
+/// Forwards a connection, beginning with the bytes `unread` of the client, until it ends or another
+/// configuration than `version` is in force.
 ///
 /// # Errors
 ///
@@ -288,35 +324,48 @@
     node: &Rc<Node>,
     version: u64,
     mut caller: TcpStream,
+    unread: Bytes,
     mut neighbor: TcpStream,
-) -> io::Result<()> {
+) -> io::Result<Outcome> {
     ending::reset_on_close(&caller)?;
     ending::reset_on_close(&neighbor)?;
+    let peer = neighbor.peer_addr()?;
     let _counted = Forwarded::new(node);
     let forwarding = Forwarding {
         node,
         version,
         asking: Cell::new(false),
-        answering: Notify::new(),
+        stopped: Notify::new(),
     };
-    let peer = neighbor.peer_addr()?;
     let end = {
         let (from_caller, to_caller) = caller.split();
         let (from_neighbor, to_neighbor) = neighbor.split();
-        let answers = forwarding.copy_answers(from_neighbor, to_caller);
-        let requests = forwarding.copy_requests(from_caller, to_neighbor);
+        let answers = FramedRead::new(from_neighbor, Codec::default());
+        let requests = FramedWrite::new(to_neighbor, Codec::default());
         tokio::select! {
-            result = answers => result,
-            end = requests => Ok(end),
+            end = forwarding.copy_answers(answers, to_caller) => end,
+            () = forwarding.copy_requests(unread, from_caller, requests) => Ok(End::Client),
         }
     };
     forwarding.log_cut(peer, &end);
-    if end? == End::Neighbor {
-        ending::close_regularly(&caller)?;
-        // The client may have closed it already.
-        drop(caller.shutdown().await);
+    let end = end?;
+    if end == End::Client {
+        return Ok(Outcome::Ended);
+    }
+    ending::close_regularly(&neighbor)?;
+    ending::close_regularly(&caller)?;
+    if let End::Returned(bytes) = end {
+        let label = if bytes.is_empty() {
+            "returned"
+        } else {
+            "returned_unread"
+        };
+        node.metrics.add("handovers", label, 1);
+        return Ok(Outcome::Returned(caller, bytes));
     }
-    Ok(())
+    // The client may have closed it already.
+    drop(caller.shutdown().await);
+    Ok(Outcome::Ended)
 }
 
 impl Forwarding<'_> {
@@ -329,11 +378,9 @@
     /// Logs the end of a connection that leaves a request without an answer.
     fn log_cut(&self, peer: SocketAddr, end: &io::Result<End>) {
         let cause = match end {
-            Ok(End::Client) => return,
-            Ok(End::Released) => "released",
-            Ok(End::Neighbor) if self.asking.get() => "neighbour_closed",
+            Ok(End::Closed) if self.asking.get() => "neighbour_closed",
             Err(_) if self.asking.get() => "neighbour_broke_off",
-            Ok(End::Neighbor) | Err(_) => return,
+            Ok(_) | Err(_) => return,
         };
         self.node.metrics.add("handovers_unanswered", cause, 1);
         let line = self.node.journal.line("forwarded_request_cut");
@@ -343,64 +390,100 @@
         drop(line.with("leaving", self.node.leaving_since().is_some()));
     }
 
-    /// Copies answers until the neighbour closes the connection.
-    async fn copy_answers(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> io::Result<End> {
-        let mut buffer = vec![0; BUFFER_BYTES];
+    /// Copies answers until the connection ends or is returned.
+    async fn copy_answers(
+        &self,
+        mut from: FramedRead<ReadHalf<'_>, Codec>,
+        mut to: WriteHalf<'_>,
+    ) -> io::Result<End> {
+        let mut unread = BytesMut::new();
         loop {
-            let length = from.read(&mut buffer).await?;
-            if length == 0 {
-                return Ok(End::Neighbor);
-            }
-            self.asking.set(false);
-            self.answering.notify_waiters();
-            if to.write_all(&buffer[..length]).await.is_err() {
-                return Ok(End::Client);
+            match from.next().await.transpose()? {
+                Some(Frame::Data(bytes)) => {
+                    self.asking.set(false);
+                    if to.write_all(&bytes).await.is_err() {
+                        return Ok(End::Client);
+                    }
+                }
+                Some(Frame::Stopped) => self.stopped.notify_one(),
+                Some(Frame::Unread(bytes)) => unread.extend_from_slice(&bytes),
+                Some(Frame::Returned) => return Ok(End::Returned(unread.freeze())),
+                Some(Frame::Closed) => return Ok(End::Closed),
+                Some(frame) => return Err(frame::unexpected(&format!("{frame:?}"))),
+                None => return Err(io::ErrorKind::UnexpectedEof.into()),
             }
         }
     }
 
-    /// Copies requests until the client closes the connection, or sends one more after the
-    /// connection was released.
-    async fn copy_requests(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> End {
-        let mut buffer = vec![0; BUFFER_BYTES];
+    /// Copies requests until the client closes the connection. The neighbour is asked to return it
+    /// once no further request may pass.
+    async fn copy_requests(
+        &self,
+        unread: Bytes,
+        from: ReadHalf<'_>,
+        mut to: FramedWrite<WriteHalf<'_>, Codec>,
+    ) {
+        if self.try_copy_requests(unread, from, &mut to).await.is_err() {
+            // The neighbour's answer or reset is read by the other direction.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn try_copy_requests(
+        &self,
+        mut unread: Bytes,
+        mut from: ReadHalf<'_>,
+        to: &mut FramedWrite<WriteHalf<'_>, Codec>,
+    ) -> io::Result<()> {
+        let mut buffer = vec![0; MAX_BYTES];
+        let mut recalled = false;
+        while !unread.is_empty() {
+            let bytes = unread.split_to(unread.len().min(MAX_BYTES));
+            self.send(bytes, to).await?;
+        }
         loop {
             let read = tokio::select! {
                 biased;
-                () = self.released() => {
-                    // What arrives now is a request that must not pass, or the end.
-                    let next = from.peek(&mut buffer[..1]).await;
-                    return match next {
-                        Ok(1..) => End::Released,
-                        Ok(0) | Err(_) => End::Client,
-                    };
+                () = self.stopped.notified() => {
+                    to.send(Frame::End).await?;
+                    return std::future::pending().await;
+                }
+                () = self.released(), if !recalled => {
+                    recalled = true;
+                    to.send(Frame::Recall).await?;
+                    continue;
                 }
                 read = from.read(&mut buffer) => read,
             };
             let Ok(length @ 1..) = read else {
-                return End::Client;
+                return Ok(());
             };
-            if !self.asking.replace(true) {
-                self.node.intake.record_handover();
-                self.node.metrics.add("handovers", "requests", 1);
-            }
-            if to.write_all(&buffer[..length]).await.is_err() {
-                // The neighbour's answer or reset is read by the other direction.
-                return std::future::pending().await;
-            }
+            self.send(Bytes::copy_from_slice(&buffer[..length]), to)
+                .await?;
         }
     }
 
+    /// Forwards bytes of the client.
+    async fn send(
+        &self,
+        bytes: Bytes,
+        to: &mut FramedWrite<WriteHalf<'_>, Codec>,
+    ) -> io::Result<()> {
+        if !self.asking.replace(true) {
+            self.node.intake.record_handover();
+            self.node.metrics.add("handovers", "requests", 1);
+        }
+        to.send(Frame::Data(bytes)).await
+    }
+
     /// Returns once no further request may pass: the configuration has changed or this router shuts
-    /// down, and no request is being forwarded.
+    /// down.
     async fn released(&self) {
         let mut changes = self.node.handovers.changes.subscribe();
         while self.holds() {
             // The sender lives as long as the node.
             drop(changes.changed().await);
         }
-        while self.asking.get() {
-            self.answering.notified().await;
-        }
     }
 }
 
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -14,11 +14,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dunlinward_dispatch::configuration::Table;
 use dunlinward_dispatch::intake::{Attempts, CROWDING_WINDOW, Intake, Priority, Sample, Work};
 use dunlinward_dispatch::share;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::Body;
 use rustix::time::{ClockId, Timespec, clock_gettime};
 use serde_json::{Map, Value};
 use tokio::runtime::Handle;
@@ -143,7 +144,11 @@
 }
 
 /// Reads the body of a refused request without storing it, within the limits of any body.
-pub(crate) async fn drain(node: &Rc<Node>, table: &Table, body: Incoming) {
+pub(crate) async fn drain<B>(node: &Rc<Node>, table: &Table, body: B)
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let limits = table.limits();
     let mut body = Limited::new(body, limits.body_bytes);
     let reading = async { while let Some(Ok(_)) = body.frame().await {} };
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -51,6 +51,8 @@
     TargetFailed,
     /// The router is shutting down.
     Leaving,
+    /// Its connection goes back to the neighbour that has forwarded it.
+    Released,
     /// Its content may have terminated targets, which is not resolved yet.
     Suspected,
     /// Its content is quarantined because it has terminated targets.
@@ -81,6 +83,7 @@
             Self::Rejected => "turned_away",
             Self::TargetFailed => "target_failed",
             Self::Leaving => "leaving",
+            Self::Released => "released",
             Self::Suspected => "suspected",
             Self::Quarantined => "quarantined",
             Self::HarmfulPart => "harmful_part",
@@ -108,6 +111,7 @@
             | Self::UnknownOrigin
             | Self::Rejected
             | Self::Leaving
+            | Self::Released
             | Self::Suspected
             | Self::Quarantined
             | Self::HarmfulPart => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP servers for callers, the platform's readiness checks and operators.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -10,7 +11,8 @@
 use bytes::Bytes;
 use dunlinward_dispatch::content::Digest;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::rt::Write;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,11 +21,13 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::ending::{self, Marker};
+use crate::ending::{self, Marked, Marker};
 use crate::exchange;
-use crate::handover::{self, Offer};
+use crate::handover;
+use crate::handover::taken::{Answer, Progress, Taken, Upload};
 use crate::node::Node;
 use crate::pool;
+use crate::reply::Payload;
 use crate::shutdown;
 
 /// Limit of connections that wait to be accepted.
@@ -106,52 +110,46 @@
     ));
 }
 
-/// Serves a connection of a caller, which a neighbour may forward by its `offer`.
-pub(crate) async fn serve_caller(node: Rc<Node>, stream: TcpStream, offer: Option<Offer>) {
-    let idle = node
-        .table()
-        .map_or(DEFAULT_IDLE_TIMEOUT, |it| it.limits().idle_timeout);
+/// Idle timeout of callers' connections.
+pub(crate) fn idle_timeout(node: &Node) -> Duration {
+    let limits = node.table().map(|it| it.limits().idle_timeout);
+    limits.unwrap_or(DEFAULT_IDLE_TIMEOUT) + IDLE_SLACK
+}
+
+/// HTTP server of callers' connections.
+fn http(node: &Node) -> http1::Builder {
     let head_bytes = node.table().map_or(16 * 1024, |it| it.limits().head_bytes);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout(node))
+        .max_buf_size(head_bytes.max(16 * 1024))
+        .auto_date_header(false);
+    builder
+}
+
+/// Serves a connection of a caller of which the bytes `unread` were received.
+pub(crate) async fn serve_caller(node: Rc<Node>, stream: TcpStream, unread: Bytes) {
     let server = node.clone();
     let marker = Marker::default();
-    let connection = ending::Connection::new(stream, marker.clone());
+    let connection = ending::Connection::new(stream, marker.clone()).with_unread(unread);
     let service = service_fn(move |request: Request<Incoming>| {
         let (node, marker) = (server.clone(), marker.clone());
         Box::pin(async move {
             let response = exchange::serve(node, request).await;
-            let response = response.map(|it| {
-                if it.ends_with_connection() {
-                    marker.begin(it)
-                } else {
-                    marker.pass(it)
-                }
-            });
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|it| marked(it, &marker)))
         })
     });
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle + IDLE_SLACK)
-        .max_buf_size(head_bytes.max(16 * 1024))
-        .auto_date_header(false)
-        .serve_connection(connection, service);
+    let mut connection = http(&node).serve_connection(connection, service);
     let result = tokio::select! {
         // An answer that broke off was logged for its request.
         result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
-        () = idle_close(&node, offer) => {
+        () = shutdown::idle_close(&node) => {
             Pin::new(&mut connection).graceful_shutdown();
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    let parts = connection.into_parts();
-    let mut connection = parts.io;
-    if let Some(offer) = offer {
-        handover::log_end(
-            &node,
-            offer,
-            parts.read_buf.len() + connection.discard_unread(),
-        );
-    }
+    let mut connection = connection.into_parts().io;
     if result.is_ok() {
         // The caller may have closed it already.
         drop(poll_fn(|context| Pin::new(&mut connection).poll_shutdown(context)).await);
@@ -159,18 +157,87 @@
     drop(connection);
 }
 
-/// Returns once the connection should be closed as soon as it is idle.
-async fn idle_close(node: &Rc<Node>, offer: Option<Offer>) {
-    let released = async {
-        match offer {
-            Some(offer) => handover::released(node, offer).await,
-            None => std::future::pending().await,
+/// How the serving of a connection that a neighbour forwards has ended.
+pub(crate) enum End {
+    /// It is to be returned, with bytes that were read and not used.
+    Returned(Taken, Bytes),
+    /// It is to be closed.
+    Closed(Taken),
+    /// It has broken off, or an answer on it that is framed by its connection.
+    Broken,
+}
+
+/// Serves a connection that a neighbour forwards until it ends or, once `released` has returned,
+/// no request is being served.
+pub(crate) async fn serve_taken(
+    node: &Rc<Node>,
+    taken: Taken,
+    progress: Progress,
+    released: impl Future<Output = ()>,
+) -> End {
+    let server = node.clone();
+    let marker = Marker::default();
+    let (serving, mark) = (progress.clone(), marker.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let exchange = serving.begin();
+        let (node, progress, marker) = (server.clone(), serving.clone(), mark.clone());
+        Box::pin(async move {
+            let read = Rc::new(Cell::new(request.body().is_end_stream()));
+            let request = request.map(|it| Upload::new(it, read.clone()));
+            let response = if progress.is_returning() {
+                exchange::refuse_released(&node)
+            } else {
+                exchange::serve(node, request).await
+            };
+            let response = with_close(response, &progress, read.get());
+            Ok::<_, Infallible>(response.map(|it| Answer::new(marked(it, &marker), exchange)))
+        })
+    });
+    let mut connection = http(node).serve_connection(taken, service);
+    let result = tokio::select! {
+        // No request is read after a change.
+        biased;
+        () = released => {
+            progress.stop();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
+        result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
     };
-    tokio::select! {
-        () = shutdown::idle_close(node) => {}
-        () = released => {}
+    let parts = connection.into_parts();
+    match result {
+        _ if progress.is_stopped() => End::Returned(parts.io, parts.read_buf),
+        // The first router decides on idle connections.
+        Err(error) if error.is_timeout() => End::Returned(parts.io, parts.read_buf),
+        Ok(()) if !marker.is_open() => End::Closed(parts.io),
+        Err(_) if !marker.is_marked() => End::Closed(parts.io),
+        Ok(()) | Err(_) => End::Broken,
+    }
+}
+
+/// Body of an answer, which marks its connection if only the end of the connection ends it.
+fn marked(payload: Payload, marker: &Marker) -> Marked<Payload> {
+    if payload.ends_with_connection() {
+        marker.begin(payload)
+    } else {
+        marker.pass(payload)
+    }
+}
+
+/// Asks for the end of a forwarded connection if a body was not read to its end: the bytes that
+/// follow on it are no request.
+fn with_close(
+    mut response: Response<Payload>,
+    progress: &Progress,
+    body_read: bool,
+) -> Response<Payload> {
+    if !body_read {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    if response.headers().contains_key(CONNECTION) || response.body().ends_with_connection() {
+        progress.close();
+    }
+    response
 }
 
 /// Counts a caller's connection as open until it is dropped.
