The return of a forwarded connection is bounded in time and memory

A client that sends a part of a head and nothing more would keep a connection for ever, as it is returned and offered again at each time-out. A client that sends on while it reads no answers would fill the memory of the neighbour, which keeps what it has not used until the first router confirms the end. Cause: the head's time-out returned the connection whether or not a part of a head was there; the unread bytes had no limit. Change: a time-out returns only an idle connection, and closes one with a part of a head, as at any router; a connection with more unread bytes than a request may have is cut.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -268,12 +268,21 @@
     let taken = Taken::new(stream, progress.clone())?;
     let end = server::serve_taken(node, taken, progress, released(node, offer)).await;
     match end {
-        server::End::Returned(taken, read) => taken.give_back(read).await,
+        server::End::Returned(taken, read) => taken.give_back(read, request_bytes(node)).await,
         server::End::Closed(taken) => taken.close().await,
         server::End::Broken => Err(io::ErrorKind::ConnectionReset.into()),
     }
 }
 
+/// Largest size of a request.
+fn request_bytes(node: &Node) -> usize {
+    let table = node.table();
+    table.map_or(0, |it| {
+        let limits = it.limits();
+        limits.head_bytes + limits.body_bytes
+    })
+}
+
 /// Returns once a connection of a neighbour must be returned.
 async fn released(node: &Node, offer: Offer) {
     let mut changes = node.handovers.changes.subscribe();
--- a/crates/path/src/handover/taken.rs
+++ b/crates/path/src/handover/taken.rs
@@ -154,11 +154,18 @@
     }
 
     /// Returns the connection, with the bytes that the HTTP server has `read` and not used.
-    pub(crate) async fn give_back(mut self, read: Bytes) -> io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks, or if the client has sent more than `limit` unread bytes.
+    pub(crate) async fn give_back(mut self, read: Bytes, limit: usize) -> io::Result<()> {
         self.frames.send(Frame::Stopped).await?;
         let mut unread = BytesMut::from(read);
         unread.extend_from_slice(&self.unread);
         loop {
+            if unread.len() > limit {
+                return Err(frame::unexpected("client that sends without reading"));
+            }
             match self.frames.next().await.transpose()? {
                 Some(Frame::Data(bytes)) => unread.extend_from_slice(&bytes),
                 Some(Frame::Recall) => {}
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -207,7 +207,9 @@
     match result {
         _ if progress.is_stopped() => End::Returned(parts.io, parts.read_buf),
         // The first router decides on idle connections.
-        Err(error) if error.is_timeout() => End::Returned(parts.io, parts.read_buf),
+        Err(error) if error.is_timeout() && parts.read_buf.is_empty() => {
+            End::Returned(parts.io, Bytes::new())
+        }
         Ok(()) if !marker.is_open() => End::Closed(parts.io),
         Err(_) if !marker.is_marked() => End::Closed(parts.io),
         Ok(()) | Err(_) => End::Broken,
