A request that has begun is served though its connection is recalled

Callers saw: a request that its neighbour reads together with the recall behind it was refused as not run (503), with a body also closed, though it had begun before the change. Found by a review of the return. Cause: whether the connection is to be returned was asked when the request's task first ran, not when its head was read; in between the HTTP server reads on, and finds the recall. It meets stalled routers most, which read both at once. Change: it is asked as the head is read. A request that is pipelined behind the last one is still refused.

--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -183,8 +183,10 @@
         let (node, progress, marker) = (server.clone(), serving.clone(), mark.clone());
         Box::pin(async move {
             let read = Rc::new(Cell::new(request.body().is_end_stream()));
+        // A request that was pipelined behind the last one that is served.
+        let refused = serving.is_returning();
             let request = request.map(|it| Upload::new(it, read.clone()));
-            let response = if progress.is_returning() {
+            let response = if refused {
                 exchange::refuse_released(&node)
             } else {
                 exchange::serve(node, request).await
