Bytes that have waited for an offer do not pass after a change

Callers could see: a request served under an older configuration than the first router's. Cause: bytes that came back from one neighbour were forwarded to the next one before the binding was checked, and the offer takes up to 120 ms. Change: the recall goes first, so the neighbour returns them. Test: bytes_that_have_waited_do_not_pass_after_a_change_of_configuration failed before (the request came first).

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -445,7 +445,10 @@
         to: &mut FramedWrite<WriteHalf<'_>, Codec>,
     ) -> io::Result<()> {
         let mut buffer = vec![0; MAX_BYTES];
-        let mut recalled = false;
+        let mut recalled = !self.holds();
+        if recalled {
+            to.send(Frame::Recall).await?;
+        }
         while !unread.is_empty() {
             let bytes = unread.split_to(unread.len().min(MAX_BYTES));
             self.send(bytes, to).await?;
