A head in parts is not cut by the idle timeout of a neighbour

Callers saw: the connection of a head whose first part came shortly before the idle timeout was closed with no answer, though its first router had read it. Cause: the HTTP server's time for a head runs from the end of the answer before, and the close that ends it crossed a head that was on its way: the same cause as that of the lost requests. Change: the connection is returned with the part, and the first router serves it. The same bytes are offered twice at the most, so a client that never completes a head is closed by the first router's own timeout.

--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -208,10 +208,8 @@
     let parts = connection.into_parts();
     match result {
         _ if progress.is_stopped() => End::Returned(parts.io, parts.read_buf),
-        // The first router decides on idle connections.
-        Err(error) if error.is_timeout() && parts.read_buf.is_empty() => {
-            End::Returned(parts.io, Bytes::new())
-        }
+        // The first router decides on idle connections and on slow heads.
+        Err(error) if error.is_timeout() => End::Returned(parts.io, parts.read_buf),
         Ok(()) if !marker.is_open() => End::Closed(parts.io),
         Err(_) if !marker.is_marked() => End::Closed(parts.io),
         Ok(()) | Err(_) => End::Broken,
