What was received is read before an idle connection is closed

Callers could see: a request that comes back from a neighbour to a router that shuts down, or that lies in the socket, dropped by the close of its connection as idle. Named by a review. Cause: the HTTP server and the reasons to close were polled in no order; a server that has read nothing yet closes at once when it is asked to shut down. Change: the connection is polled first, and a waiting connection looks for bytes first.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -201,6 +201,7 @@
     let until = node.now() + server::idle_timeout(node);
     let mut first = [0];
     tokio::select! {
+        biased;
         read = caller.peek(&mut first) => matches!(read, Ok(1..)),
         () = shutdown::idle_close(node) => false,
         () = node.sleep_until(until) => false,
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -129,7 +129,7 @@
 }
 
 /// Serves a connection of a caller of which the bytes `unread` were received.
-pub(crate) async fn serve_caller(node: Rc<Node>, stream: TcpStream, unread: Bytes) {
+pub async fn serve_caller(node: Rc<Node>, stream: TcpStream, unread: Bytes) {
     let server = node.clone();
     let marker = Marker::default();
     let connection = ending::Connection::new(stream, marker.clone()).with_unread(unread);
@@ -142,6 +142,8 @@
     });
     let mut connection = http(&node).serve_connection(connection, service);
     let result = tokio::select! {
+        // What was received is read before an idle connection is closed.
+        biased;
         // An answer that broke off was logged for its request.
         result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
         () = shutdown::idle_close(&node) => {
