Closed connections of neighbours log what they leave unread

The line forwarded_bytes_unread went with the close that it was made for, so nothing would show a request that is dropped in another way. It is back for connections that are closed; an error of the first router's connection counts as a break and not as a regular end (seen by a review: an unexpected frame ended as a regular close). The limit of returned bytes leaves room for the framing of chunks.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -279,18 +279,34 @@
     let taken = Taken::new(stream, progress.clone())?;
     let end = server::serve_taken(node, taken, progress, released(node, offer)).await;
     match end {
-        server::End::Returned(taken, read) => taken.give_back(read, request_bytes(node)).await,
-        server::End::Closed(taken) => taken.close().await,
+        server::End::Returned(taken, read) => taken.give_back(read, returned_bytes(node)).await,
+        server::End::Closed(taken, read) => {
+            log_unread(node, offer, read.len() + taken.unread());
+            taken.close().await
+        }
         server::End::Broken => Err(io::ErrorKind::ConnectionReset.into()),
     }
 }
 
-/// Largest size of a request.
-fn request_bytes(node: &Node) -> usize {
+/// Logs the end of a connection of a neighbour, if it leaves bytes `unread`.
+fn log_unread(node: &Node, offer: Offer, unread: usize) {
+    if unread == 0 {
+        return;
+    }
+    let line = node.journal.line("forwarded_bytes_unread");
+    let line = line.with("peer", offer.from.to_string());
+    let version = node.table().map(|it| it.version());
+    let line = line.with("bound", offer.configuration);
+    let line = line.with("version", version).with("bytes", unread);
+    drop(line.with("released", !offer.holds(node)));
+}
+
+/// Limit of the bytes that are returned: a request, whose chunks may add as much again.
+fn returned_bytes(node: &Node) -> usize {
     let table = node.table();
     table.map_or(0, |it| {
         let limits = it.limits();
-        limits.head_bytes + limits.body_bytes
+        limits.head_bytes + 2 * limits.body_bytes
     })
 }
 
--- a/crates/path/src/handover/taken.rs
+++ b/crates/path/src/handover/taken.rs
@@ -50,6 +50,8 @@
     closing: Cell<bool>,
     /// Whether the HTTP server was given the end of its input.
     stopped: Cell<bool>,
+    /// Whether the first router has left, or does not follow the protocol.
+    broken: Cell<bool>,
 }
 
 impl State {
@@ -80,6 +82,11 @@
         self.0.stopped.get()
     }
 
+    /// Whether the first router has left, or does not follow the protocol.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.0.broken.get()
+    }
+
     /// Begins an exchange, which ends when the result is dropped.
     pub(crate) fn begin(&self) -> Exchange {
         self.0.phase.set(Phase::Busy);
@@ -181,6 +188,11 @@
         self.end(Frame::Returned).await
     }
 
+    /// Number of bytes that the HTTP server has not read.
+    pub(crate) fn unread(&self) -> usize {
+        self.unread.len()
+    }
+
     /// Ends the connection, and the client's.
     pub(crate) async fn close(self) -> io::Result<()> {
         self.end(Frame::Closed).await
@@ -196,6 +208,21 @@
     }
 }
 
+impl Taken {
+    /// Reads the next bytes of the client; none if the connection is to be returned.
+    fn poll_bytes(&mut self, context: &mut Context<'_>) -> Poll<io::Result<&mut Bytes>> {
+        while self.unread.is_empty() && !self.progress.0.is_returnable() {
+            match ready!(Pin::new(&mut self.frames).poll_next(context)).transpose()? {
+                Some(Frame::Data(bytes)) => self.unread = bytes,
+                Some(Frame::Recall) => self.progress.stop(),
+                Some(frame) => return Poll::Ready(Err(frame::unexpected(&format!("{frame:?}")))),
+                None => return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            }
+        }
+        Poll::Ready(Ok(&mut self.unread))
+    }
+}
+
 impl Read for Taken {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -203,25 +230,19 @@
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let state = this.progress.0.clone();
-        loop {
-            if state.is_returnable() {
-                state.stopped.set(true);
-                return Poll::Ready(Ok(()));
-            }
-            if !this.unread.is_empty() {
-                let length = this.unread.len().min(buffer.remaining());
-                buffer.put_slice(&this.unread.split_to(length));
-                return Poll::Ready(Ok(()));
-            }
-            match ready!(Pin::new(&mut this.frames).poll_next(context)).transpose()? {
-                Some(Frame::Data(bytes)) => this.unread = bytes,
-                Some(Frame::Recall) => state.returning.set(true),
-                Some(frame) => return Poll::Ready(Err(frame::unexpected(&format!("{frame:?}")))),
-                // The first router gives up the connection.
-                None => return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+        let progress = this.progress.clone();
+        let read = ready!(this.poll_bytes(context)).map(|unread| {
+            if progress.0.is_returnable() {
+                progress.0.stopped.set(true);
+                return;
             }
+            let length = unread.len().min(buffer.remaining());
+            buffer.put_slice(&unread.split_to(length));
+        });
+        if read.is_err() {
+            progress.0.broken.set(true);
         }
+        Poll::Ready(read)
     }
 }
 
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -163,8 +163,8 @@
 pub(crate) enum End {
     /// It is to be returned, with bytes that were read and not used.
     Returned(Taken, Bytes),
-    /// It is to be closed.
-    Closed(Taken),
+    /// It is to be closed, though these bytes were read and not used.
+    Closed(Taken, Bytes),
     /// It has broken off, or an answer on it that is framed by its connection.
     Broken,
 }
@@ -182,11 +182,11 @@
     let (serving, mark) = (progress.clone(), marker.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let exchange = serving.begin();
+        // A request that was pipelined behind the last one that is served.
+        let refused = serving.is_returning();
         let (node, progress, marker) = (server.clone(), serving.clone(), mark.clone());
         Box::pin(async move {
             let read = Rc::new(Cell::new(request.body().is_end_stream()));
-        // A request that was pipelined behind the last one that is served.
-        let refused = serving.is_returning();
             let request = request.map(|it| Upload::new(it, read.clone()));
             let response = if refused {
                 exchange::refuse_released(&node)
@@ -209,11 +209,12 @@
     };
     let parts = connection.into_parts();
     match result {
+        _ if progress.is_broken() => End::Broken,
         _ if progress.is_stopped() => End::Returned(parts.io, parts.read_buf),
         // The first router decides on idle connections and on slow heads.
         Err(error) if error.is_timeout() => End::Returned(parts.io, parts.read_buf),
-        Ok(()) if !marker.is_open() => End::Closed(parts.io),
-        Err(_) if !marker.is_marked() => End::Closed(parts.io),
+        Ok(()) if !marker.is_open() => End::Closed(parts.io, parts.read_buf),
+        Err(_) if !marker.is_marked() => End::Closed(parts.io, parts.read_buf),
         Ok(()) | Err(_) => End::Broken,
     }
 }
