Own interface: only whole chunks or a length frame an answer

Callers saw a 200 with an empty or short body, framed as whole, from a target whose answer broke off. Cause: any transfer coding counted as a framing, while the HTTP library reads to the close for one that it does not know (a value cut to "chunk") and for each one of HTTP/1.0, and takes a length beside it. Class: two places decide how an answer is framed, and they differ. Ruled out: a cut head that parses as whole (all bytes by FIN, those of an answer with a length by RST). Evidence: only_whole_chunks_or_a_length_frame_an_answer failed before: "transfer-encoding: chunk" with a close behind the head gave (200, 1 run) where a second run is expected.

--- a/crates/router/src/targets/head.rs
+++ b/crates/router/src/targets/head.rs
@@ -10,7 +10,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use ureq::Body;
-use ureq::http::{self, Request, Response};
+use ureq::http::{self, Request, Response, Version};
 
 use super::Place;
 use super::transport::url;
@@ -72,15 +72,24 @@
     }
 }
 
-/// Whether the end of the answer's body can be told from a lost connection.
+/// Whether the end of the answer's body can be told from a lost connection (RFC 9112, section 6.3).
+/// The library ignores a transfer coding that it does not know, and each one in HTTP/1.0.
 #[must_use]
 pub fn is_framed(response: &Response<Body>, call: &Call) -> bool {
     let status = response.status();
     let bodiless = call.method == http::Method::HEAD
         || status == http::StatusCode::NO_CONTENT
         || status == http::StatusCode::NOT_MODIFIED;
+    if bodiless {
+        return true;
+    }
     let headers = response.headers();
-    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return headers.contains_key(CONTENT_LENGTH);
+    };
+    let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
+    chunked && response.version() >= Version::HTTP_11
 }
 
 /// Whether only the router may say it to a target: the key stays here, the rest is set anew.
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod failures;
 mod fleet;
+mod heads;
 mod idle;
 mod metrics;
 mod world;
--- a/crates/router/tests/path/world.rs
+++ b/crates/router/tests/path/world.rs
@@ -1,7 +1,8 @@
 //! One or more routers among stand-ins, inside the test's process.
 
 use std::fmt::Write as _;
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use dunlinward_config::key::Digest;
@@ -91,6 +92,15 @@
         self
     }
 
+    /// Adds a plain service's target that answers a path with given bytes.
+    pub fn with_raw(mut self, play: impl Fn(&str) -> (Vec<u8>, End) + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        std::thread::spawn(move || serve_raw(&listener, &play));
+        self.target("raw", "portal", address, 4);
+        self
+    }
+
     fn target(&mut self, name: &str, service: &str, address: SocketAddr, slots: usize) {
         let models = if service == "questions" {
             "models = [\"essay\"]"
@@ -269,3 +279,50 @@
     let status = router.status().unwrap();
     status.targets.iter().map(|target| target.busy).sum()
 }
+
+/// How a target that writes given bytes ends its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Close,
+    Reset,
+}
+
+/// Serves connections of one request each; `play` gives the bytes of the answer to a path.
+fn serve_raw(listener: &TcpListener, play: &dyn Fn(&str) -> (Vec<u8>, End)) {
+    for stream in listener.incoming() {
+        let mut stream = stream.unwrap();
+        let Some(path) = read_request(&mut stream) else {
+            continue;
+        };
+        let (bytes, end) = play(&path);
+        // The router may have closed it already.
+        let _ = stream.write_all(&bytes);
+        if end == End::Reset {
+            std::thread::sleep(Duration::from_millis(1));
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    }
+}
+
+/// Reads a request; its path.
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut reader = BufReader::new(stream);
+    let mut first = String::new();
+    reader.read_line(&mut first).ok()?;
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let line = line.trim_end().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    first.split(' ').nth(1).map(str::to_owned)
+}
