Headers that frame a target's bytes are not forwarded

Callers got a 200 with an empty or short body, framed as whole: of an answer in chunks beside "content-length: 0" nothing, of one with "transfer-encoding: chunk" beside "content-length: 4" the first 4 of 32 bytes. With chunks the rest of the body followed on a kept connection, where the caller expects its next answer. Cause: the router framed the body by one header (chunks, or the close) and told the caller another (the length). The HTTP library trusts a length that is set; it checks it in debug builds only, where the caller got no answer at all. Ruled out: cut heads that parse as whole; lengths that are stated twice or can not be read. Change: path::framing decides once; both headers are taken out of the head there. A length stays where it describes a body that is not sent (HEAD).

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -20,7 +20,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::dialect::{Answer, Dispatch};
-use crate::framing::Framing;
+use crate::framing::{self, Framing};
 use crate::interruption::{self, Cause};
 use crate::lease::Lease;
 use crate::leaving;
@@ -183,13 +183,15 @@
     }
     let (response, connection) =
         exchange(node, job, &lease, connection, resume_after, limit).await?;
-    let (head, body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
     let keep_alive = pool::keep_alive(&head.headers);
     validate(node, job, &lease, &head)?;
+    let framing = Framing::new(&job.head.method, &head);
+    framing::remove_framing(&job.head.method, &mut head);
     Ok(Attempt {
-        framing: Framing::new(&job.head.method, &head),
         head,
         body,
+        framing,
         lease,
         connection,
         keep_alive,
--- a/crates/path/src/framing.rs
+++ b/crates/path/src/framing.rs
@@ -7,6 +7,9 @@
 //! connection afterwards. Otherwise its end is unproven: the caller gets the answer as it was
 //! framed, so that nothing claims more than the target did, and the run does not count as an
 //! answer of its content.
+//!
+//! [`Framing`] alone decides. The headers from which it follows are not forwarded, as they frame the
+//! bytes of the target and not those that the router sends.
 
 use dunlinward_dispatch::target::Target;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
@@ -72,6 +75,19 @@
     *method == Method::HEAD || empty || head.status.is_informational()
 }
 
+/// Removes the headers that frame the body of an answer. The length that an answer to a `HEAD`
+/// request states frames nothing and stays.
+pub fn remove_framing(method: &Method, head: &mut response::Parts) {
+    let coded = head.headers.remove(TRANSFER_ENCODING).is_some();
+    let mut lengths = head.headers.get_all(CONTENT_LENGTH).iter();
+    let stated = lengths.next().filter(|_| lengths.next().is_none());
+    let stated = stated.and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
+    head.headers.remove(CONTENT_LENGTH);
+    if let Some(length) = stated.filter(|_| *method == Method::HEAD && !coded) {
+        head.headers.insert(CONTENT_LENGTH, length.into());
+    }
+}
+
 /// What marks the end of a stream towards its caller.
 pub(crate) fn envelope(request: &request::Parts, attempt: &Attempt) -> Framing {
     // The server sends no chunks to a caller that speaks HTTP/1.0.
--- a/crates/path/tests/framing.rs
+++ b/crates/path/tests/framing.rs
@@ -1,6 +1,6 @@
 //! Framing of answers by their heads.
 
-use dunlinward_path::framing::Framing;
+use dunlinward_path::framing::{self, Framing};
 use hyper::{Method, Response};
 
 fn framing(method: &Method, status: u16, headers: &[(&str, &str)]) -> &'static str {
@@ -34,3 +34,33 @@
     }
     assert_eq!(framing(&post, 500, &[]), "connection");
 }
+
+/// Lengths that are left in the head of an answer.
+fn lengths(method: &Method, headers: &[(&str, &str)]) -> Vec<String> {
+    let mut response = Response::builder();
+    for (name, value) in headers {
+        response = response.header(*name, *value);
+    }
+    let mut head = response.body(()).unwrap().into_parts().0;
+    framing::remove_framing(method, &mut head);
+    assert!(!head.headers.contains_key("transfer-encoding"));
+    let left = head.headers.get_all("content-length").iter();
+    left.map(|it| it.to_str().unwrap().to_owned()).collect()
+}
+
+#[test]
+fn only_the_length_of_a_body_that_is_not_sent_is_forwarded() {
+    let length = ("content-length", "7");
+    for headers in [
+        vec![length],
+        vec![length, ("transfer-encoding", "chunked")],
+        vec![length, ("transfer-encoding", "chunk")],
+        vec![length, length],
+    ] {
+        assert!(lengths(&Method::POST, &headers).is_empty(), "{headers:?}");
+        let described = headers.len() == 1;
+        let expected = if described { vec!["7"] } else { Vec::new() };
+        assert_eq!(lengths(&Method::HEAD, &headers), expected, "{headers:?}");
+    }
+    assert!(lengths(&Method::HEAD, &[("content-length", "7 7")]).is_empty());
+}
