An interim head without a final one is no answer

Callers got 101 with the target's mark and nothing behind it, on each kind of route, from a target that switched protocols unasked; on our own interface if a length stood beside it. No success, but no answer in the protocol either. Cause: the HTTP libraries skip 1xx but 101, which they give out as a final answer without a body. Ruled out: other interim heads, cut, whole with a close, joined with a final one (3,848 cases on new connections, as many on used ones). Change: an informational status is a failure of the target after which the request may have run.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -341,6 +341,11 @@
     lease: &Lease,
     head: &response::Parts,
 ) -> Result<(), Failure> {
+    // The HTTP library skips other interim answers. This one has no final answer behind it.
+    if head.status.is_informational() {
+        lease.record_outcome(Outcome::Bad);
+        return Err(Failure::new(Verdict::Unknown, "no_final_answer"));
+    }
     let answer = node.dialect.answer(head);
     request_log::target_notice(node, job, lease, head.status, &answer);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/router/src/targets/mod.rs
+++ b/crates/router/src/targets/mod.rs
@@ -155,6 +155,10 @@
             return Err(Stop::Failed(Failure::Cancelled));
         }
         let response = self.request()?;
+        // The library skips other interim answers. This one has no final answer behind it.
+        if response.status().is_informational() {
+            return Err(Stop::Failed(Failure::AnswerBroken));
+        }
         if response
             .headers()
             .get(NOT_RUN)
--- a/crates/router/tests/path/heads.rs
+++ b/crates/router/tests/path/heads.rs
@@ -205,3 +205,18 @@
     let text = "HTTP/1.1 200 OK\r\ncontent-length: 400\r\n\r\n".to_owned();
     fleet.check_whole("HEAD", (text, End::Close), 200, "");
 }
+
+/// A target that changed protocols unasked had its head passed on as an answer.
+#[test]
+fn a_change_of_protocols_is_no_answer() {
+    let mut fleet = Fleet::start();
+    for more in [
+        "",
+        "connection: upgrade\r\nupgrade: x\r\n",
+        "content-length: 0\r\n",
+    ] {
+        for end in [End::Close, End::Reset] {
+            fleet.check_broken(&format!("HTTP/1.1 101 Go\r\n{more}\r\n"), end);
+        }
+    }
+}
