Own interface: a success that was not run is no refusal

Callers of a request that may run once had it run twice: a target began a head of 200 and wrote a refusal behind it, and "not run" counted at any status as proof that nothing ran. Change: with a status of success the answer is broken, and the request may have run. Evidence: a_success_that_says_not_run_is_no_answer failed before: (200, 2 runs) of a POST instead of (502, 1 run).

--- a/crates/router/src/targets/mod.rs
+++ b/crates/router/src/targets/mod.rs
@@ -4,7 +4,7 @@
 //! its end and reports through the driver's inbox. Its verdict is strict:
 //!
 //! - nothing sent (refused, timed out while connecting): not run;
-//! - the target's explicit `x-not-run: 1`: not run;
+//! - the target's explicit `x-not-run: 1`, unless its status is a success: not run;
 //! - anything else after the first byte was sent: may have run;
 //! - whole only when the framing of the answer ended as it must, and for a
 //!   stream with its own end mark.
@@ -159,12 +159,15 @@
         if response.status().is_informational() {
             return Err(Stop::Failed(Failure::AnswerBroken));
         }
-        if response
-            .headers()
-            .get(NOT_RUN)
-            .is_some_and(|value| value == "1")
-        {
-            return Err(Stop::Refused);
+        let refused = response.headers().get(NOT_RUN);
+        if refused.is_some_and(|value| value == "1") {
+            // A success that was not run is a head that was begun twice, and proves nothing.
+            let stop = if response.status().is_success() {
+                Stop::Failed(Failure::AnswerBroken)
+            } else {
+                Stop::Refused
+            };
+            return Err(stop);
         }
         progress.stream = stream_id(&response);
         match self.call.shape {
--- a/crates/router/tests/path/heads.rs
+++ b/crates/router/tests/path/heads.rs
@@ -220,3 +220,13 @@
         }
     }
 }
+
+/// A refusal behind the beginning of a success counted as proof that the request had not run.
+#[test]
+fn a_success_that_says_not_run_is_no_answer() {
+    let mut fleet = Fleet::start();
+    for more in ["", "server: raHTTP/1.1 503 Busy\r\n"] {
+        let head = format!("HTTP/1.1 200 OK\r\n{more}x-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+        fleet.check_broken(&head, End::Close);
+    }
+}
