A start in the far future does not replace a target for ever

Callers would see: a target that runs, and goes on writing its entry, gets no requests any more; those for it go to the address that another writer wrote. Cause: the newest start of a server counts until it has not been listed for a minute, as the server's clock may have been set back. A reading of changes marked the start as listed whenever the server was, also by the entries of an earlier start. So the rule held for full lists alone, which are read once. Ruled out: a limit against the router's own clock; a router whose clock is set back by more would find all entries unreadable. Change: a start that entries since contradict is not marked as listed. Evidence: a_start_in_the_far_future_does_not_replace_a_target_for_ever failed before (none of 117 later entries was taken) and passes: taken within 65 s. dispatch: incarnations, delta, leaving, restore, speed pass. Conclusion: the loss ends a minute after the other writer's last entry.

--- a/crates/dispatch/src/registry/incarnations.rs
+++ b/crates/dispatch/src/registry/incarnations.rs
@@ -14,6 +14,8 @@
     born: u64,
     /// When it was last listed.
     listed_at: Duration,
+    /// Whether an earlier incarnation was listed after it.
+    contradicted: bool,
 }
 
 /// Newest incarnations by the servers' identities.
@@ -26,10 +28,16 @@
 impl Incarnations {
     /// Records a listed incarnation; returns the newest start time of that server.
     pub(super) fn record(&mut self, id: &Arc<str>, born: u64, listed_at: Duration) -> u64 {
-        let incarnation = self.by_id.entry(id.clone());
-        let incarnation = incarnation.or_insert(Incarnation { born, listed_at });
+        let listed = Incarnation {
+            born,
+            listed_at,
+            contradicted: false,
+        };
+        let incarnation = self.by_id.entry(id.clone()).or_insert(listed);
         if born >= incarnation.born {
-            *incarnation = Incarnation { born, listed_at };
+            *incarnation = listed;
+        } else {
+            incarnation.contradicted = true;
         }
         incarnation.born
     }
@@ -46,15 +54,15 @@
             .retain(|_, it| now.saturating_sub(it.listed_at) < INCARNATION_RETENTION);
     }
 
-    /// Marks incarnations of servers that are still listed as recently listed. Runs at most once
-    /// per third of [`INCARNATION_RETENTION`].
+    /// Marks incarnations of servers that are still listed as recently listed, unless the entries
+    /// since are of an earlier one. Runs at most once per third of [`INCARNATION_RETENTION`].
     pub(super) fn refresh(&mut self, now: Duration, listed: impl Fn(&str) -> bool) {
         if now.saturating_sub(self.refreshed_at) < INCARNATION_RETENTION / 3 {
             return;
         }
         self.refreshed_at = now;
         for (id, incarnation) in &mut self.by_id {
-            if listed(id) {
+            if listed(id) && !incarnation.contradicted {
                 incarnation.listed_at = now;
             }
         }
