An odd instance costs no other of the list

Callers would see: routers of the own interface no longer follow the list of instances while one of it is of another form; the last known one stays. Cause: the list was decoded as a whole. Ruled out: deep nesting (a million levels is an error, no end of a process). Change: instances are decoded one by one; those that can't be are passed over with one log line a reading. Left: a router whose own instance turns odd is no longer listed.

--- a/crates/platform/src/instances/client.rs
+++ b/crates/platform/src/instances/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde_json::Value;
 
 use super::{Instance, List};
 use crate::error::Error;
@@ -17,7 +18,7 @@
 
 #[derive(Deserialize)]
 struct Answer {
-    instances: Vec<Instance>,
+    instances: Vec<Value>,
 }
 
 impl Client {
@@ -41,6 +42,13 @@
 impl List for Client {
     fn list(&self) -> Result<Vec<Instance>, Error> {
         let answer: Answer = self.caller.get("/instances", Duration::ZERO)?;
-        Ok(answer.instances)
+        let count = answer.instances.len();
+        let decode = |it| serde_json::from_value(it).ok();
+        let instances: Vec<_> = answer.instances.into_iter().filter_map(decode).collect();
+        if instances.len() < count {
+            let unreadable = count - instances.len();
+            ::log::warn!("instances of the list that can't be read were passed over: {unreadable}");
+        }
+        Ok(instances)
     }
 }
