The last answer of a connection is not reset by bytes behind its request

Callers saw: the last answer on a connection was cut by a reset if the caller had sent more than its request while the answer, here of 3 MB, was being written. Cause: the system resets a socket that is closed with unread bytes, and drops what is still to be sent. Ruled out: the framing, as the same answer arrives whole without these bytes. Change: behind an answer that asked the caller to close, the router reads and drops what comes until the caller has closed, for a second at the most. A connection that is closed as idle is closed at once as before: what crosses that close must not be read. Test: the_last_answer_on_a_connection_is_whole_if_more_bytes_came_behind_its_request failed before in each play.

--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -19,6 +19,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// Sets a connection to be reset when it is closed.
@@ -146,6 +147,13 @@
         self
     }
 
+    /// Reads and drops what comes until the caller closes the connection.
+    pub(crate) async fn discard(&mut self) {
+        let mut buffer = [0; 1_024];
+        // After an error the connection has ended.
+        while let Ok(1..) = self.io.inner_mut().read(&mut buffer).await {}
+    }
+
     fn io(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
         Pin::new(&mut self.get_mut().io)
     }
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -42,6 +42,10 @@
 /// Time for which a new connection may bring its first request, also while the router shuts down.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
+/// Time within which a caller must have read the last answer of its connection, if it has sent more
+/// than its request: the system resets a socket that is closed with unread bytes.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
 /// Interval of keep-alive probes of callers' connections.
 const CALLER_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -136,10 +140,13 @@
     let server = node.clone();
     let marker = Marker::default();
     let connection = ending::Connection::new(stream, marker.clone()).with_unread(unread);
+    let closing = Rc::new(Cell::new(false));
+    let announced = closing.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (node, marker) = (server.clone(), marker.clone());
+        let (node, marker, closing) = (server.clone(), marker.clone(), closing.clone());
         Box::pin(async move {
             let response = exchange::serve(node, request).await;
+            closing.set(response.headers().contains_key(CONNECTION));
             Ok::<_, Infallible>(response.map(|it| marked(it, &marker)))
         })
     });
@@ -158,6 +165,11 @@
     if result.is_ok() {
         // The caller may have closed it already.
         drop(poll_fn(|context| Pin::new(&mut connection).poll_shutdown(context)).await);
+        // Bytes behind an answer that asked the caller to close are no request.
+        if announced.get() {
+            let until = node.now() + LINGER_TIME;
+            node.timeout_at(until, connection.discard()).await;
+        }
     }
     drop(connection);
 }
