Forwarded connections that break off are logged whatever their state

forwarded_request_cut is now written for each connection that breaks off, with whether a byte of the answer has come (asking), the error, and whether the neighbour is alive or leaving as far as is known; 'stopped' also has the connections that are forwarded and the requests at targets. No decision changed; the counter counts what it counted before.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -36,6 +36,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use crate::ending;
+use crate::journal::Line;
 use crate::node::Node;
 use crate::pool;
 use crate::server::{self, OpenConnection};
@@ -411,16 +412,23 @@
         version == Some(self.version) && self.node.leaving_since().is_none()
     }
 
-    /// Logs the end of a connection that leaves a request without an answer.
+    /// Logs the end of a connection that is cut, or that leaves a request without an answer.
     fn log_cut(&self, peer: SocketAddr, end: &io::Result<End>) {
+        let asking = self.asking.get();
         let cause = match end {
-            Ok(End::Closed) if self.asking.get() => "neighbour_closed",
-            Err(_) if self.asking.get() => "neighbour_broke_off",
-            Ok(_) | Err(_) => return,
+            Ok(End::Closed) if asking => "neighbour_closed",
+            Err(_) => "neighbour_broke_off",
+            Ok(_) => return,
         };
-        self.node.metrics.add("handovers_unanswered", cause, 1);
+        if asking {
+            self.node.metrics.add("handovers_unanswered", cause, 1);
+        }
         let line = self.node.journal.line("forwarded_request_cut");
         let line = line.with("peer", peer.to_string()).with("cause", cause);
+        let line = line.with("asking", asking);
+        let error = end.as_ref().err().map(ToString::to_string);
+        let line = line.with("error", error);
+        let line = with_member(line, self.node, peer);
         let version = self.node.table().map(|it| it.version());
         let line = line.with("bound", self.version).with("version", version);
         drop(line.with("leaving", self.node.leaving_since().is_some()));
@@ -526,6 +534,13 @@
     }
 }
 
+/// Adds what this router knows of a neighbour to a line.
+fn with_member(line: Line, node: &Node, peer: SocketAddr) -> Line {
+    let members = &node.state.borrow().members;
+    line.with("peer_alive", members.contains(peer))
+        .with("peer_leaving", members.is_leaving(peer))
+}
+
 /// Counts a forwarded connection until it is dropped.
 struct Forwarded<'a>(&'a Node);
 
--- a/crates/path/src/shutdown.rs
+++ b/crates/path/src/shutdown.rs
@@ -73,7 +73,9 @@
     while node.now() < exit_at && node.open.get() > 0 {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    drop(node.journal.line("stopped").with("cut", node.open.get()));
+    let line = node.journal.line("stopped").with("cut", node.open.get());
+    let line = line.with("forwarded", node.handovers.open());
+    drop(line.with("running", node.held_places()));
     node.stop();
     Ok(())
 }
