A forwarded connection outlives its neighbour

Callers saw: a request that a sound router had read and forwarded to a neighbour ended without an answer when that neighbour was killed, and idle connections were closed with it.

Cause: the first router passes the end of a forwarded connection on as it came, so each connection dies with either of two routers. It did not know whether an answer was due, and kept nothing of the request.

Change: the neighbour states the end of each answer (Answered), and the first router keeps the bytes of a request until its answer begins (at most 256 KiB a connection, 8 MiB in all). If the neighbour is lost, an idle connection is served on; what is behind Stopped was not begun and is served; a request whose answer is due counts as one that was sent to a target and may have run: repeatable kinds are sent again within attempts and retry budget, others are answered 502, and the connection is closed behind it. Within an answer the connection is reset, as before. Refusals never state that such a request has not run. The mark of an offer is another one, so routers of two releases decline each other's offers.

Requests that a client sends ahead of answers can't be told apart; such a connection is reset as before.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -110,7 +110,7 @@
 }
 
 impl Failure {
-    fn new(verdict: Verdict, reason: &'static str) -> Self {
+    pub(crate) fn new(verdict: Verdict, reason: &'static str) -> Self {
         Self { verdict, reason }
     }
 }
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -55,6 +55,9 @@
 /// accept them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Reason of a failure by the loss of a neighbour.
+const NEIGHBOR_LOST: &str = "neighbor_lost";
+
 /// Error of a body that is read.
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -69,18 +72,48 @@
     "upgrade",
 ];
 
+/// Where a request was before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Past {
+    /// Nowhere.
+    #[default]
+    New,
+    /// At a neighbour that was lost before it answered, so it may have run.
+    Forwarded {
+        /// When this router received it.
+        at: Duration,
+    },
+}
+
+impl Past {
+    /// The failure after which the request is sent again, if it was sent before.
+    fn failure(self) -> Option<Failure> {
+        match self {
+            Self::New => None,
+            Self::Forwarded { .. } => Some(Failure::new(Verdict::Unknown, NEIGHBOR_LOST)),
+        }
+    }
+
+    /// A refusal that does not state that a request has not run, if it may have.
+    fn refusal(self, refusal: Refusal) -> Refusal {
+        if self == Self::New || !refusal.reason.guarantees_not_run() {
+            return refusal;
+        }
+        Refusal::new(Reason::TargetFailed)
+    }
+}
+
 /// Handles one request and returns the response to its caller.
-pub async fn serve<B>(node: Rc<Node>, request: Request<B>) -> Response<Payload>
+pub async fn serve<B>(node: Rc<Node>, request: Request<B>, past: Past) -> Response<Payload>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: Into<BoxError>,
 {
     node.detect_suspension();
-    let arrived = node.now();
     let (head, body) = request.into_parts();
-    let mut response = match handle(&node, head, body, arrived).await {
+    let mut response = match handle(&node, head, body, past).await {
         Ok(response) => response,
-        Err(refusal) => refusal.response(),
+        Err(refusal) => past.refusal(refusal).response(),
     };
     if node.leaving_since().is_some() || node.overload.is_overloaded() {
         let close = HeaderValue::from_static("close");
@@ -100,12 +133,16 @@
     node: &Rc<Node>,
     head: request::Parts,
     body: B,
-    arrived: Duration,
+    past: Past,
 ) -> Result<Response<Payload>, Refusal>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: Into<BoxError>,
 {
+    let arrived = match past {
+        Past::New => node.now(),
+        Past::Forwarded { at } => at,
+    };
     let call = node.dialect.call(&head).map_err(|error| {
         let line = node.journal.line("refused").with("reason", "malformed");
         drop(line.with("error", error.reason));
@@ -126,7 +163,8 @@
     let is_retry = admission::record_timeout(node, &call, &admitted);
     let resumes = call.resume_after.is_some();
     let tokens = admitted.cost(&call);
-    if let Err(refusal) = intake::admit(node, &admitted, tokens, is_retry, resumes) {
+    let again = resumes || past != Past::New;
+    if let Err(refusal) = intake::admit(node, &admitted, tokens, is_retry, again) {
         intake::drain(node, &admitted.table, body).await;
         return Err(refusal);
     }
@@ -144,7 +182,7 @@
         job: job.clone(),
         answered: false,
     };
-    let answer = run(node, &job).await;
+    let answer = run(node, &job, past).await;
     caller_guard.answered = true;
     if let Err(refusal) = &answer {
         request_log::refusal(node, &job.id, arrived, *refusal, Some(&job));
@@ -292,13 +330,21 @@
     }
 }
 
-async fn run(node: &Rc<Node>, job: &Rc<Job>) -> Result<Response<Payload>, Refusal> {
+async fn run(node: &Rc<Node>, job: &Rc<Job>, past: Past) -> Result<Response<Payload>, Refusal> {
     let mut sends = 0;
     let mut exclude = None;
     let mut tries = 0;
     // The last failure after which the request may have run; no later refusal may claim that it
     // has not.
-    let mut may_have_run: Option<Failure> = None;
+    let mut may_have_run = past.failure();
+    if let Some(failure) = may_have_run {
+        sends += 1;
+        tries += 1;
+        request_log::regained(node, job, failure);
+        if !may_try_again(node, job, failure, sends, tries) {
+            return Err(final_refusal(node, job, failure));
+        }
+    }
     continuation::bind(node, job).await?;
     loop {
         tries += 1;
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -16,9 +16,11 @@
 //!
 //! The router that forwards does not parse answers, so it can't tell a whole one from one that was
 //! cut. It closes its client's connection in the usual way only after the neighbour has asked for
-//! that; a connection that breaks in any other way is reset ([`crate::ending`]).
+//! that. If the neighbour is lost within an answer, the connection is reset ([`crate::ending`]).
+//! Otherwise the first router serves the connection again ([`pending`]), and a request whose answer
+//! is due counts as one that was sent to a target and may have run ([`crate::exchange::Past`]).
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,20 +38,23 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use crate::ending;
+use crate::exchange::Past;
 use crate::journal::Line;
 use crate::node::Node;
 use crate::pool;
 use crate::server::{self, OpenConnection};
 use crate::shutdown;
 use frame::{Codec, Frame, MAX_BYTES};
+use pending::{Debt, Pending};
 use taken::{Progress, Taken};
 
 pub mod frame;
+mod pending;
 pub(crate) mod taken;
 
 /// Length prefix of an offer, on the port at which peers also fetch views. Requests for views are
-/// longer; an earlier release, which forwards without frames, closes the connection.
-pub(crate) const OFFER_MARK: u16 = 1;
+/// longer; an earlier release, which states no ends of answers, closes the connection.
+pub(crate) const OFFER_MARK: u16 = 2;
 
 /// Replies of a neighbour.
 const TAKEN: u8 = 1;
@@ -70,10 +75,18 @@
 /// Limit of connections that are forwarded at a time, each with two buffers.
 const MAX_HANDED_OVER: usize = 1_024;
 
+/// Limit of the bytes of a connection's requests that are kept until their answers begin.
+const MAX_KEPT: usize = 256 * 1024;
+
+/// The same for all connections.
+const MAX_KEPT_IN_ALL: usize = 8 * 1024 * 1024;
+
 /// Connections that this router forwards, and what ends those that neighbours forward to it.
 #[derive(Debug)]
 pub struct Handovers {
     open: Cell<usize>,
+    /// Bytes of requests that are kept.
+    kept: Cell<usize>,
     counts: Cell<Counts>,
     /// Until when no connection is offered.
     paused_until: Cell<Duration>,
@@ -85,6 +98,7 @@
     fn default() -> Self {
         Self {
             open: Cell::default(),
+            kept: Cell::default(),
             counts: Cell::default(),
             paused_until: Cell::default(),
             changes: watch::Sender::new(0),
@@ -174,6 +188,7 @@
 pub(crate) async fn serve(node: Rc<Node>, mut caller: TcpStream) {
     let guard = OpenConnection::new(&node);
     let mut unread = Bytes::new();
+    let mut past = Past::New;
     let mut offers = 0;
     while offers < MAX_OFFERS
         && node.intake.should_hand_over(node.now())
@@ -181,6 +196,10 @@
     {
         match forward(&node, version, caller, unread, neighbor).await {
             Ok(Outcome::Returned(stream, bytes)) => (caller, unread) = (stream, bytes),
+            Ok(Outcome::Unanswered(stream, bytes, at)) => {
+                (caller, unread, past) = (stream, bytes, Past::Forwarded { at });
+                break;
+            }
             Ok(Outcome::Ended) => return,
             // The client saw its connection reset.
             Err(_) => return node.metrics.add("handovers", "cut", 1),
@@ -193,7 +212,7 @@
             offers = 0;
         }
     }
-    server::serve_caller(node, caller, unread).await;
+    server::serve_caller(node, caller, unread, past).await;
     drop(guard);
 }
 
@@ -325,8 +344,12 @@
 pub enum Outcome {
     /// It has ended.
     Ended,
-    /// The neighbour has returned it, with the bytes of the client that it has not used.
+    /// The neighbour has returned it, or was lost between two requests, with the bytes of the
+    /// client that were not used.
     Returned(TcpStream, Bytes),
+    /// The neighbour was lost while an answer was due to the request that begins with these bytes
+    /// and was received at the given time.
+    Unanswered(TcpStream, Bytes, Duration),
 }
 
 /// What ended the forwarding of a connection.
@@ -347,6 +370,7 @@
     version: u64,
     /// Whether bytes of a request were forwarded since the last byte of an answer.
     asking: Cell<bool>,
+    pending: RefCell<Pending>,
     /// Notified when the neighbour uses no further bytes.
     stopped: Notify,
 }
@@ -356,7 +380,7 @@
 ///
 /// # Errors
 ///
-/// If the neighbour's connection broke off; the client's connection was reset.
+/// If the neighbour's connection broke off within an answer; the client's connection was reset.
 pub async fn forward(
     node: &Rc<Node>,
     version: u64,
@@ -372,6 +396,7 @@
         node,
         version,
         asking: Cell::new(false),
+        pending: RefCell::default(),
         stopped: Notify::new(),
     };
     let end = {
@@ -380,15 +405,18 @@
         let answers = FramedRead::new(from_neighbor, Codec::default());
         let requests = FramedWrite::new(to_neighbor, Codec::default());
         tokio::select! {
+            // No request is forwarded to a neighbour whose end has been received.
+            biased;
             end = forwarding.copy_answers(answers, to_caller) => end,
             () = forwarding.copy_requests(unread, from_caller, requests) => Ok(End::Client),
         }
     };
     forwarding.log_cut(peer, &end);
-    let end = end?;
-    if end == End::Client {
-        return Ok(Outcome::Ended);
-    }
+    let end = match end {
+        Ok(End::Client) => return Ok(Outcome::Ended),
+        Ok(end) => end,
+        Err(error) => return forwarding.take_back(caller).ok_or(error),
+    };
     ending::close_regularly(&neighbor)?;
     ending::close_regularly(&caller)?;
     if let End::Returned(bytes) = end {
@@ -434,6 +462,31 @@
         drop(line.with("leaving", self.node.leaving_since().is_some()));
     }
 
+    /// Updates what is due, and the bytes that are kept.
+    fn update(&self, change: impl FnOnce(&mut Pending)) {
+        let mut pending = self.pending.borrow_mut();
+        let before = pending.kept();
+        change(&mut pending);
+        let kept = self.node.handovers.kept.get() + pending.kept();
+        self.node.handovers.kept.set(kept.saturating_sub(before));
+    }
+
+    /// Takes the connection back whose neighbour is lost, unless a part of an answer was forwarded.
+    fn take_back(&self, caller: TcpStream) -> Option<Outcome> {
+        let mut debt = None;
+        self.update(|it| debt = it.take_debt());
+        let debt = debt?;
+        // A connection that can't be set is reset.
+        ending::close_regularly(&caller).ok()?;
+        let (label, outcome) = match debt {
+            Debt::Nothing => ("regained_idle", Outcome::Returned(caller, Bytes::new())),
+            Debt::Unused(bytes) => ("regained_unused", Outcome::Returned(caller, bytes)),
+            Debt::Request(bytes, at) => ("regained", Outcome::Unanswered(caller, bytes, at)),
+        };
+        self.node.metrics.add("handovers", label, 1);
+        Some(outcome)
+    }
+
     /// Copies answers until the connection ends or is returned.
     async fn copy_answers(
         &self,
@@ -445,11 +498,16 @@
             match from.next().await.transpose()? {
                 Some(Frame::Data(bytes)) => {
                     self.asking.set(false);
+                    self.update(Pending::record_answer);
                     if to.write_all(&bytes).await.is_err() {
                         return Ok(End::Client);
                     }
                 }
-                Some(Frame::Stopped) => self.stopped.notify_one(),
+                Some(Frame::Answered) => self.update(Pending::record_end),
+                Some(Frame::Stopped) => {
+                    self.update(Pending::record_stop);
+                    self.stopped.notify_one();
+                }
                 Some(Frame::Unread(bytes)) => unread.extend_from_slice(&bytes),
                 Some(Frame::Returned) => return Ok(End::Returned(unread.freeze())),
                 Some(Frame::Closed) => return Ok(End::Closed),
@@ -520,6 +578,12 @@
             self.node.intake.record_handover();
             self.node.metrics.add("handovers", "requests", 1);
         }
+        let now = self.node.now();
+        let free = MAX_KEPT_IN_ALL.saturating_sub(self.node.handovers.kept.get());
+        self.update(|it| {
+            let room = MAX_KEPT.saturating_sub(it.kept()).min(free);
+            it.record_request(&bytes, room, now);
+        });
         to.send(Frame::Data(bytes)).await
     }
 
@@ -534,6 +598,12 @@
     }
 }
 
+impl Drop for Forwarding<'_> {
+    fn drop(&mut self) {
+        self.update(|it| *it = Pending::default());
+    }
+}
+
 /// Adds what this router knows of a neighbour to a line.
 fn with_member(line: Line, node: &Node, peer: SocketAddr) -> Line {
     let members = &node.state.borrow().members;
--- a/crates/path/src/handover/frame.rs
+++ b/crates/path/src/handover/frame.rs
@@ -6,7 +6,8 @@
 //! stops reading ([`Frame::Stopped`]); the first router confirms that nothing follows
 //! ([`Frame::End`]); the neighbour sends back what it has received and not used
 //! ([`Frame::Unread`]) and then [`Frame::Returned`]. Each byte of the client is used by one of the
-//! two.
+//! two. A neighbour that is lost can do none of that: it states the end of each answer
+//! ([`Frame::Answered`]) behind its last byte, so the first router knows whether one is due.
 
 use std::io;
 
@@ -23,6 +24,7 @@
 const UNREAD: u8 = 4;
 const RETURNED: u8 = 5;
 const CLOSED: u8 = 6;
+const ANSWERED: u8 = 7;
 
 /// A frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +43,8 @@
     Returned,
     /// The neighbour has closed the connection, and so should the first router.
     Closed,
+    /// The answer is complete, and no further one has begun.
+    Answered,
 }
 
 /// Encodes and decodes frames: a length, a kind, and bytes.
@@ -68,6 +72,7 @@
             Frame::Unread(bytes) => (UNREAD, bytes),
             Frame::Returned => (RETURNED, Bytes::new()),
             Frame::Closed => (CLOSED, Bytes::new()),
+            Frame::Answered => (ANSWERED, Bytes::new()),
         };
         let mut payload = BytesMut::with_capacity(1 + bytes.len());
         payload.put_u8(kind);
@@ -94,6 +99,7 @@
             UNREAD => Frame::Unread(bytes),
             RETURNED => Frame::Returned,
             CLOSED => Frame::Closed,
+            ANSWERED => Frame::Answered,
             kind => return Err(unexpected(&format!("frame of kind {kind}"))),
         };
         Ok(Some(frame))
--- a/crates/path/src/handover/taken.rs
+++ b/crates/path/src/handover/taken.rs
@@ -35,6 +35,8 @@
     Busy,
     /// The answer is complete, but a part of it may not be written yet.
     Answered,
+    /// The same, and its end was stated to the first router.
+    Stated,
 }
 
 /// Progress of a connection, shared by the connection and its service.
@@ -52,9 +54,16 @@
     stopped: Cell<bool>,
     /// Whether the first router has left, or does not follow the protocol.
     broken: Cell<bool>,
+    /// Whether a request has begun before the last answer was written.
+    overlapping: Cell<bool>,
 }
 
 impl State {
+    /// Whether the end of an answer is to be stated now.
+    fn ends_answer(&self) -> bool {
+        self.phase.get() == Phase::Answered && !self.closing.get() && !self.overlapping.get()
+    }
+
     /// Whether the connection can be returned now.
     fn is_returnable(&self) -> bool {
         self.returning.get() && !self.closing.get() && self.phase.get() == Phase::Idle
@@ -89,6 +98,9 @@
 
     /// Begins an exchange, which ends when the result is dropped.
     pub(crate) fn begin(&self) -> Exchange {
+        if self.0.phase.get() == Phase::Answered {
+            self.0.overlapping.set(true);
+        }
         self.0.phase.set(Phase::Busy);
         Exchange(self.clone())
     }
@@ -262,9 +274,14 @@
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        ready!(Pin::new(&mut this.frames).poll_flush(context))?;
         let state = &this.progress.0;
-        if state.phase.get() == Phase::Answered {
+        if state.ends_answer() {
+            ready!(Pin::new(&mut this.frames).poll_ready(context))?;
+            Pin::new(&mut this.frames).start_send(Frame::Answered)?;
+            state.phase.set(Phase::Stated);
+        }
+        ready!(Pin::new(&mut this.frames).poll_flush(context))?;
+        if matches!(state.phase.get(), Phase::Answered | Phase::Stated) {
             state.phase.set(Phase::Idle);
             if state.returning.get() {
                 // The HTTP server does not read again before there is input.
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Whether its status guarantees that the request has not run.
+    #[must_use]
+    pub fn guarantees_not_run(self) -> bool {
+        let guarantees = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::REQUEST_TIMEOUT];
+        guarantees.contains(&self.status())
+    }
+
     /// Response status; 503 and 408 guarantee that the request has not run.
     #[must_use]
     pub fn status(self) -> StatusCode {
--- a/crates/path/src/request_log.rs
+++ b/crates/path/src/request_log.rs
@@ -149,6 +149,15 @@
     drop(line.with("running", running));
 }
 
+/// Logs a request whose neighbour was lost before it answered.
+pub fn regained(node: &Rc<Node>, job: &Job, failed: Failure) {
+    node.metrics.add("failures", failed.reason, 1);
+    let line = node.journal.line("request_regained");
+    let line = line.with("id", job.id.as_ref());
+    let waited = node.now().saturating_sub(job.arrived);
+    drop(line.with_ms("after_ms", waited));
+}
+
 /// Logs an attempt that brought no answer.
 pub fn failure(node: &Rc<Node>, job: &Job, target: &str, failed: Failure) {
     node.metrics.add("failures", failed.reason, 1);
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::ending::{self, Marked, Marker};
-use crate::exchange;
+use crate::exchange::{self, Past};
 use crate::handover;
 use crate::handover::taken::{Answer, Progress, Taken, Upload};
 use crate::node::Node;
@@ -135,17 +135,23 @@
     builder
 }
 
-/// Serves a connection of a caller of which the bytes `unread` were received.
-pub async fn serve_caller(node: Rc<Node>, stream: TcpStream, unread: Bytes) {
+/// Serves a connection of a caller of which the bytes `unread` were received; `past` is that of its
+/// first request. A connection whose first request may have run elsewhere is closed behind it.
+pub async fn serve_caller(node: Rc<Node>, stream: TcpStream, unread: Bytes, past: Past) {
     let server = node.clone();
     let marker = Marker::default();
     let connection = ending::Connection::new(stream, marker.clone()).with_unread(unread);
     let closing = Rc::new(Cell::new(false));
     let announced = closing.clone();
+    let past = Cell::new(past);
     let service = service_fn(move |request: Request<Incoming>| {
         let (node, marker, closing) = (server.clone(), marker.clone(), closing.clone());
+        let past = past.take();
         Box::pin(async move {
-            let response = exchange::serve(node, request).await;
+            let mut response = exchange::serve(node, request, past).await;
+            if past != Past::New {
+                close_behind(&mut response);
+            }
             closing.set(response.headers().contains_key(CONNECTION));
             Ok::<_, Infallible>(response.map(|it| marked(it, &marker)))
         })
@@ -213,7 +219,7 @@
             let response = if refused {
                 exchange::refuse_released(&node)
             } else {
-                exchange::serve(node, request).await
+                exchange::serve(node, request, Past::New).await
             };
             let response = with_close(response, &progress, read.get());
             Ok::<_, Infallible>(response.map(|it| Answer::new(marked(it, &marker), exchange)))
@@ -258,8 +264,7 @@
     body_read: bool,
 ) -> Response<Payload> {
     if !body_read {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        close_behind(&mut response);
     }
     if response.headers().contains_key(CONNECTION) || response.body().ends_with_connection() {
         progress.close();
@@ -267,6 +272,12 @@
     response
 }
 
+/// Asks the caller to close its connection behind an answer.
+fn close_behind<B>(response: &mut Response<B>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 /// Counts a caller's connection as open until it is dropped.
 pub(crate) struct OpenConnection(Rc<Node>);
 
