The mark of an offer is shorter than any request for views

The mark that came with the statement of ends of answers, 2, is also the length of a request for a configuration, so peers took such requests for offers. The mark is 0 now; a request has two bytes at least, which a test states. An earlier release reads an empty request and closes the connection.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -52,9 +52,9 @@
 mod pending;
 pub(crate) mod taken;
 
-/// Length prefix of an offer, on the port at which peers also fetch views. Requests for views are
-/// longer; an earlier release, which states no ends of answers, closes the connection.
-pub(crate) const OFFER_MARK: u16 = 2;
+/// Length prefix of an offer, on the port at which peers also fetch views. A request for views has
+/// at least two bytes; an earlier release, which states no ends of answers, closes the connection.
+pub(crate) const OFFER_MARK: u16 = 0;
 
 /// Replies of a neighbour.
 const TAKEN: u8 = 1;
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -328,3 +328,6 @@
         targets,
     }
 }
+
+#[cfg(test)]
+mod tests;
