A neighbour states each send to a target before it

Without it a request whose neighbour is lost counts as one that may have run, though it may only have waited for a place, and how often it was sent to targets is not known, so a route's limit of attempts could be exceeded.

The neighbour writes Sent to the first router before a request goes to a target, and waits until it is written, not until it is received. If the connection ends without a reset, all that was written was received: a request without Sent has not run and is served as new, of every kind. Otherwise the stated sends count as attempts, one at least. The neighbour's side is no longer reset when it is dropped, as that drops frames; the end of a connection has been a frame since connections are returned.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -21,6 +21,7 @@
 
 use crate::dialect::{Answer, Dispatch};
 use crate::framing::{self, Framing};
+use crate::handover::taken::Progress;
 use crate::interruption::{self, Cause};
 use crate::lease::Lease;
 use crate::leaving;
@@ -85,6 +86,22 @@
     pub resumes: Option<Arc<str>>,
     /// Targets that may send the next event of its answer.
     pub binding: Cell<Binding>,
+    /// Progress of its connection, if a neighbour forwards it.
+    pub(crate) progress: Option<Progress>,
+}
+
+impl Job {
+    /// Sets the progress of its connection.
+    pub(crate) fn with_progress(self, progress: Option<Progress>) -> Self {
+        Self { progress, ..self }
+    }
+
+    /// States that it is about to be sent, if a neighbour forwards it.
+    pub(crate) async fn state_send(&self) {
+        if let Some(progress) = &self.progress {
+            progress.state_send().await;
+        }
+    }
 }
 
 /// Whether a request that failed may have run.
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -32,6 +32,8 @@
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::continuation;
 use crate::framing::{self, End, Framing};
+use crate::handover::pending;
+use crate::handover::taken::Progress;
 use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
@@ -82,10 +84,29 @@
     Forwarded {
         /// When this router received it.
         at: Duration,
+        /// Times that it was sent to targets.
+        sends: u32,
     },
 }
 
 impl Past {
+    /// That of a request whose neighbour was lost.
+    #[must_use]
+    pub fn of(request: &pending::Request) -> Self {
+        Self::Forwarded {
+            at: request.at,
+            sends: request.sends,
+        }
+    }
+
+    /// Times that the request may have been sent to targets.
+    fn sends(self) -> u32 {
+        match self {
+            Self::New => 0,
+            Self::Forwarded { sends, .. } => sends,
+        }
+    }
+
     /// The failure after which the request is sent again, if it was sent before.
     fn failure(self) -> Option<Failure> {
         match self {
@@ -105,13 +126,39 @@
 
 /// Handles one request and returns the response to its caller.
 pub async fn serve<B>(node: Rc<Node>, request: Request<B>, past: Past) -> Response<Payload>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    respond(node, request, past, None).await
+}
+
+/// Handles one request of a connection that a neighbour forwards.
+pub(crate) async fn serve_taken<B>(
+    node: Rc<Node>,
+    request: Request<B>,
+    progress: Progress,
+) -> Response<Payload>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    respond(node, request, Past::New, Some(progress)).await
+}
+
+async fn respond<B>(
+    node: Rc<Node>,
+    request: Request<B>,
+    past: Past,
+    progress: Option<Progress>,
+) -> Response<Payload>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: Into<BoxError>,
 {
     node.detect_suspension();
     let (head, body) = request.into_parts();
-    let mut response = match handle(&node, head, body, past).await {
+    let mut response = match handle(&node, head, body, past, progress).await {
         Ok(response) => response,
         Err(refusal) => past.refusal(refusal).response(),
     };
@@ -134,6 +181,7 @@
     head: request::Parts,
     body: B,
     past: Past,
+    progress: Option<Progress>,
 ) -> Result<Response<Payload>, Refusal>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -141,7 +189,7 @@
 {
     let arrived = match past {
         Past::New => node.now(),
-        Past::Forwarded { at } => at,
+        Past::Forwarded { at, .. } => at,
     };
     let call = node.dialect.call(&head).map_err(|error| {
         let line = node.journal.line("refused").with("reason", "malformed");
@@ -172,7 +220,7 @@
         .await
         .map_err(refused)?;
     let job = admission::job(node, head, body, call, admitted, is_retry, arrived);
-    let job = Rc::new(job);
+    let job = Rc::new(job.with_progress(progress));
     if let Some(refusal) = quarantine::refusal(node, &job) {
         request_log::refusal(node, &job.id, arrived, refusal, Some(&job));
         return Err(refusal);
@@ -331,15 +379,13 @@
 }
 
 async fn run(node: &Rc<Node>, job: &Rc<Job>, past: Past) -> Result<Response<Payload>, Refusal> {
-    let mut sends = 0;
+    let mut sends = past.sends();
     let mut exclude = None;
-    let mut tries = 0;
+    let mut tries = sends;
     // The last failure after which the request may have run; no later refusal may claim that it
     // has not.
     let mut may_have_run = past.failure();
     if let Some(failure) = may_have_run {
-        sends += 1;
-        tries += 1;
         request_log::regained(node, job, failure);
         if !may_try_again(node, job, failure, sends, tries) {
             return Err(final_refusal(node, job, failure));
@@ -359,6 +405,7 @@
         request_log::sent(node, job, &lease, sends, job.resume_after);
         let limit = answer_limit(node, job, sends);
         sends += 1;
+        job.state_send().await;
         let outcome = attempt::send(node, job, lease, job.resume_after, limit).await;
         let outcome = match outcome {
             Ok(attempt) => accept(node, job, attempt, sends).await,
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -45,11 +45,11 @@
 use crate::server::{self, OpenConnection};
 use crate::shutdown;
 use frame::{Codec, Frame, MAX_BYTES};
-use pending::{Debt, Pending};
+use pending::{Debt, Pending, Request};
 use taken::{Progress, Taken};
 
 pub mod frame;
-mod pending;
+pub mod pending;
 pub(crate) mod taken;
 
 /// Length prefix of an offer, on the port at which peers also fetch views. A request for views has
@@ -196,8 +196,9 @@
     {
         match forward(&node, version, caller, unread, neighbor).await {
             Ok(Outcome::Returned(stream, bytes)) => (caller, unread) = (stream, bytes),
-            Ok(Outcome::Unanswered(stream, bytes, at)) => {
-                (caller, unread, past) = (stream, bytes, Past::Forwarded { at });
+            Ok(Outcome::Unanswered(stream, request)) => {
+                past = Past::of(&request);
+                (caller, unread) = (stream, request.bytes);
                 break;
             }
             Ok(Outcome::Ended) => return,
@@ -296,7 +297,7 @@
 /// Serves a connection that a neighbour forwards until it ends or is returned.
 async fn serve_taken(node: &Rc<Node>, stream: TcpStream, offer: Offer) -> io::Result<()> {
     let progress = Progress::default();
-    let taken = Taken::new(stream, progress.clone())?;
+    let taken = Taken::new(stream, progress.clone());
     let end = server::serve_taken(node, taken, progress, released(node, offer)).await;
     match end {
         server::End::Returned(taken, read) => taken.give_back(read, returned_bytes(node)).await,
@@ -347,9 +348,8 @@
     /// The neighbour has returned it, or was lost between two requests, with the bytes of the
     /// client that were not used.
     Returned(TcpStream, Bytes),
-    /// The neighbour was lost while an answer was due to the request that begins with these bytes
-    /// and was received at the given time.
-    Unanswered(TcpStream, Bytes, Duration),
+    /// The neighbour was lost while an answer was due to this request.
+    Unanswered(TcpStream, Request),
 }
 
 /// What ended the forwarding of a connection.
@@ -415,7 +415,7 @@
     let end = match end {
         Ok(End::Client) => return Ok(Outcome::Ended),
         Ok(end) => end,
-        Err(error) => return forwarding.take_back(caller).ok_or(error),
+        Err(error) => return forwarding.take_back(caller, &error).ok_or(error),
     };
     ending::close_regularly(&neighbor)?;
     ending::close_regularly(&caller)?;
@@ -472,16 +472,17 @@
     }
 
     /// Takes the connection back whose neighbour is lost, unless a part of an answer was forwarded.
-    fn take_back(&self, caller: TcpStream) -> Option<Outcome> {
+    fn take_back(&self, caller: TcpStream, error: &io::Error) -> Option<Outcome> {
+        let received_all = error.kind() == io::ErrorKind::UnexpectedEof;
         let mut debt = None;
-        self.update(|it| debt = it.take_debt());
+        self.update(|it| debt = it.take_debt(received_all));
         let debt = debt?;
         // A connection that can't be set is reset.
         ending::close_regularly(&caller).ok()?;
         let (label, outcome) = match debt {
             Debt::Nothing => ("regained_idle", Outcome::Returned(caller, Bytes::new())),
             Debt::Unused(bytes) => ("regained_unused", Outcome::Returned(caller, bytes)),
-            Debt::Request(bytes, at) => ("regained", Outcome::Unanswered(caller, bytes, at)),
+            Debt::Request(request) => ("regained", Outcome::Unanswered(caller, request)),
         };
         self.node.metrics.add("handovers", label, 1);
         Some(outcome)
@@ -503,6 +504,7 @@
                         return Ok(End::Client);
                     }
                 }
+                Some(Frame::Sent) => self.update(Pending::record_send),
                 Some(Frame::Answered) => self.update(Pending::record_end),
                 Some(Frame::Stopped) => {
                     self.update(Pending::record_stop);
--- a/crates/path/src/handover/frame.rs
+++ b/crates/path/src/handover/frame.rs
@@ -6,8 +6,10 @@
 //! stops reading ([`Frame::Stopped`]); the first router confirms that nothing follows
 //! ([`Frame::End`]); the neighbour sends back what it has received and not used
 //! ([`Frame::Unread`]) and then [`Frame::Returned`]. Each byte of the client is used by one of the
-//! two. A neighbour that is lost can do none of that: it states the end of each answer
-//! ([`Frame::Answered`]) behind its last byte, so the first router knows whether one is due.
+//! two. A neighbour that is lost can do none of that. It therefore states each send of a request to
+//! a target before it ([`Frame::Sent`]), and the end of each answer behind its last byte
+//! ([`Frame::Answered`]), so the first router knows whether an answer is due and whether the request
+//! may have run.
 
 use std::io;
 
@@ -25,6 +27,7 @@
 const RETURNED: u8 = 5;
 const CLOSED: u8 = 6;
 const ANSWERED: u8 = 7;
+const SENT: u8 = 8;
 
 /// A frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +48,8 @@
     Closed,
     /// The answer is complete, and no further one has begun.
     Answered,
+    /// The request that has begun is about to be sent to a target, maybe once more.
+    Sent,
 }
 
 /// Encodes and decodes frames: a length, a kind, and bytes.
@@ -73,6 +78,7 @@
             Frame::Returned => (RETURNED, Bytes::new()),
             Frame::Closed => (CLOSED, Bytes::new()),
             Frame::Answered => (ANSWERED, Bytes::new()),
+            Frame::Sent => (SENT, Bytes::new()),
         };
         let mut payload = BytesMut::with_capacity(1 + bytes.len());
         payload.put_u8(kind);
@@ -100,6 +106,7 @@
             RETURNED => Frame::Returned,
             CLOSED => Frame::Closed,
             ANSWERED => Frame::Answered,
+            SENT => Frame::Sent,
             kind => return Err(unexpected(&format!("frame of kind {kind}"))),
         };
         Ok(Some(frame))
--- a/crates/path/src/handover/pending.rs
+++ b/crates/path/src/handover/pending.rs
@@ -3,14 +3,16 @@
 //! The first router keeps the bytes of a request that it forwards until the first byte of the
 //! answer has come. The neighbour states the end of each answer
 //! ([`Frame::Answered`](super::frame::Frame::Answered)), so between two requests nothing is kept
-//! and nothing is owed. Requests that a client sends ahead of answers can't be told apart by that:
+//! and nothing is owed. It also states each send to a target, and writes that before the request.
+//! If its connection ends without a reset, everything that it has written was received, so a
+//! request without that statement has not run. Requests that a client sends ahead of answers can't be told apart by that:
 //! if what was kept is not one whole request when its answer begins, the connection is no longer
 //! tracked, and it is reset if its neighbour is lost.
 
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use httparse::{EMPTY_HEADER, Request, Status};
+use httparse::{EMPTY_HEADER, Status};
 
 /// Limit of the headers of a request whose end is determined.
 const MAX_HEADERS: usize = 64;
@@ -20,10 +22,21 @@
 pub(crate) enum Debt {
     /// Nothing: the connection is idle.
     Nothing,
-    /// These bytes, of which the neighbour has begun no request.
+    /// These bytes, of which no request has run.
     Unused(Bytes),
-    /// A request that begins with these bytes and may have run; it was received at the given time.
-    Request(Bytes, Duration),
+    /// A request that may have run.
+    Request(Request),
+}
+
+/// A request whose neighbour was lost before it answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Bytes that were received of it.
+    pub bytes: Bytes,
+    /// When its first byte was received.
+    pub at: Duration,
+    /// Sends to targets that its neighbour has stated, at least one.
+    pub sends: u32,
 }
 
 /// Progress of the requests on a forwarded connection.
@@ -33,6 +46,8 @@
     kept: BytesMut,
     /// When the first of these was received.
     since: Duration,
+    /// Sends to targets of the request that these begin with.
+    sends: u32,
     /// Whether an answer has begun and not ended.
     answering: bool,
     /// Whether the neighbour begins no further request.
@@ -61,12 +76,18 @@
         self.kept.extend_from_slice(bytes);
     }
 
+    /// Records that the neighbour sends the request to a target.
+    pub(crate) fn record_send(&mut self) {
+        self.sends += 1;
+    }
+
     /// Records that bytes of an answer have come.
     pub(crate) fn record_answer(&mut self) {
         if self.answering || self.untracked {
             return;
         }
         self.answering = true;
+        self.sends = 0;
         if request_length(&self.kept) == Some(self.kept.len()) {
             self.kept = BytesMut::new();
         } else {
@@ -77,6 +98,7 @@
     /// Records that the answer is complete.
     pub(crate) fn record_end(&mut self) {
         self.answering = false;
+        self.sends = 0;
     }
 
     /// Records that the neighbour begins no further request.
@@ -90,24 +112,31 @@
     }
 
     /// Takes what is left unanswered; none if an answer was forwarded in part, or if requests can't
-    /// be told apart.
-    pub(crate) fn take_debt(&mut self) -> Option<Debt> {
+    /// be told apart. `received_all` tells whether everything that the neighbour has written was
+    /// received.
+    pub(crate) fn take_debt(&mut self, received_all: bool) -> Option<Debt> {
         if self.untracked || self.answering {
             return None;
         }
-        let kept = std::mem::take(&mut self.kept).freeze();
-        Some(match (kept.is_empty(), self.stopped) {
-            (true, _) => Debt::Nothing,
-            (false, true) => Debt::Unused(kept),
-            (false, false) => Debt::Request(kept, self.since),
-        })
+        let bytes = std::mem::take(&mut self.kept).freeze();
+        if bytes.is_empty() {
+            return Some(Debt::Nothing);
+        }
+        if self.stopped || (received_all && self.sends == 0) {
+            return Some(Debt::Unused(bytes));
+        }
+        Some(Debt::Request(Request {
+            bytes,
+            at: self.since,
+            sends: self.sends.max(1),
+        }))
     }
 }
 
 /// Length of the first request in `bytes`; none if it is incomplete or its end can't be determined.
 fn request_length(bytes: &[u8]) -> Option<usize> {
     let mut headers = [EMPTY_HEADER; MAX_HEADERS];
-    let mut request = Request::new(&mut headers);
+    let mut request = httparse::Request::new(&mut headers);
     let Ok(Status::Complete(head)) = request.parse(bytes) else {
         return None;
     };
--- a/crates/path/src/handover/pending/tests.rs
+++ b/crates/path/src/handover/pending/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Debt, Pending, request_length};
+use super::{Debt, Pending, Request, request_length};
 
 const AT: Duration = Duration::from_secs(1);
 const PLAIN: &[u8] = b"GET /a/x HTTP/1.1\r\nhost: h\r\n\r\n";
@@ -16,6 +16,11 @@
     pending
 }
 
+fn unanswered(bytes: &[u8], at: Duration, sends: u32) -> Debt {
+    let bytes = bytes.to_vec().into();
+    Debt::Request(Request { bytes, at, sends })
+}
+
 fn answered(parts: &[&[u8]]) -> Pending {
     let mut pending = forwarded(parts);
     pending.record_answer();
@@ -50,13 +55,13 @@
     for request in [PLAIN, SIZED, CHUNKED] {
         let (first, rest) = request.split_at(request.len() / 2);
         let mut pending = forwarded(&[first, rest]);
-        let owed = Some(Debt::Request(request.to_vec().into(), AT));
-        assert_eq!(forwarded(&[first, rest]).take_debt(), owed);
+        let owed = Some(unanswered(request, AT, 1));
+        assert_eq!(forwarded(&[first, rest]).take_debt(false), owed);
         pending.record_answer();
         assert_eq!(pending.kept(), 0);
-        assert_eq!(pending.take_debt(), None);
+        assert_eq!(pending.take_debt(false), None);
         pending.record_end();
-        assert_eq!(pending.take_debt(), Some(Debt::Nothing));
+        assert_eq!(pending.take_debt(false), Some(Debt::Nothing));
     }
 }
 
@@ -65,18 +70,18 @@
     let mut pending = answered(&[SIZED]);
     pending.record_request(&SIZED[..5], usize::MAX, AT * 2);
     pending.record_request(&SIZED[5..], usize::MAX, AT * 3);
-    let owed = Some(Debt::Request(SIZED.to_vec().into(), AT * 2));
-    assert_eq!(pending.take_debt(), owed);
+    let owed = Some(unanswered(SIZED, AT * 2, 1));
+    assert_eq!(pending.take_debt(false), owed);
 }
 
 #[test]
 fn bytes_of_a_neighbour_that_has_stopped_are_unused() {
     let mut pending = answered(&[PLAIN]);
     pending.record_stop();
-    assert_eq!(pending.take_debt(), Some(Debt::Nothing));
+    assert_eq!(pending.take_debt(false), Some(Debt::Nothing));
     pending.record_request(PLAIN, usize::MAX, AT);
     assert_eq!(
-        pending.take_debt(),
+        pending.take_debt(false),
         Some(Debt::Unused(PLAIN.to_vec().into()))
     );
 }
@@ -88,9 +93,9 @@
     let part = [SIZED, &PLAIN[..4]].concat();
     for ahead in [two, part, SIZED[..SIZED.len() - 1].to_vec()] {
         let mut pending = answered(&[&ahead]);
-        assert_eq!(pending.take_debt(), None);
+        assert_eq!(pending.take_debt(false), None);
         pending.record_request(PLAIN, usize::MAX, AT);
-        assert_eq!(pending.take_debt(), None);
+        assert_eq!(pending.take_debt(false), None);
     }
 }
 
@@ -98,5 +103,25 @@
 fn a_request_without_room_is_not_kept() {
     let mut pending = Pending::default();
     pending.record_request(SIZED, SIZED.len() - 1, AT);
-    assert_eq!((pending.kept(), pending.take_debt()), (0, None));
+    assert_eq!((pending.kept(), pending.take_debt(false)), (0, None));
+}
+
+#[test]
+fn a_request_has_run_only_if_its_send_was_or_may_have_been_stated() {
+    let unused = Debt::Unused(PLAIN.to_vec().into());
+    assert_eq!(forwarded(&[PLAIN]).take_debt(true), Some(unused.clone()));
+    for sends in 1..3 {
+        let mut pending = forwarded(&[PLAIN]);
+        for _ in 0..sends {
+            pending.record_send();
+        }
+        let owed = Some(unanswered(PLAIN, AT, sends));
+        assert_eq!(pending.take_debt(true), owed);
+    }
+    let mut later = forwarded(&[PLAIN]);
+    later.record_send();
+    later.record_answer();
+    later.record_end();
+    later.record_request(PLAIN, usize::MAX, AT);
+    assert_eq!(later.take_debt(true), Some(unused));
 }
--- a/crates/path/src/handover/taken.rs
+++ b/crates/path/src/handover/taken.rs
@@ -4,11 +4,12 @@
 //! was written. What it has read of a next request until then is returned to the neighbour together
 //! with what was not read, so it is never lost and never served twice.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -20,7 +21,6 @@
 use tokio_util::codec::Framed;
 
 use super::frame::{self, Codec, Frame, MAX_BYTES};
-use crate::ending;
 
 /// Time that the first router has to close its side of a connection that has ended.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -56,6 +56,22 @@
     broken: Cell<bool>,
     /// Whether a request has begun before the last answer was written.
     overlapping: Cell<bool>,
+    /// Statement of a send to a target.
+    statement: Cell<Statement>,
+    /// Waits for the statement to be written.
+    waiting: RefCell<Option<Waker>>,
+}
+
+/// Progress of the statement of a send to a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Statement {
+    /// There is none to write.
+    #[default]
+    Done,
+    /// It is to be written.
+    Due,
+    /// It is buffered.
+    Buffered,
 }
 
 impl State {
@@ -96,6 +112,20 @@
         self.0.broken.get()
     }
 
+    /// States that the request is about to be sent to a target; returns once that is written.
+    pub(crate) async fn state_send(&self) {
+        self.0.statement.set(Statement::Due);
+        poll_fn(|context| {
+            if self.0.statement.get() == Statement::Done {
+                return Poll::Ready(());
+            }
+            // The HTTP server flushes the connection after each poll of its service.
+            self.0.waiting.replace(Some(context.waker().clone()));
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Begins an exchange, which ends when the result is dropped.
     pub(crate) fn begin(&self) -> Exchange {
         if self.0.phase.get() == Phase::Answered {
@@ -162,14 +192,14 @@
 }
 
 impl Taken {
-    /// Creates a connection; the neighbour sees it break unless it ends in one of the ways below.
-    pub(crate) fn new(stream: TcpStream, progress: Progress) -> io::Result<Self> {
-        ending::reset_on_close(&stream)?;
-        Ok(Self {
+    /// Creates a connection. To the neighbour it is lost unless it ends in one of the ways below. It
+    /// is not reset then, as that would drop frames that are still to be sent.
+    pub(crate) fn new(stream: TcpStream, progress: Progress) -> Self {
+        Self {
             frames: Framed::new(stream, Codec::default()),
             unread: Bytes::new(),
             progress,
-        })
+        }
     }
 
     /// Returns the connection, with the bytes that the HTTP server has `read` and not used.
@@ -212,7 +242,6 @@
 
     async fn end(mut self, last: Frame) -> io::Result<()> {
         self.frames.send(last).await?;
-        ending::close_regularly(self.frames.get_ref())?;
         // Closing with unread bytes would reset the connection before the last frame is received.
         let drain = async { while let Some(Ok(_)) = self.frames.next().await {} };
         drop(timeout(CLOSE_TIMEOUT, drain).await);
@@ -275,12 +304,23 @@
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let state = &this.progress.0;
+        if state.statement.get() == Statement::Due {
+            ready!(Pin::new(&mut this.frames).poll_ready(context))?;
+            Pin::new(&mut this.frames).start_send(Frame::Sent)?;
+            state.statement.set(Statement::Buffered);
+        }
         if state.ends_answer() {
             ready!(Pin::new(&mut this.frames).poll_ready(context))?;
             Pin::new(&mut this.frames).start_send(Frame::Answered)?;
             state.phase.set(Phase::Stated);
         }
         ready!(Pin::new(&mut this.frames).poll_flush(context))?;
+        if state.statement.get() == Statement::Buffered {
+            state.statement.set(Statement::Done);
+            if let Some(waker) = state.waiting.take() {
+                waker.wake();
+            }
+        }
         if matches!(state.phase.get(), Phase::Answered | Phase::Stated) {
             state.phase.set(Phase::Idle);
             if state.returning.get() {
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -653,6 +653,7 @@
             let limit = self.job.deadline;
             let last = self.splitter.last_id();
             request_log::sent(&self.node, &self.job, &lease, self.sends - 1, last);
+            self.job.state_send().await;
             match attempt::send(&self.node, &self.job, lease, last, limit).await {
                 Ok(attempt) if attempt.head.status.is_success() => {
                     self.framing = attempt.framing;
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -219,7 +219,7 @@
             let response = if refused {
                 exchange::refuse_released(&node)
             } else {
-                exchange::serve(node, request, Past::New).await
+                exchange::serve_taken(node, request, progress.clone()).await
             };
             let response = with_close(response, &progress, read.get());
             Ok::<_, Infallible>(response.map(|it| Answer::new(marked(it, &marker), exchange)))
