Forwarding of connections in a module of its own

Moved without a change of behaviour: who is asked and what is taken stays, forwarding between client and neighbour is handover::forwarding.

--- /dev/null
+++ b/crates/path/src/handover/forwarding.rs
@@ -0,0 +1,315 @@
+//! Forwarding of a connection between its client and a neighbour.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::Notify;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use super::frame::{self, Codec, Frame, MAX_BYTES};
+use super::pending::{Debt, Pending, Request};
+use crate::ending;
+use crate::journal::Line;
+use crate::node::Node;
+
+/// Limit of the bytes of a connection's requests that are kept until their answers begin.
+const MAX_KEPT: usize = 256 * 1024;
+
+/// The same for all connections.
+const MAX_KEPT_IN_ALL: usize = 8 * 1024 * 1024;
+
+/// What became of a connection that was forwarded.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It has ended.
+    Ended,
+    /// The neighbour has returned it, or was lost between two requests, with the bytes of the
+    /// client that were not used.
+    Returned(TcpStream, Bytes),
+    /// The neighbour was lost while an answer was due to this request.
+    Unanswered(TcpStream, Request),
+}
+
+/// What ended the forwarding of a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum End {
+    /// The neighbour has closed it.
+    Closed,
+    /// The neighbour has returned it, with these bytes.
+    Returned(Bytes),
+    /// The client has closed it.
+    Client,
+}
+
+/// A connection that is being forwarded.
+struct Forwarding<'a> {
+    node: &'a Node,
+    /// Version of the configuration that it is bound to.
+    version: u64,
+    /// Whether bytes of a request were forwarded since the last byte of an answer.
+    asking: Cell<bool>,
+    pending: RefCell<Pending>,
+    /// Notified when the neighbour uses no further bytes.
+    stopped: Notify,
+}
+
+/// Forwards a connection, beginning with the bytes `unread` of the client, until it ends or another
+/// configuration than `version` is in force.
+///
+/// # Errors
+///
+/// If the neighbour's connection broke off within an answer; the client's connection was reset.
+pub async fn forward(
+    node: &Rc<Node>,
+    version: u64,
+    mut caller: TcpStream,
+    unread: Bytes,
+    mut neighbor: TcpStream,
+) -> io::Result<Outcome> {
+    ending::reset_on_close(&caller)?;
+    ending::reset_on_close(&neighbor)?;
+    let peer = neighbor.peer_addr()?;
+    let _counted = Forwarded::new(node);
+    let forwarding = Forwarding {
+        node,
+        version,
+        asking: Cell::new(false),
+        pending: RefCell::default(),
+        stopped: Notify::new(),
+    };
+    let end = {
+        let (from_caller, to_caller) = caller.split();
+        let (from_neighbor, to_neighbor) = neighbor.split();
+        let answers = FramedRead::new(from_neighbor, Codec::default());
+        let requests = FramedWrite::new(to_neighbor, Codec::default());
+        tokio::select! {
+            // No request is forwarded to a neighbour whose end has been received.
+            biased;
+            end = forwarding.copy_answers(answers, to_caller) => end,
+            () = forwarding.copy_requests(unread, from_caller, requests) => Ok(End::Client),
+        }
+    };
+    forwarding.log_cut(peer, &end);
+    let end = match end {
+        Ok(End::Client) => return Ok(Outcome::Ended),
+        Ok(end) => end,
+        Err(error) => return forwarding.take_back(caller, &error).ok_or(error),
+    };
+    ending::close_regularly(&neighbor)?;
+    ending::close_regularly(&caller)?;
+    if let End::Returned(bytes) = end {
+        let label = if bytes.is_empty() {
+            "returned"
+        } else {
+            "returned_unread"
+        };
+        node.metrics.add("handovers", label, 1);
+        return Ok(Outcome::Returned(caller, bytes));
+    }
+    // The client may have closed it already.
+    drop(caller.shutdown().await);
+    Ok(Outcome::Ended)
+}
+
+impl Forwarding<'_> {
+    /// Whether requests may pass.
+    fn holds(&self) -> bool {
+        let version = self.node.table().map(|it| it.version());
+        version == Some(self.version) && self.node.leaving_since().is_none()
+    }
+
+    /// Logs the end of a connection that is cut, or that leaves a request without an answer.
+    fn log_cut(&self, peer: SocketAddr, end: &io::Result<End>) {
+        let asking = self.asking.get();
+        let cause = match end {
+            Ok(End::Closed) if asking => "neighbour_closed",
+            Err(_) => "neighbour_broke_off",
+            Ok(_) => return,
+        };
+        if asking {
+            self.node.metrics.add("handovers_unanswered", cause, 1);
+        }
+        let line = self.node.journal.line("forwarded_request_cut");
+        let line = line.with("peer", peer.to_string()).with("cause", cause);
+        let line = line.with("asking", asking);
+        let error = end.as_ref().err().map(ToString::to_string);
+        let line = line.with("error", error);
+        let line = with_member(line, self.node, peer);
+        let version = self.node.table().map(|it| it.version());
+        let line = line.with("bound", self.version).with("version", version);
+        drop(line.with("leaving", self.node.leaving_since().is_some()));
+    }
+
+    /// Updates what is due, and the bytes that are kept.
+    fn update(&self, change: impl FnOnce(&mut Pending)) {
+        let mut pending = self.pending.borrow_mut();
+        let before = pending.kept();
+        change(&mut pending);
+        let kept = self.node.handovers.kept.get() + pending.kept();
+        self.node.handovers.kept.set(kept.saturating_sub(before));
+    }
+
+    /// Takes the connection back whose neighbour is lost, unless a part of an answer was forwarded.
+    fn take_back(&self, caller: TcpStream, error: &io::Error) -> Option<Outcome> {
+        let received_all = error.kind() == io::ErrorKind::UnexpectedEof;
+        let mut debt = None;
+        self.update(|it| debt = it.take_debt(received_all));
+        let debt = debt?;
+        // A connection that can't be set is reset.
+        ending::close_regularly(&caller).ok()?;
+        let (label, outcome) = match debt {
+            Debt::Nothing => ("regained_idle", Outcome::Returned(caller, Bytes::new())),
+            Debt::Unused(bytes) => ("regained_unused", Outcome::Returned(caller, bytes)),
+            Debt::Request(request) => ("regained", Outcome::Unanswered(caller, request)),
+        };
+        self.node.metrics.add("handovers", label, 1);
+        Some(outcome)
+    }
+
+    /// Copies answers until the connection ends or is returned.
+    async fn copy_answers(
+        &self,
+        mut from: FramedRead<ReadHalf<'_>, Codec>,
+        mut to: WriteHalf<'_>,
+    ) -> io::Result<End> {
+        let mut unread = BytesMut::new();
+        loop {
+            match from.next().await.transpose()? {
+                Some(Frame::Data(bytes)) => {
+                    self.asking.set(false);
+                    self.update(Pending::record_answer);
+                    if to.write_all(&bytes).await.is_err() {
+                        return Ok(End::Client);
+                    }
+                }
+                Some(Frame::Sent) => self.update(Pending::record_send),
+                Some(Frame::Answered) => self.update(Pending::record_end),
+                Some(Frame::Stopped) => {
+                    self.update(Pending::record_stop);
+                    self.stopped.notify_one();
+                }
+                Some(Frame::Unread(bytes)) => unread.extend_from_slice(&bytes),
+                Some(Frame::Returned) => return Ok(End::Returned(unread.freeze())),
+                Some(Frame::Closed) => return Ok(End::Closed),
+                Some(frame) => return Err(frame::unexpected(&format!("{frame:?}"))),
+                None => return Err(io::ErrorKind::UnexpectedEof.into()),
+            }
+        }
+    }
+
+    /// Copies requests until the client closes the connection. The neighbour is asked to return it
+    /// once no further request may pass.
+    async fn copy_requests(
+        &self,
+        unread: Bytes,
+        from: ReadHalf<'_>,
+        mut to: FramedWrite<WriteHalf<'_>, Codec>,
+    ) {
+        if self.try_copy_requests(unread, from, &mut to).await.is_err() {
+            // The neighbour's answer or reset is read by the other direction.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn try_copy_requests(
+        &self,
+        mut unread: Bytes,
+        mut from: ReadHalf<'_>,
+        to: &mut FramedWrite<WriteHalf<'_>, Codec>,
+    ) -> io::Result<()> {
+        let mut buffer = vec![0; MAX_BYTES];
+        let mut recalled = !self.holds();
+        if recalled {
+            to.send(Frame::Recall).await?;
+        }
+        while !unread.is_empty() {
+            let bytes = unread.split_to(unread.len().min(MAX_BYTES));
+            self.send(bytes, to).await?;
+        }
+        loop {
+            let read = tokio::select! {
+                biased;
+                () = self.stopped.notified() => {
+                    to.send(Frame::End).await?;
+                    return std::future::pending().await;
+                }
+                () = self.released(), if !recalled => {
+                    recalled = true;
+                    to.send(Frame::Recall).await?;
+                    continue;
+                }
+                read = from.read(&mut buffer) => read,
+            };
+            let Ok(length @ 1..) = read else {
+                return Ok(());
+            };
+            self.send(Bytes::copy_from_slice(&buffer[..length]), to)
+                .await?;
+        }
+    }
+
+    /// Forwards bytes of the client.
+    async fn send(
+        &self,
+        bytes: Bytes,
+        to: &mut FramedWrite<WriteHalf<'_>, Codec>,
+    ) -> io::Result<()> {
+        if !self.asking.replace(true) {
+            self.node.intake.record_handover();
+            self.node.metrics.add("handovers", "requests", 1);
+        }
+        let now = self.node.now();
+        let free = MAX_KEPT_IN_ALL.saturating_sub(self.node.handovers.kept.get());
+        self.update(|it| {
+            let room = MAX_KEPT.saturating_sub(it.kept()).min(free);
+            it.record_request(&bytes, room, now);
+        });
+        to.send(Frame::Data(bytes)).await
+    }
+
+    /// Returns once no further request may pass: the configuration has changed or this router shuts
+    /// down.
+    async fn released(&self) {
+        let mut changes = self.node.handovers.changes.subscribe();
+        while self.holds() {
+            // The sender lives as long as the node.
+            drop(changes.changed().await);
+        }
+    }
+}
+
+impl Drop for Forwarding<'_> {
+    fn drop(&mut self) {
+        self.update(|it| *it = Pending::default());
+    }
+}
+
+/// Adds what this router knows of a neighbour to a line.
+fn with_member(line: Line, node: &Node, peer: SocketAddr) -> Line {
+    let members = &node.state.borrow().members;
+    line.with("peer_alive", members.contains(peer))
+        .with("peer_leaving", members.is_leaving(peer))
+}
+
+/// Counts a forwarded connection until it is dropped.
+struct Forwarded<'a>(&'a Node);
+
+impl<'a> Forwarded<'a> {
+    fn new(node: &'a Node) -> Self {
+        node.handovers.open.set(node.handovers.open.get() + 1);
+        Self(node)
+    }
+}
+
+impl Drop for Forwarded<'_> {
+    fn drop(&mut self) {
+        self.0.handovers.open.set(self.0.handovers.open.get() - 1);
+    }
+}
