The loss of a neighbour is logged with what becomes of the connection

forwarded_request_cut was also written for connections that are served on, and its counter counted them. These have a line of their own now, forwarded_connection_regained, and three labels in dunlinward_handovers_total.

--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -96,12 +96,18 @@
             () = forwarding.copy_requests(unread, from_caller, requests) => Ok(End::Client),
         }
     };
-    forwarding.log_cut(peer, &end);
     let end = match end {
         Ok(End::Client) => return Ok(Outcome::Ended),
         Ok(end) => end,
-        Err(error) => return forwarding.take_back(caller, &error).ok_or(error),
+        Err(error) => {
+            let regained = forwarding.take_back(caller, &error);
+            forwarding.log_loss(peer, &error, regained.as_ref());
+            return regained.ok_or(error);
+        }
     };
+    if end == End::Closed && forwarding.asking.get() {
+        forwarding.log_cut(peer, "neighbour_closed", None);
+    }
     ending::close_regularly(&neighbor)?;
     ending::close_regularly(&caller)?;
     if let End::Returned(bytes) = end {
@@ -125,22 +131,32 @@
         version == Some(self.version) && self.node.leaving_since().is_none()
     }
 
+    /// Logs the loss of the neighbour, and what becomes of the connection.
+    fn log_loss(&self, peer: SocketAddr, error: &io::Error, regained: Option<&Outcome>) {
+        let Some(outcome) = regained else {
+            return self.log_cut(peer, "neighbour_broke_off", Some(error));
+        };
+        let label = match outcome {
+            Outcome::Unanswered(..) => "regained",
+            Outcome::Returned(_, bytes) if bytes.is_empty() => "regained_idle",
+            Outcome::Returned(..) | Outcome::Ended => "regained_unused",
+        };
+        self.node.metrics.add("handovers", label, 1);
+        let line = self.node.journal.line("forwarded_connection_regained");
+        let line = line.with("peer", peer.to_string()).with("state", label);
+        drop(line.with("error", error.to_string()));
+    }
+
     /// Logs the end of a connection that is cut, or that leaves a request without an answer.
-    fn log_cut(&self, peer: SocketAddr, end: &io::Result<End>) {
+    fn log_cut(&self, peer: SocketAddr, cause: &str, error: Option<&io::Error>) {
         let asking = self.asking.get();
-        let cause = match end {
-            Ok(End::Closed) if asking => "neighbour_closed",
-            Err(_) => "neighbour_broke_off",
-            Ok(_) => return,
-        };
         if asking {
             self.node.metrics.add("handovers_unanswered", cause, 1);
         }
         let line = self.node.journal.line("forwarded_request_cut");
         let line = line.with("peer", peer.to_string()).with("cause", cause);
         let line = line.with("asking", asking);
-        let error = end.as_ref().err().map(ToString::to_string);
-        let line = line.with("error", error);
+        let line = line.with("error", error.map(ToString::to_string));
         let line = with_member(line, self.node, peer);
         let version = self.node.table().map(|it| it.version());
         let line = line.with("bound", self.version).with("version", version);
@@ -164,13 +180,11 @@
         let debt = debt?;
         // A connection that can't be set is reset.
         ending::close_regularly(&caller).ok()?;
-        let (label, outcome) = match debt {
-            Debt::Nothing => ("regained_idle", Outcome::Returned(caller, Bytes::new())),
-            Debt::Unused(bytes) => ("regained_unused", Outcome::Returned(caller, bytes)),
-            Debt::Request(request) => ("regained", Outcome::Unanswered(caller, request)),
-        };
-        self.node.metrics.add("handovers", label, 1);
-        Some(outcome)
+        Some(match debt {
+            Debt::Nothing => Outcome::Returned(caller, Bytes::new()),
+            Debt::Unused(bytes) => Outcome::Returned(caller, bytes),
+            Debt::Request(request) => Outcome::Unanswered(caller, request),
+        })
     }
 
     /// Copies answers until the connection ends or is returned.
