A neighbour that has reset its connection is a lost neighbour

Callers saw a reset if the neighbour had reset the connection before forwarding began: the address of the peer, needed for log lines only, was asked of the socket, and that error ended the forwarding before anything was taken back. It is optional now. Seen by the test of a neighbour that is killed as it takes connections, 2 of 8 unanswered on (its neighbour reset then).

--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -75,7 +75,8 @@
 ) -> io::Result<Outcome> {
     ending::reset_on_close(&caller)?;
     ending::reset_on_close(&neighbor)?;
-    let peer = neighbor.peer_addr()?;
+    // None if the neighbour has reset the connection already.
+    let peer = neighbor.peer_addr().ok();
     let _counted = Forwarded::new(node);
     let forwarding = Forwarding {
         node,
@@ -132,7 +133,7 @@
     }
 
     /// Logs the loss of the neighbour, and what becomes of the connection.
-    fn log_loss(&self, peer: SocketAddr, error: &io::Error, regained: Option<&Outcome>) {
+    fn log_loss(&self, peer: Option<SocketAddr>, error: &io::Error, regained: Option<&Outcome>) {
         let Some(outcome) = regained else {
             return self.log_cut(peer, "neighbour_broke_off", Some(error));
         };
@@ -143,18 +144,22 @@
         };
         self.node.metrics.add("handovers", label, 1);
         let line = self.node.journal.line("forwarded_connection_regained");
-        let line = line.with("peer", peer.to_string()).with("state", label);
+        let line = line
+            .with("peer", peer.map(|it| it.to_string()))
+            .with("state", label);
         drop(line.with("error", error.to_string()));
     }
 
     /// Logs the end of a connection that is cut, or that leaves a request without an answer.
-    fn log_cut(&self, peer: SocketAddr, cause: &str, error: Option<&io::Error>) {
+    fn log_cut(&self, peer: Option<SocketAddr>, cause: &str, error: Option<&io::Error>) {
         let asking = self.asking.get();
         if asking {
             self.node.metrics.add("handovers_unanswered", cause, 1);
         }
         let line = self.node.journal.line("forwarded_request_cut");
-        let line = line.with("peer", peer.to_string()).with("cause", cause);
+        let line = line
+            .with("peer", peer.map(|it| it.to_string()))
+            .with("cause", cause);
         let line = line.with("asking", asking);
         let line = line.with("error", error.map(ToString::to_string));
         let line = with_member(line, self.node, peer);
@@ -306,7 +311,10 @@
 }
 
 /// Adds what this router knows of a neighbour to a line.
-fn with_member(line: Line, node: &Node, peer: SocketAddr) -> Line {
+fn with_member(line: Line, node: &Node, peer: Option<SocketAddr>) -> Line {
+    let Some(peer) = peer else {
+        return line;
+    };
     let members = &node.state.borrow().members;
     line.with("peer_alive", members.contains(peer))
         .with("peer_leaving", members.is_leaving(peer))
