An interim answer does not begin the answer of a forwarded request

Callers that send Expect: 100-continue saw a reset when the neighbour was lost, though no answer had begun: the neighbour's 100 Continue was taken for the beginning of the answer, while only the head of the request was kept, so the connection was no longer tracked. The interim answer that the HTTP server writes by itself is recognized now.

--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -203,7 +203,7 @@
             match from.next().await.transpose()? {
                 Some(Frame::Data(bytes)) => {
                     self.asking.set(false);
-                    self.update(Pending::record_answer);
+                    self.update(|it| it.record_answer(&bytes));
                     if to.write_all(&bytes).await.is_err() {
                         return Ok(End::Client);
                     }
--- a/crates/path/src/handover/pending.rs
+++ b/crates/path/src/handover/pending.rs
@@ -17,6 +17,9 @@
 /// Limit of the headers of a request whose end is determined.
 const MAX_HEADERS: usize = 64;
 
+/// Interim answer to a client that waits before it sends a body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// What a lost neighbour has left unanswered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Debt {
@@ -81,9 +84,10 @@
         self.sends += 1;
     }
 
-    /// Records that bytes of an answer have come.
-    pub(crate) fn record_answer(&mut self) {
-        if self.answering || self.untracked {
+    /// Records bytes of an answer. An interim one, which the HTTP server writes by itself, does not
+    /// begin it.
+    pub(crate) fn record_answer(&mut self, bytes: &[u8]) {
+        if self.answering || self.untracked || bytes == CONTINUE {
             return;
         }
         self.answering = true;
--- a/crates/path/src/handover/pending/tests.rs
+++ b/crates/path/src/handover/pending/tests.rs
@@ -23,7 +23,7 @@
 
 fn answered(parts: &[&[u8]]) -> Pending {
     let mut pending = forwarded(parts);
-    pending.record_answer();
+    pending.record_answer(b"HTTP/1.1 200");
     pending.record_end();
     pending
 }
@@ -57,7 +57,7 @@
         let mut pending = forwarded(&[first, rest]);
         let owed = Some(unanswered(request, AT, 1));
         assert_eq!(forwarded(&[first, rest]).take_debt(false), owed);
-        pending.record_answer();
+        pending.record_answer(b"HTTP/1.1 200");
         assert_eq!(pending.kept(), 0);
         assert_eq!(pending.take_debt(false), None);
         pending.record_end();
@@ -65,6 +65,15 @@
     }
 }
 
+#[test]
+fn an_interim_answer_is_not_the_answer() {
+    let (head, body) = SIZED.split_at(SIZED.len() - 3);
+    let mut pending = forwarded(&[head]);
+    pending.record_answer(super::CONTINUE);
+    pending.record_request(body, usize::MAX, AT);
+    assert_eq!(pending.take_debt(false), Some(unanswered(SIZED, AT, 1)));
+}
+
 #[test]
 fn a_request_that_follows_an_answer_is_owed_from_its_first_byte() {
     let mut pending = answered(&[SIZED]);
@@ -120,7 +129,7 @@
     }
     let mut later = forwarded(&[PLAIN]);
     later.record_send();
-    later.record_answer();
+    later.record_answer(b"HTTP/1.1 200");
     later.record_end();
     later.record_request(PLAIN, usize::MAX, AT);
     assert_eq!(later.take_debt(true), Some(unused));
