Streams that are bound to the only known version are logged

A resumption that is bound without a search left no line, so logs could not tell whether its list was current. The line has the age of the list, the time since a loss of a router, and whether the views are confirmed. No decision changes.

--- a/crates/path/src/continuation.rs
+++ b/crates/path/src/continuation.rs
@@ -28,6 +28,7 @@
 pub mod stored;
 
 use crate::attempt::Job;
+use crate::journal::millis;
 use crate::node::Node;
 use crate::reply::{Reason, Refusal};
 use search::Found;
@@ -87,6 +88,7 @@
         // All targets have the same version, or can't be distinguished.
         let binding = Binding::of_first_event(*software, &versions);
         job.binding.set(binding);
+        log_bound(node, job);
         return Ok(());
     }
     let (found, source) = search::find(node, stream).await;
@@ -239,6 +241,17 @@
     }
 }
 
+/// Logs a stream that is bound to the only version that this router knows.
+fn log_bound(node: &Node, job: &Job) {
+    let line = node.journal.line("stream_bound");
+    let line = line.with("id", job.id.as_ref());
+    let line = line.with("resumes", job.resumes.as_deref());
+    let line = line.with("targets_age_ms", node.targets_age().map(millis));
+    let since_loss = node.time_since_loss().map(millis);
+    let line = line.with("since_loss_ms", since_loss);
+    drop(line.with("views_confirmed", node.views_confirmed()));
+}
+
 fn log_origin(node: &Node, job: &Job, found: Found, source: &str) {
     let line = node
         .journal
