A stream is bound to the only known version on the word of its keepers, not of a list

Callers saw events of two versions in one stream: a router that was cut off, or suspended for a short time, while a new version came ran a stream that had begun at that version elsewhere at the one that it knew.

Cause: a list of targets up to 2 s old counted as current, and a loss of routers that was not noticed yet as none; after the first minute nothing else was asked for. Ruled out: a store that does not answer one router (the others tell it their lists); in a fleet of four, a cut of more than 2 s, and the end of the time for a confirmation, as the loss of the others is noticed before.

Change: a router that uses a second version sends notes to the keepers of a stream before its first event. A resumption at a router that knows one version therefore asks the keepers; if all answer and none knows the stream, it began at that version. An outdated list needs the answers of all routers that are asked; after a loss that the list does not postdate, after a suspension, and for a router alone, the store's records of versions are read. What none of them proves is refused with a time to come back.

--- a/crates/path/src/continuation.rs
+++ b/crates/path/src/continuation.rs
@@ -14,9 +14,7 @@
 
 use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::configuration::Kind;
-use dunlinward_dispatch::continuation::{
-    Binding, MAX_NOTES, Note, Origin, RETENTION, Report, Stream,
-};
+use dunlinward_dispatch::continuation::{Binding, MAX_NOTES, Note, Origin, Report, Stream};
 use dunlinward_dispatch::member::Duty;
 use dunlinward_dispatch::message::Content;
 use dunlinward_dispatch::registry::OUTAGE_GAP;
@@ -31,7 +29,7 @@
 use crate::journal::millis;
 use crate::node::Node;
 use crate::reply::{Reason, Refusal};
-use search::Found;
+use search::{Found, Source, Witness};
 
 /// Age up to which streams may not have been stored when another router begins to store them: the
 /// time until the end of a router is noticed.
@@ -76,28 +74,41 @@
     let Some(stream) = stream(job).filter(|_| resumes(job)) else {
         return Ok(());
     };
-    let proven = match versions(node, job).as_slice() {
-        [Some(_)] => stored::prove_single_version(node, ServiceTag::new(&job.service)).await,
-        _ => true,
-    };
-    let versions = versions(node, job);
-    if let [software] = versions.as_slice()
-        && proven
-        && !may_lack_versions(node)
+    if job.resume_after.is_none() && versions(node, job).len() == 1 {
+        // Without an event the answer begins anew, which needs no version.
+        return Ok(());
+    }
+    let service = ServiceTag::new(&job.service);
+    let mut witness = Witness::Store;
+    if versions(node, job).len() == 1 {
+        witness = choose_witness(node, service).await;
+    }
+    let mut known = versions(node, job);
+    if known.len() > 1 {
+        witness = Witness::Store;
+    }
+    let (found, source) = search::find(node, stream, witness).await;
+    if source == Source::Store {
+        known = versions(node, job);
+    }
+    if let [software] = known.as_slice()
+        && begins_at(node, *software, found, source, service)
     {
-        // All targets have the same version, or can't be distinguished.
-        let binding = Binding::of_first_event(*software, &versions);
-        job.binding.set(binding);
-        log_bound(node, job);
+        job.binding.set(Binding::of_first_event(*software, &known));
+        node.metrics.add("single_versions", source.label(), 1);
+        log_bound(node, job, source);
         return Ok(());
     }
-    let (found, source) = search::find(node, stream).await;
+    let source = match found {
+        Found::Origin(Origin::Unknown) => "unknown",
+        Found::Unanswered => "unanswered",
+        Found::Origin(_) => source.label(),
+    };
     node.metrics.add("stream_origins", source, 1);
     log_origin(node, job, found, source);
     let refusal = Refusal::new(Reason::UnknownOrigin);
     match found {
         Found::Origin(Origin::Known(version)) => job.binding.set(Binding::Version(version)),
-        // Without an event the answer begins anew, which needs no version.
         _ if job.resume_after.is_none() => {}
         Found::Origin(_) => return Err(refusal),
         Found::Unanswered => return Err(refusal.with_retry_after(UNANSWERED_RETRY_AFTER)),
@@ -105,15 +116,48 @@
     Ok(())
 }
 
-/// Whether this router's list may lack targets of another version: it is outdated, and the router
-/// was suspended or has lost routers that may have newer ones. While the store is away for all
-/// routers, no target can come.
-fn may_lack_versions(node: &Node) -> bool {
-    let now = node.now();
+/// Whether a stream began at the only version that this router knew when it asked. A router that uses
+/// another version has sent a note to the keepers, and the store has a record of that version, before
+/// the first event.
+fn begins_at(
+    node: &Node,
+    software: Option<Version>,
+    found: Found,
+    source: Source,
+    service: ServiceTag,
+) -> bool {
+    match found {
+        Found::Origin(Origin::Known(version)) => software == Some(version),
+        Found::Origin(Origin::Ambiguous) => false,
+        Found::Origin(Origin::Unknown) | Found::Unanswered => match source {
+            Source::AllKeepers | Source::AllRouters => true,
+            Source::Store => node.version_records.names(service),
+            _ => false,
+        },
+    }
+}
+
+/// Who must know a stream that began at a version unknown to this router.
+///
+/// Routers on the other side of a cut choose other keepers once they have lost this one. A list
+/// that was confirmed after the last loss shows that this side of the cut sees the store. An outdated
+/// list is no such proof, so all routers have to answer: while the store is away for all of them, no
+/// target can come. A router that has just started may have missed the end of a version.
+async fn choose_witness(node: &Rc<Node>, service: ServiceTag) -> Witness {
     let read_at = node.targets_at().unwrap_or_default();
-    let outdated = now.saturating_sub(read_at) > OUTAGE_GAP;
-    let lost = node.time_since_loss().is_some_and(|it| it < RETENTION);
-    outdated && (lost || !node.views_confirmed())
+    let lost = node.gossip.lost_at().is_some_and(|it| it >= read_at);
+    let alone = node.routers() == 1 && !node.has_no_peers();
+    if lost || alone || !node.views_confirmed() {
+        return Witness::Store;
+    }
+    if !stored::prove_single_version(node, service).await {
+        return Witness::Store;
+    }
+    if node.now().saturating_sub(read_at) > OUTAGE_GAP {
+        Witness::Routers
+    } else {
+        Witness::Keepers
+    }
 }
 
 /// Software versions of the targets of a request's service.
@@ -242,10 +286,11 @@
 }
 
 /// Logs a stream that is bound to the only version that this router knows.
-fn log_bound(node: &Node, job: &Job) {
+fn log_bound(node: &Node, job: &Job, source: Source) {
     let line = node.journal.line("stream_bound");
     let line = line.with("id", job.id.as_ref());
     let line = line.with("resumes", job.resumes.as_deref());
+    let line = line.with("source", source.label());
     let line = line.with("targets_age_ms", node.targets_age().map(millis));
     let since_loss = node.time_since_loss().map(millis);
     let line = line.with("since_loss_ms", since_loss);
--- a/crates/path/src/continuation/search.rs
+++ b/crates/path/src/continuation/search.rs
@@ -41,45 +41,103 @@
     Unanswered,
 }
 
+/// Where a search has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// This router.
+    Own,
+    /// One of the keepers.
+    Keeper,
+    /// The keepers, none of which knows the stream.
+    AllKeepers,
+    /// Another router.
+    Other,
+    /// All routers that were asked, none of which knows the stream.
+    AllRouters,
+    /// The store, which has been read.
+    Store,
+    /// The store, which could not be read.
+    Unread,
+}
+
+impl Source {
+    /// Label value in metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Keeper => "keeper",
+            Self::AllKeepers => "keepers",
+            Self::Other => "other",
+            Self::AllRouters => "routers",
+            Self::Store => "store",
+            Self::Unread => "unread",
+        }
+    }
+}
+
+/// Whose ignorance of a stream proves that it did not begin at a version unknown to this router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Witness {
+    /// Its keepers.
+    Keepers,
+    /// All routers that are asked.
+    Routers,
+    /// The store only.
+    Store,
+}
+
 /// Searches for the version that began a stream: here, at its keepers, at other routers, then in
-/// the store.
-pub(super) async fn find(node: &Rc<Node>, stream: Stream) -> (Found, &'static str) {
+/// the store. The search ends at the `witness` if it does not know the stream.
+pub(super) async fn find(node: &Rc<Node>, stream: Stream, witness: Witness) -> (Found, Source) {
     let now = node.now();
     let own = node.state.borrow().streams.origin(stream, now);
     if own != Origin::Unknown {
-        return (Found::Origin(own), "own");
+        return (Found::Origin(own), Source::Own);
     }
-    let link = node.settings.link;
-    let (keepers, others) = {
-        let state = node.state.borrow();
-        let keepers = state.members.keepers(stream.0);
-        let keepers: Vec<_> = keepers.iter().map(|it| it.address).collect();
-        let others = state.members.others().map(|it| it.address);
-        let mut others: Vec<_> = others.filter(|it| !keepers.contains(it)).collect();
-        others.sort_unstable();
-        if others.len() > MAX_ASKED {
-            let first = usize::try_from(stream.0 % others.len() as u64).unwrap_or_default();
-            others.rotate_left(first);
-            others.truncate(MAX_ASKED);
-        }
-        let keepers = keepers.into_iter().filter(|it| *it != link);
-        (keepers.collect::<Vec<_>>(), others)
-    };
+    let (keepers, others) = asked(node, stream);
     let mut unanswered = false;
-    for (asked, source) in [(keepers, "keeper"), (others, "other")] {
+    for (asked, source, last) in [
+        (keepers, Source::Keeper, Source::AllKeepers),
+        (others, Source::Other, Source::AllRouters),
+    ] {
         match ask(node, stream, asked).await {
             Found::Origin(Origin::Unknown) => {}
             Found::Unanswered => unanswered = true,
             found @ Found::Origin(_) => return (found, source),
         }
+        let suffices = match last {
+            Source::AllKeepers => witness == Witness::Keepers,
+            _ => witness != Witness::Store,
+        };
+        if suffices && !unanswered {
+            return (Found::Origin(Origin::Unknown), last);
+        }
     }
     let read = stored::read(node, stored::READ_TIMEOUT).await;
+    let source = if read { Source::Store } else { Source::Unread };
     let stored = node.state.borrow().streams.origin(stream, node.now());
-    match (stored, read && !unanswered) {
-        (Origin::Unknown, true) => (Found::Origin(Origin::Unknown), "unknown"),
-        (Origin::Unknown, false) => (Found::Unanswered, "unanswered"),
-        (stored, _) => (Found::Origin(stored), "store"),
+    if stored == Origin::Unknown && (unanswered || !read) {
+        return (Found::Unanswered, source);
+    }
+    (Found::Origin(stored), source)
+}
+
+/// Routers that are asked for a stream: its keepers, then others.
+fn asked(node: &Node, stream: Stream) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let link = node.settings.link;
+    let state = node.state.borrow();
+    let keepers = state.members.keepers(stream.0);
+    let mut keepers: Vec<_> = keepers.iter().map(|it| it.address).collect();
+    let others = state.members.others().map(|it| it.address);
+    let mut others: Vec<_> = others.filter(|it| !keepers.contains(it)).collect();
+    others.sort_unstable();
+    if others.len() > MAX_ASKED {
+        let first = usize::try_from(stream.0 % others.len() as u64).unwrap_or_default();
+        others.rotate_left(first);
+        others.truncate(MAX_ASKED);
     }
+    keepers.retain(|it| *it != link);
+    (keepers, others)
 }
 
 /// Asks routers for the version that began a stream; returns once it was found or all have answered.
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -271,7 +271,7 @@
     }
 
     /// Whether the settings name no other router.
-    fn has_no_peers(&self) -> bool {
+    pub(crate) fn has_no_peers(&self) -> bool {
         let own = self.settings.link;
         self.settings.seeds.iter().all(|it| *it == own)
     }
