Shutdown: requests without an answer are given up before the exit, not cut by it

Callers saw: a plain request that is accepted 2.6 to 6.2 s after SIGTERM and needs longer than 7.7 s of 8, or waits for a place until then, ended without a byte when the process exited. Cause: the exit waits for connections, and nothing bounded a request by it. Ruled out: a refusal whose body is unread at the exit (40 callers with the body in a packet of its own, up to the exit) arrives; the test passes with and without the rest of this change's logic for late loops and guards it. Change: reading a body and running a request end 0.3 s before the exit. What was not sent, or was turned away, is refused as not run (503, Retry-After 0.05); what may have run is answered 502 (given_up). A request that is answered before is not affected; streams whose answers have begun are cut by the exit as before. The signal's part of shutdown::run is apart from the drain, so that tests can stop a router without signals.

--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -159,5 +159,6 @@
         resume_after: call.resume_after,
         resumes: call.resumes,
         binding: Cell::default(),
+        may_have_run: Cell::default(),
     }
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -85,6 +85,8 @@
     pub resumes: Option<Arc<str>>,
     /// Targets that may send the next event of its answer.
     pub binding: Cell<Binding>,
+    /// Whether an attempt was sent of which it is not known that it has not run.
+    pub may_have_run: Cell<bool>,
 }
 
 /// Whether a request that failed may have run.
@@ -155,6 +157,23 @@
     lease: Lease,
     resume_after: Option<u64>,
     limit: Duration,
+) -> Result<Attempt, Failure> {
+    let may_have_run = job.may_have_run.get();
+    let result = try_send(node, job, lease, resume_after, limit).await;
+    if let Err(failure) = &result
+        && matches!(failure.verdict, Verdict::NotSent | Verdict::NotRun)
+    {
+        job.may_have_run.set(may_have_run);
+    }
+    result
+}
+
+async fn try_send(
+    node: &Rc<Node>,
+    job: &Job,
+    lease: Lease,
+    resume_after: Option<u64>,
+    limit: Duration,
 ) -> Result<Attempt, Failure> {
     let target = lease.target.clone();
     if node.may_be_partitioned(&target) {
@@ -234,6 +253,7 @@
     let request = request(node, job, lease, resume_after);
     let sent_at = node.now();
     lease.record_sent(job.content, job.prompt.clone());
+    job.may_have_run.set(true);
     let sent = connection.send(request);
     let sent = await_answer(node, job, lease, sent, limit).await;
     let Some(sent) = sent else {
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -118,9 +118,7 @@
     };
     let admitted = admission::admit(node, &head, &call).map_err(refused)?;
     if shutdown::refuses_requests(node, admitted.route.kind.streams()) {
-        return Err(refused(
-            Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER),
-        ));
+        return Err(refused(leaving()));
     }
     // Refused requests count too: without their timeouts, those of retries would be frequent.
     let is_retry = admission::record_timeout(node, &call, &admitted);
@@ -130,9 +128,9 @@
         intake::drain(node, &admitted.table, body).await;
         return Err(refusal);
     }
-    let body = read_body(node, &admitted.table, body)
-        .await
-        .map_err(refused)?;
+    let reading = read_body(node, &admitted.table, body);
+    let body = shutdown::before_exit(node, reading).await;
+    let body = body.unwrap_or_else(|| Err(leaving())).map_err(refused)?;
     let job = admission::job(node, head, body, call, admitted, is_retry, arrived);
     let job = Rc::new(job);
     if let Some(refusal) = quarantine::refusal(node, &job) {
@@ -144,7 +142,8 @@
         job: job.clone(),
         answered: false,
     };
-    let answer = run(node, &job).await;
+    let answer = shutdown::before_exit(node, run(node, &job)).await;
+    let answer = answer.unwrap_or_else(|| Err(given_up(&job)));
     caller_guard.answered = true;
     if let Err(refusal) = &answer {
         request_log::refusal(node, &job.id, arrived, *refusal, Some(&job));
@@ -152,6 +151,20 @@
     answer
 }
 
+/// Refusal of a request that another router can accept.
+fn leaving() -> Refusal {
+    Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER)
+}
+
+/// Answer to a request that is given up because the router exits.
+fn given_up(job: &Job) -> Refusal {
+    if job.may_have_run.get() {
+        Refusal::new(Reason::GivenUp)
+    } else {
+        leaving()
+    }
+}
+
 async fn read_body<B>(node: &Rc<Node>, table: &Rc<Table>, body: B) -> Result<Bytes, Refusal>
 where
     B: Body<Data = Bytes>,
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -51,6 +51,8 @@
     TargetFailed,
     /// The router is shutting down.
     Leaving,
+    /// The router exits before the target has answered, and the request may have run.
+    GivenUp,
     /// Its connection goes back to the neighbour that has forwarded it.
     Released,
     /// Its content may have terminated targets, which is not resolved yet.
@@ -83,6 +85,7 @@
             Self::Rejected => "turned_away",
             Self::TargetFailed => "target_failed",
             Self::Leaving => "leaving",
+            Self::GivenUp => "given_up",
             Self::Released => "released",
             Self::Suspected => "suspected",
             Self::Quarantined => "quarantined",
@@ -100,7 +103,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
-            Self::TargetFailed => StatusCode::BAD_GATEWAY,
+            Self::TargetFailed | Self::GivenUp => StatusCode::BAD_GATEWAY,
             Self::NoConfiguration
             | Self::NoTarget
             | Self::Busy
--- a/crates/path/src/shutdown.rs
+++ b/crates/path/src/shutdown.rs
@@ -3,8 +3,10 @@
 //! On SIGTERM a router reports that it is not ready and goes on serving: clients keep their
 //! connections, but each answer asks them to close. Once the platform has had time for two
 //! readiness checks, idle connections are closed. The process exits when no connections are left,
-//! or shortly before the platform would kill it.
+//! or shortly before the platform would kill it. Requests that have no answer by then are given up
+//! before, so that their callers learn whether they may have run.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +23,10 @@
 /// How long before the platform's kill requests begin to be refused.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(1_800);
 
+/// How long before the exit requests without an answer are given up: the answers that say so must be
+/// written, also by a router that has a tenth of a processor in slices of 100 ms.
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(300);
+
 /// Interval between checks for the end of the drain.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -38,6 +44,26 @@
     node.now() >= leaving_since + refuse_after
 }
 
+/// Output of `work`, or none if the exit is so near that it can't be waited for.
+pub(crate) async fn before_exit<T>(node: &Rc<Node>, work: impl Future<Output = T>) -> Option<T> {
+    let mut work = pin!(work);
+    let mut leaving = node.watch_leaving();
+    tokio::select! {
+        biased;
+        output = work.as_mut() => return Some(output),
+        // The sender lives as long as the node.
+        _ = leaving.wait_for(Option::is_some) => {}
+    }
+    let until = exit_at(node).saturating_sub(LAST_ANSWERS_MARGIN);
+    node.timeout_at(until, work).await
+}
+
+/// When a router that is shutting down exits, at the latest.
+fn exit_at(node: &Node) -> Duration {
+    let leaving_since = node.leaving_since().unwrap_or_default();
+    leaving_since + node.settings.grace.saturating_sub(KILL_MARGIN)
+}
+
 /// Returns once idle connections should be closed.
 pub async fn idle_close(node: &Rc<Node>) {
     let mut leaving = node.watch_leaving();
@@ -65,15 +91,20 @@
             }
         }
     }
+    drain(node).await;
+    Ok(())
+}
+
+/// Begins the shutdown and waits until the router may exit.
+pub async fn drain(node: &Rc<Node>) {
     drop(node.journal.line("stopping").with("open", node.open.get()));
     node.leave();
     let leaving_since = node.leaving_since().unwrap_or_default();
-    let exit_at = leaving_since + node.settings.grace.saturating_sub(KILL_MARGIN);
     node.sleep_until(leaving_since + UNREADY_DELAY).await;
+    let exit_at = exit_at(node);
     while node.now() < exit_at && node.open.get() > 0 {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     drop(node.journal.line("stopped").with("cut", node.open.get()));
     node.stop();
-    Ok(())
 }
