Shutdown: the exit waits for the last answers of a late event loop

Callers saw: requests whose targets had answered before the exit, and requests that lay in the router's sockets, ended without an answer if the event loop did not run from before the exit until after it. Cause: the check for the exit and what the loop had missed came due in one pass, and the exit did not wait for a second one. Change: between the time of the last answers and the exit lie two checks of the drain, 50 ms each, also if the time of the exit has passed. Not run: a router whose processor time is limited; a loop that is blocked until the kill.

--- a/crates/path/src/shutdown.rs
+++ b/crates/path/src/shutdown.rs
@@ -30,6 +30,10 @@
 /// Interval between checks for the end of the drain.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Checks between the time of the last answers and the exit, also on a router whose event loop is
+/// late: until then it has written them.
+const LAST_ANSWERS_CHECKS: u32 = 2;
+
 /// Whether the router will exit too soon to accept a new request.
 #[must_use]
 pub fn refuses_requests(node: &Node, streams: bool) -> bool {
@@ -102,8 +106,12 @@
     let leaving_since = node.leaving_since().unwrap_or_default();
     node.sleep_until(leaving_since + UNREADY_DELAY).await;
     let exit_at = exit_at(node);
-    while node.now() < exit_at && node.open.get() > 0 {
+    let last_answers_at = exit_at.saturating_sub(LAST_ANSWERS_MARGIN);
+    let mut checks = 0;
+    while node.open.get() > 0 && (node.now() < exit_at || checks < LAST_ANSWERS_CHECKS) {
+        let due = node.now() >= last_answers_at;
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        checks += u32::from(due);
     }
     drop(node.journal.line("stopped").with("cut", node.open.get()));
     node.stop();
