Callers' port: requests that came before the stop are read before idle connections are closed

Callers of the own interface saw: a request in the router's socket when the listener stops ended without an answer. Cause: the close was drawn against the connection, without an order, and was due at once. Change: the connection is polled first, and idle connections are closed 50 ms after the sign.

--- a/crates/router/src/callers/mod.rs
+++ b/crates/router/src/callers/mod.rs
@@ -101,6 +101,10 @@
 /// How long answers may take to end after the listener was stopped.
 const LAST_ANSWERS: Duration = Duration::from_secs(2);
 
+/// How long after the sign to stop idle connections are closed: requests that were on their way are
+/// read and answered.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 async fn serve(listener: TcpListener, desk: Arc<Desk>, mut stopped: watch::Receiver<bool>) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
@@ -149,6 +153,12 @@
     let _ = stopped.wait_for(|stopped| *stopped).await;
 }
 
+/// Waits until idle connections are closed.
+async fn closing(stopped: &mut watch::Receiver<bool>) {
+    given(stopped).await;
+    tokio::time::sleep(CLOSE_DELAY).await;
+}
+
 async fn connection(socket: TcpStream, desk: Arc<Desk>, mut stopped: watch::Receiver<bool>) {
     let _ = socket.set_nodelay(true);
     desk.metrics.connected(1);
@@ -165,8 +175,10 @@
     );
     // An error is a caller that left, was too slow, or an answer that was cut.
     let ended = tokio::select! {
+        // What was received is read before an idle connection is closed.
+        biased;
         ended = connection.as_mut() => ended,
-        () = given(&mut stopped) => {
+        () = closing(&mut stopped) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -7,4 +7,5 @@
 mod heads;
 mod idle;
 mod metrics;
+mod stops;
 mod world;
