Forwarded requests are answered before the router that forwards them exits

Cause: the neighbour does not know by when it must answer, and the first router waited for it until its own exit.

Change: at the time at which a router that shuts down gives up its own requests, it takes connections back on which no answer has begun, as if the neighbour were lost, and gives their requests up itself: 502, as they may have run.

--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -18,6 +18,7 @@
 use crate::ending;
 use crate::journal::Line;
 use crate::node::Node;
+use crate::shutdown;
 
 /// Limit of the bytes of a connection's requests that are kept until their answers begin.
 const MAX_KEPT: usize = 256 * 1024;
@@ -50,7 +51,7 @@
 
 /// A connection that is being forwarded.
 struct Forwarding<'a> {
-    node: &'a Node,
+    node: &'a Rc<Node>,
     /// Version of the configuration that it is bound to.
     version: u64,
     /// Whether bytes of a request were forwarded since the last byte of an answer.
@@ -95,6 +96,8 @@
             biased;
             end = forwarding.copy_answers(answers, to_caller) => end,
             () = forwarding.copy_requests(unread, from_caller, requests) => Ok(End::Client),
+            // The neighbour does not know when this router exits.
+            () = forwarding.given_up() => Err(io::ErrorKind::TimedOut.into()),
         }
     };
     let end = match end {
@@ -274,6 +277,14 @@
         }
     }
 
+    /// Returns once this router is about to exit, unless an answer has begun.
+    async fn given_up(&self) {
+        shutdown::last_answers(self.node).await;
+        if self.pending.borrow().is_answering() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Forwards bytes of the client.
     async fn send(
         &self,
--- a/crates/path/src/handover/pending.rs
+++ b/crates/path/src/handover/pending.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether an answer has begun and not ended, or may have, as requests can't be told apart.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.answering || self.untracked
+    }
+
     /// Records that the answer is complete.
     pub(crate) fn record_end(&mut self) {
         self.answering = false;
@@ -119,7 +124,7 @@
     /// be told apart. `received_all` tells whether everything that the neighbour has written was
     /// received.
     pub(crate) fn take_debt(&mut self, received_all: bool) -> Option<Debt> {
-        if self.untracked || self.answering {
+        if self.is_answering() {
             return None;
         }
         let bytes = std::mem::take(&mut self.kept).freeze();
--- a/crates/path/src/shutdown.rs
+++ b/crates/path/src/shutdown.rs
@@ -51,15 +51,30 @@
 /// Output of `work`, or none if the exit is so near that it can't be waited for.
 pub(crate) async fn before_exit<T>(node: &Rc<Node>, work: impl Future<Output = T>) -> Option<T> {
     let mut work = pin!(work);
-    let mut leaving = node.watch_leaving();
     tokio::select! {
         biased;
         output = work.as_mut() => return Some(output),
-        // The sender lives as long as the node.
-        _ = leaving.wait_for(Option::is_some) => {}
+        () = begun(node) => {}
     }
-    let until = exit_at(node).saturating_sub(LAST_ANSWERS_MARGIN);
-    node.timeout_at(until, work).await
+    node.timeout_at(last_answers_at(node), work).await
+}
+
+/// Returns once requests without an answer are given up because of the exit.
+pub(crate) async fn last_answers(node: &Rc<Node>) {
+    begun(node).await;
+    node.sleep_until(last_answers_at(node)).await;
+}
+
+/// Returns once the shutdown has begun.
+async fn begun(node: &Node) {
+    let mut leaving = node.watch_leaving();
+    // The sender lives as long as the node.
+    drop(leaving.wait_for(Option::is_some).await);
+}
+
+/// When a router that is shutting down gives up requests without an answer.
+fn last_answers_at(node: &Node) -> Duration {
+    exit_at(node).saturating_sub(LAST_ANSWERS_MARGIN)
 }
 
 /// When a router that is shutting down exits, at the latest.
@@ -70,9 +85,7 @@
 
 /// Returns once idle connections should be closed.
 pub async fn idle_close(node: &Rc<Node>) {
-    let mut leaving = node.watch_leaving();
-    // The sender lives as long as the node.
-    drop(leaving.wait_for(Option::is_some).await);
+    begun(node).await;
     let leaving_since = node.leaving_since().unwrap_or_default();
     node.sleep_until(leaving_since + UNREADY_DELAY).await;
 }
@@ -105,8 +118,7 @@
     node.leave();
     let leaving_since = node.leaving_since().unwrap_or_default();
     node.sleep_until(leaving_since + UNREADY_DELAY).await;
-    let exit_at = exit_at(node);
-    let last_answers_at = exit_at.saturating_sub(LAST_ANSWERS_MARGIN);
+    let (exit_at, last_answers_at) = (exit_at(node), last_answers_at(node));
     let mut checks = 0;
     while node.open.get() > 0 && (node.now() < exit_at || checks < LAST_ANSWERS_CHECKS) {
         let due = node.now() >= last_answers_at;
