A reset that a write reports is not taken for an end

A request of a lost neighbour could be served a second time: an end without a reset proves that all that the neighbour has written was received, but the system reports a reset once, also to a write, and the next read then finds an end.

--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -59,6 +59,9 @@
     pending: RefCell<Pending>,
     /// Notified when the neighbour uses no further bytes.
     stopped: Notify,
+    /// Whether writing to the neighbour has failed. The system reports a reset once, to the write or
+    /// to the read that follows, which finds an end otherwise.
+    write_failed: Cell<bool>,
 }
 
 /// Forwards a connection, beginning with the bytes `unread` of the client, until it ends or another
@@ -85,6 +88,7 @@
         asking: Cell::new(false),
         pending: RefCell::default(),
         stopped: Notify::new(),
+        write_failed: Cell::new(false),
     };
     let end = {
         let (from_caller, to_caller) = caller.split();
@@ -182,7 +186,8 @@
 
     /// Takes the connection back whose neighbour is lost, unless a part of an answer was forwarded.
     fn take_back(&self, caller: TcpStream, error: &io::Error) -> Option<Outcome> {
-        let received_all = error.kind() == io::ErrorKind::UnexpectedEof;
+        let ended = error.kind() == io::ErrorKind::UnexpectedEof;
+        let received_all = ended && !self.write_failed.get();
         let mut debt = None;
         self.update(|it| debt = it.take_debt(received_all));
         let debt = debt?;
@@ -235,6 +240,7 @@
         mut to: FramedWrite<WriteHalf<'_>, Codec>,
     ) {
         if self.try_copy_requests(unread, from, &mut to).await.is_err() {
+            self.write_failed.set(true);
             // The neighbour's answer or reset is read by the other direction.
             std::future::pending::<()>().await;
         }
