Time at a lost neighbour counts for requests that were not sent too

What is owed keeps the time at which it came, whether or not it was sent. the_time_of_a_request_that_was_not_sent_counts_towards_its_deadline failed before (4,999 ms left after 0.7 s).

--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -80,11 +80,11 @@
     /// Nowhere.
     #[default]
     New,
-    /// At a neighbour that was lost before it answered, so it may have run.
+    /// At a neighbour that was lost before it answered.
     Forwarded {
         /// When this router received it.
         at: Duration,
-        /// Times that it was sent to targets.
+        /// Times that it was or may have been sent to targets.
         sends: u32,
     },
 }
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether the request may have run.
+    pub(crate) fn may_have_run(self) -> bool {
+        self.sends() > 0
+    }
+
     /// Times that the request may have been sent to targets.
     fn sends(self) -> u32 {
         match self {
@@ -109,15 +114,13 @@
 
     /// The failure after which the request is sent again, if it was sent before.
     fn failure(self) -> Option<Failure> {
-        match self {
-            Self::New => None,
-            Self::Forwarded { .. } => Some(Failure::new(Verdict::Unknown, NEIGHBOR_LOST)),
-        }
+        let failure = || Failure::new(Verdict::Unknown, NEIGHBOR_LOST);
+        self.may_have_run().then(failure)
     }
 
     /// A refusal that does not state that a request has not run, if it may have.
     fn refusal(self, refusal: Refusal) -> Refusal {
-        if self == Self::New || !refusal.reason.guarantees_not_run() {
+        if !self.may_have_run() || !refusal.reason.guarantees_not_run() {
             return refusal;
         }
         Refusal::new(Reason::TargetFailed)
--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -31,8 +31,8 @@
 pub enum Outcome {
     /// It has ended.
     Ended,
-    /// The neighbour has returned it, or was lost between two requests, with the bytes of the
-    /// client that were not used.
+    /// The neighbour has returned it, with the bytes of the client that were not used, or was lost
+    /// between two requests.
     Returned(TcpStream, Bytes),
     /// The neighbour was lost while an answer was due to this request.
     Unanswered(TcpStream, Request),
@@ -145,9 +145,9 @@
             return self.log_cut(peer, "neighbour_broke_off", Some(error));
         };
         let label = match outcome {
-            Outcome::Unanswered(..) => "regained",
-            Outcome::Returned(_, bytes) if bytes.is_empty() => "regained_idle",
-            Outcome::Returned(..) | Outcome::Ended => "regained_unused",
+            Outcome::Unanswered(_, request) if request.sends > 0 => "regained",
+            Outcome::Unanswered(..) => "regained_unused",
+            Outcome::Returned(..) | Outcome::Ended => "regained_idle",
         };
         self.node.metrics.add("handovers", label, 1);
         let line = self.node.journal.line("forwarded_connection_regained");
@@ -195,7 +195,6 @@
         ending::close_regularly(&caller).ok()?;
         Some(match debt {
             Debt::Nothing => Outcome::Returned(caller, Bytes::new()),
-            Debt::Unused(bytes) => Outcome::Returned(caller, bytes),
             Debt::Request(request) => Outcome::Unanswered(caller, request),
         })
     }
--- a/crates/path/src/handover/pending.rs
+++ b/crates/path/src/handover/pending.rs
@@ -25,9 +25,7 @@
 pub(crate) enum Debt {
     /// Nothing: the connection is idle.
     Nothing,
-    /// These bytes, of which no request has run.
-    Unused(Bytes),
-    /// A request that may have run.
+    /// An answer to this request.
     Request(Request),
 }
 
@@ -38,7 +36,7 @@
     pub bytes: Bytes,
     /// When its first byte was received.
     pub at: Duration,
-    /// Sends to targets that its neighbour has stated, at least one.
+    /// Sends to targets that its neighbour has or may have stated; 0 if it has not run.
     pub sends: u32,
 }
 
@@ -131,13 +129,12 @@
         if bytes.is_empty() {
             return Some(Debt::Nothing);
         }
-        if self.stopped || (received_all && self.sends == 0) {
-            return Some(Debt::Unused(bytes));
-        }
+        let is_unused = self.stopped || (received_all && self.sends == 0);
+        let least = u32::from(!is_unused);
         Some(Debt::Request(Request {
             bytes,
             at: self.since,
-            sends: self.sends.max(1),
+            sends: self.sends.max(least),
         }))
     }
 }
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -149,7 +149,7 @@
         let past = past.take();
         Box::pin(async move {
             let mut response = exchange::serve(node, request, past).await;
-            if past != Past::New {
+            if past.may_have_run() {
                 close_behind(&mut response);
             }
             closing.set(response.headers().contains_key(CONNECTION));
