Bodies of requests are charged to one account

What callers saw: a crowd of clients whose bodies stop short, or one legal body in chunks of one byte, ended the process by its memory. Cause: each body had a bound of its own and their sum had none. A body was collected as the pieces in which it came, of which each takes some forty bytes more than its length and keeps the read buffer that it was cut from, and it was copied once more when whole. Change: dispatch::memory charges what is allocated to the customer of a request, against a quarter of the memory that the settings name. Beyond it the customer that holds most gives way, its body with the largest product of bytes and age first; small bodies have a quarter of the limit for themselves; a body that was sent is not given up. path::held copies bodies into segments of 32 KiB and frees those that give way at once. Their requests have not run and are answered 503, with a time to come back. A length over the limit is refused before a byte of the body is read. Without a memory in the settings there is no bound, as before.

--- a/crates/dispatch/src/content.rs
+++ b/crates/dispatch/src/content.rs
@@ -32,6 +32,16 @@
     /// they may differ between a caller's attempts, such as the remaining time.
     #[must_use]
     pub fn new(endpoint: Endpoint<'_>, customer: Option<&str>, body: &[u8]) -> Self {
+        Self::of_segments(endpoint, customer, [body])
+    }
+
+    /// The same for a body in segments; it does not depend on where these begin.
+    #[must_use]
+    pub fn of_segments(
+        endpoint: Endpoint<'_>,
+        customer: Option<&str>,
+        body: impl IntoIterator<Item = impl AsRef<[u8]>>,
+    ) -> Self {
         let customer = customer.unwrap_or_default();
         let mut hash = Sha256::new();
         for field in [endpoint.method, endpoint.host, endpoint.path, customer] {
@@ -39,7 +49,9 @@
             hash.update((field.len() as u64).to_be_bytes());
             hash.update(field.as_bytes());
         }
-        hash.update(body);
+        for segment in body {
+            hash.update(segment);
+        }
         let hash: [u8; 32] = hash.finalize().into();
         let (first, _) = hash.split_at(size_of::<u128>());
         Self(
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -33,6 +33,7 @@
 //! - [`region`], [`round_trip`]: proximity of failure domains, and round-trip times.
 //! - [`speed`]: speeds of targets.
 //! - [`coalescing`]: delays of stream events while a router is under pressure.
+//! - [`memory`], [`connections`]: what others can make a router hold.
 //! - [`message`]: messages between routers.
 
 pub mod answer_memory;
@@ -44,6 +45,7 @@
 pub mod coalescing;
 pub mod cold_start;
 pub mod configuration;
+pub mod connections;
 pub mod content;
 pub mod continuation;
 pub mod evacuation;
@@ -56,6 +58,7 @@
 pub mod leaving;
 pub mod member;
 pub mod membership;
+pub mod memory;
 pub mod message;
 pub mod placement;
 pub mod polling;
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunlinward_dispatch::configuration::{Route, Table};
 use dunlinward_dispatch::content::{Digest, Endpoint};
+use dunlinward_dispatch::memory::Holder;
 use dunlinward_dispatch::share;
 use hyper::header::HOST;
 use hyper::http::request;
@@ -18,6 +18,7 @@
 
 use crate::attempt::Job;
 use crate::dialect::Call;
+use crate::held::Buffer;
 use crate::node::Node;
 use crate::reply::{Reason, Refusal};
 
@@ -39,6 +40,11 @@
         service.is_some_and(|it| it.engine.is_some())
     }
 
+    /// Holder of what this router keeps for a request.
+    pub(crate) fn holder(&self) -> Holder {
+        self.customer.as_ref().map(share::tag)
+    }
+
     /// Tokens charged to the customer of a request.
     pub(crate) fn cost(&self, call: &Call) -> u64 {
         let prompt = call.prompt.as_ref().filter(|_| self.has_engine());
@@ -54,14 +60,14 @@
 }
 
 /// Digest of a request's content.
-fn digest(head: &request::Parts, customer: Option<&str>, body: &[u8]) -> Digest {
+fn digest(head: &request::Parts, customer: Option<&str>, body: &Buffer) -> Digest {
     let path = head.uri.path_and_query();
     let endpoint = Endpoint {
         method: head.method.as_str(),
         host: host(head),
         path: path.map_or("", |it| it.as_str()),
     };
-    Digest::new(endpoint, customer, body)
+    Digest::of_segments(endpoint, customer, body.segments())
 }
 
 /// Checks a request against the configuration in force.
@@ -112,7 +118,7 @@
 pub(crate) fn job(
     node: &Rc<Node>,
     head: request::Parts,
-    body: Bytes,
+    body: Rc<Buffer>,
     call: Call,
     admission: Admission,
     returning: bool,
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunlinward_dispatch::backoff::Refusal;
 use dunlinward_dispatch::cell::ServiceTag;
 use dunlinward_dispatch::configuration::Route;
@@ -14,7 +13,6 @@
 use dunlinward_dispatch::health::Outcome;
 use dunlinward_dispatch::prefix::Prompt;
 use dunlinward_dispatch::region::Constraint;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode};
@@ -22,6 +20,7 @@
 use crate::dialect::{Answer, Dispatch};
 use crate::framing::{self, Framing};
 use crate::handover::taken::Progress;
+use crate::held::{Buffer, Content};
 use crate::interruption::{self, Cause};
 use crate::lease::Lease;
 use crate::leaving;
@@ -57,7 +56,7 @@
     /// Head as received from the caller.
     pub head: request::Parts,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Rc<Buffer>,
     /// Route that it matches.
     pub route: Arc<Route>,
     /// Service that runs it.
@@ -271,6 +270,7 @@
     let sent_at = node.now();
     lease.record_sent(job.content, job.prompt.clone());
     job.may_have_run.set(true);
+    job.body.pin();
     let sent = connection.send(request);
     let sent = await_answer(node, job, lease, sent, limit).await;
     let Some(sent) = sent else {
@@ -337,7 +337,7 @@
     job: &Job,
     lease: &Lease,
     resume_after: Option<u64>,
-) -> Request<Full<Bytes>> {
+) -> Request<Content> {
     let dispatch = Dispatch {
         remaining: job.deadline.saturating_sub(node.now()),
         target: &lease.target.id,
@@ -345,7 +345,7 @@
         resume_after,
         fetch: lease.fetch,
     };
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(Content::new(job.body.clone()));
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = job.head.uri.clone();
     *request.headers_mut() = node.dialect.headers(&job.head.headers, &dispatch);
--- a/crates/path/src/cache_polling.rs
+++ b/crates/path/src/cache_polling.rs
@@ -11,17 +11,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunlinward_dispatch::cache::{Query, Status, Update};
 use dunlinward_dispatch::region::Constraint;
 use dunlinward_dispatch::target::{Tag, Target};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::TrySendError;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::task::spawn_local;
 
+use crate::held::Content;
 use crate::node::Node;
 use crate::pool;
 
@@ -177,7 +177,7 @@
     if let Some(bar) = bar {
         return BarredSnafu { reason: bar.name() }.fail();
     }
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(Content::empty());
     *request.uri_mut() = node.dialect.cache_path(query);
     if let Ok(host) = HeaderValue::from_str(&engine.address.to_string()) {
         request.headers_mut().insert(HOST, host);
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -10,9 +10,10 @@
 
 use bytes::Bytes;
 use dunlinward_dispatch::cell::Cell;
-use dunlinward_dispatch::configuration::{Kind, Table};
+use dunlinward_dispatch::configuration;
 use dunlinward_dispatch::content::ContentTag;
 use dunlinward_dispatch::health::Outcome;
+use dunlinward_dispatch::memory::Kind;
 use dunlinward_dispatch::message::CustomerTag;
 use dunlinward_dispatch::prefix::{Prefix, Prompt};
 use dunlinward_dispatch::quarantine::Status;
@@ -27,13 +28,14 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response};
 
-use crate::admission;
+use crate::admission::{self, Admission};
 use crate::answer;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
 use crate::continuation;
 use crate::framing::{self, End, Framing};
 use crate::handover::pending;
 use crate::handover::taken::Progress;
+use crate::held::{Buffer, GivenUp};
 use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
@@ -57,6 +59,10 @@
 /// accept them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// `Retry-After` of requests whose bodies give way: a neighbour may have room at once, and another
+/// body that gives way here frees some soon.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Reason of a failure by the loss of a neighbour.
 const NEIGHBOR_LOST: &str = "neighbor_lost";
 
@@ -217,7 +223,7 @@
         intake::drain(node, &admitted.table, body).await;
         return Err(refusal);
     }
-    let reading = read_body(node, &admitted.table, body);
+    let reading = read_body(node, &admitted, body);
     let body = shutdown::before_exit(node, reading).await;
     let body = body.unwrap_or_else(|| Err(leaving())).map_err(refused)?;
     let job = admission::job(node, head, body, call, admitted, is_retry, arrived);
@@ -231,7 +237,15 @@
         job: job.clone(),
         answered: false,
     };
-    let answer = shutdown::before_exit(node, run(node, &job, past)).await;
+    let running = async {
+        tokio::select! {
+            biased;
+            // A body that was sent does not give way.
+            () = job.body.given_up() => Err(no_memory()),
+            answer = run(node, &job, past) => answer,
+        }
+    };
+    let answer = shutdown::before_exit(node, running).await;
     let answer = answer.unwrap_or_else(|| Err(given_up(&job)));
     caller_guard.answered = true;
     if let Err(refusal) = &answer {
@@ -254,24 +268,55 @@
     }
 }
 
-async fn read_body<B>(node: &Rc<Node>, table: &Rc<Table>, body: B) -> Result<Bytes, Refusal>
+/// Reads a body within its limits, which is given up if the memory for bodies is used up.
+async fn read_body<B>(node: &Rc<Node>, admitted: &Admission, body: B) -> Result<Rc<Buffer>, Refusal>
 where
-    B: Body<Data = Bytes>,
+    B: Body<Data = Bytes> + Unpin,
     B::Error: Into<BoxError>,
 {
-    let limits = table.limits();
-    let reading = Limited::new(body, limits.body_bytes).collect();
-    match node
-        .timeout_at(node.now() + limits.idle_timeout, reading)
-        .await
-    {
-        None => Err(Refusal::new(Reason::BodyTimeout)),
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::new(Reason::BodyTooLarge))
+    let limits = admitted.table.limits();
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(Refusal::new(Reason::BodyTooLarge));
+    }
+    let buffer = Buffer::new(&node.held, admitted.holder(), Kind::Request, node.now());
+    let reading = async {
+        tokio::select! {
+            biased;
+            () = buffer.given_up() => Err(no_memory()),
+            read = copy_body(node, Limited::new(body, limits.body_bytes), &buffer) => read,
         }
-        Some(Err(_)) => Err(Refusal::new(Reason::Malformed)),
+    };
+    let until = node.now() + limits.idle_timeout;
+    let read = node.timeout_at(until, reading).await;
+    read.unwrap_or_else(|| Err(Refusal::new(Reason::BodyTimeout)))?;
+    Ok(buffer)
+}
+
+async fn copy_body<B>(node: &Node, mut body: Limited<B>, buffer: &Buffer) -> Result<(), Refusal>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let is_large = error.is::<LengthLimitError>();
+            Refusal::new(if is_large {
+                Reason::BodyTooLarge
+            } else {
+                Reason::Malformed
+            })
+        })?;
+        let data = frame.into_data().unwrap_or_default();
+        let pushed = buffer.push(&data, body.size_hint().exact(), node.now());
+        pushed.map_err(|GivenUp| no_memory())?;
     }
+    buffer.complete();
+    Ok(())
+}
+
+/// Refusal of a request whose body gives way.
+fn no_memory() -> Refusal {
+    Refusal::new(Reason::NoMemory).with_retry_after(NO_MEMORY_RETRY_AFTER)
 }
 
 /// Placement request for a job in its home region.
@@ -470,7 +515,7 @@
 
 fn answer_limit(node: &Rc<Node>, job: &Job, sends: u32) -> Duration {
     let attempts_left = sends + 1 < job.route.attempts;
-    if job.route.kind == Kind::Idempotent && attempts_left {
+    if job.route.kind == configuration::Kind::Idempotent && attempts_left {
         let timeout = job.route.objective.mul_f64(ANSWER_TIMEOUT_FACTOR);
         return job.deadline.min(node.now() + timeout);
     }
@@ -487,7 +532,10 @@
         Verdict::NotSent | Verdict::Repeat => true,
         Verdict::NotRun => node.try_take_retry(&job.service),
         Verdict::Unknown => {
-            let repeatable = matches!(job.route.kind, Kind::Idempotent | Kind::Resumable);
+            let repeatable = matches!(
+                job.route.kind,
+                configuration::Kind::Idempotent | configuration::Kind::Resumable
+            );
             repeatable && sends < attempts && node.try_take_retry(&job.service)
         }
     }
@@ -536,7 +584,8 @@
     sends: u32,
 ) -> Result<Response<Payload>, Failure> {
     if attempt.head.status.is_server_error() {
-        let repeatable = job.route.kind == Kind::Idempotent && sends < job.route.attempts;
+        let repeatable =
+            job.route.kind == configuration::Kind::Idempotent && sends < job.route.attempts;
         if repeatable && node.try_take_retry(&job.service) {
             attempt.lease.record_alive();
             return Err(Failure {
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod framing;
 pub mod gossip;
 pub mod handover;
+pub mod held;
 pub mod inbound;
 pub mod intake;
 pub mod interruption;
--- a/crates/path/src/metrics.rs
+++ b/crates/path/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and histograms of a router.
+//! Counters, gauges and histograms of a router.
 //!
 //! Instruments come from a meter of the router's own provider, so that routers in one process have
 //! separate metrics. A family has one label, `of`, whose values are a few fixed words or names of
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -18,7 +18,7 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
 ];
 
-/// Counters and histograms.
+/// Counters, gauges and histograms.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -26,6 +26,7 @@
     _provider: SdkMeterProvider,
     meter: Meter,
     counters: RefCell<HashMap<&'static str, Counts>>,
+    gauges: RefCell<HashMap<&'static str, Gauge<u64>>>,
     histograms: RefCell<HashMap<&'static str, Times>>,
 }
 
@@ -65,6 +66,7 @@
             meter: provider.meter("dunlinward"),
             _provider: provider,
             counters: RefCell::default(),
+            gauges: RefCell::default(),
             histograms: RefCell::default(),
         }
     }
@@ -86,6 +88,16 @@
         }
     }
 
+    /// Sets a gauge; `family` ends with the unit or the items that it counts.
+    pub fn set(&self, family: &'static str, label: &str, value: u64) {
+        let mut gauges = self.gauges.borrow_mut();
+        let gauge = gauges.entry(family).or_insert_with(|| {
+            let name = format!("dunlinward_{family}");
+            self.meter.u64_gauge(name).build()
+        });
+        gauge.record(value, &[KeyValue::new("of", label.to_owned())]);
+    }
+
     /// Records a duration in a histogram; `family` ends with `_seconds`.
     pub fn time(&self, family: &'static str, label: &str, time: Duration) {
         let mut histograms = self.histograms.borrow_mut();
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -29,6 +29,7 @@
 use crate::dialect::Dialect;
 use crate::gossip::{self, Gossip};
 use crate::handover::Handovers;
+use crate::held::Held;
 use crate::inbound::Buffer;
 use crate::intake::Gate;
 use crate::journal::{Journal, Line, millis};
@@ -114,6 +115,7 @@
     pub(crate) handovers: Handovers,
     pub(crate) pending: Pending,
     pub(crate) answers: Answers,
+    pub(crate) held: Rc<Held>,
     pub(crate) queries: Queries,
     pub(crate) synced: Synced,
     pub(crate) stream_log: stored::Log,
@@ -169,6 +171,7 @@
             handovers: Handovers::default(),
             pending: Pending::new(peer),
             answers: Answers::new(settings.memory),
+            held: Held::new(settings.memory),
             queries: Queries::default(),
             synced: Synced::default(),
             stream_log: stored::Log::default(),
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -9,9 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunlinward_dispatch::target::Tag;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -24,6 +22,7 @@
 use tokio::task::AbortHandle;
 
 use crate::bounded::{Allowance, BUFFER_BYTES, Bounded};
+use crate::held::Content;
 
 /// Time for which sent bytes may remain unacknowledged before the system closes the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -73,7 +72,7 @@
 /// Connection to a target; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Content>,
     allowance: Allowance,
     task: AbortHandle,
     /// Whether it has carried a request before.
@@ -103,8 +102,8 @@
     /// If no answer can be received. The request comes back if no byte of it was sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<Content>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Content>>> {
         self.allowance.begin();
         let answer = self.sender.try_send_request(request).await;
         self.allowance.end();
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// The body was not received in time.
     BodyTimeout,
+    /// The memory for bodies is used up, and this one gives way.
+    NoMemory,
     /// No configuration is known yet.
     NoConfiguration,
     /// No target of the service is known or can be reached.
@@ -73,6 +75,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "too_large",
             Self::BodyTimeout => "slow_body",
+            Self::NoMemory => "no_memory",
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
@@ -112,6 +115,7 @@
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::TargetFailed | Self::GivenUp => StatusCode::BAD_GATEWAY,
             Self::NoConfiguration
+            | Self::NoMemory
             | Self::NoTarget
             | Self::Busy
             | Self::BackedOff
@@ -209,7 +213,11 @@
         }
         if matches!(
             self.reason,
-            Reason::BodyTooLarge | Reason::BodyTimeout | Reason::Malformed | Reason::Crowded
+            Reason::BodyTooLarge
+                | Reason::BodyTimeout
+                | Reason::NoMemory
+                | Reason::Malformed
+                | Reason::Crowded
         ) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -25,6 +25,7 @@
 use crate::exchange::{self, Past};
 use crate::handover;
 use crate::handover::taken::{Answer, Progress, Taken, Upload};
+use crate::held;
 use crate::node::Node;
 use crate::pool;
 use crate::reply::Payload;
@@ -343,6 +344,7 @@
 fn operator_response(node: &Rc<Node>, request: &Request<Incoming>) -> Result<String, StatusCode> {
     let path = request.uri().path();
     let Some(content) = path.strip_prefix(QUARANTINE_PATH) else {
+        held::update_gauges(node);
         return Ok(node.metrics.text());
     };
     let content = content.trim_start_matches('/');
