Answers are charged to the account until their callers have them

What callers saw: answers that were read whole waited for slow callers, and counted nowhere; targets' endless answers had a ledger of their own without customers. Cause: the ledger of answers ended with the last byte read, and its buffers doubled. Change: answers are entries of the account of bodies, in its segments, from the first byte read until the caller has received them. The HTTP server takes a segment at a time, so an answer that gives way is freed at once. The customer that holds most gives way first.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,7 +36,6 @@
 //! - [`memory`], [`connections`]: what others can make a router hold.
 //! - [`message`]: messages between routers.
 
-pub mod answer_memory;
 pub mod backoff;
 pub mod budget;
 pub mod cache;
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -35,7 +35,7 @@
 use crate::framing::{self, End, Framing};
 use crate::handover::pending;
 use crate::handover::taken::Progress;
-use crate::held::{Buffer, GivenUp};
+use crate::held::{Buffer, Content, GivenUp};
 use crate::intake;
 use crate::interruption::Cause;
 use crate::node::Node;
@@ -617,7 +617,8 @@
     sends: u32,
 ) -> Result<Response<Payload>, Failure> {
     let limit = answer_limit(node, job, sends.saturating_sub(1));
-    let reading = answer::read(node, &mut attempt.body);
+    let holder = job.customer.as_ref().map(share::tag);
+    let reading = answer::read(node, holder, &mut attempt.body);
     let read = node.timeout_at(limit, reading).await;
     let end = match &read {
         Some(Ok(_)) => {
@@ -674,11 +675,12 @@
     node.metrics
         .add("answer_framings", attempt.framing.name(), 1);
     attempt.finish(node);
+    let content = Content::new(body);
     if end == End::Unproven {
         framing::frame_by_connection(&mut head);
-        return Ok(Response::from_parts(head, Payload::Unframed(body)));
+        return Ok(Response::from_parts(head, Payload::Unframed(content)));
     }
-    Ok(Response::from_parts(head, Payload::Complete(body)))
+    Ok(Response::from_parts(head, Payload::Complete(content)))
 }
 
 fn response_head(head: &response::Parts, stream: bool) -> response::Parts {
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -21,7 +21,6 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use crate::answer::Answers;
 use crate::clock::Clock;
 use crate::continuation::recorded::Records;
 use crate::continuation::search::Queries;
@@ -114,7 +113,6 @@
     pub(crate) fetches: Fetches,
     pub(crate) handovers: Handovers,
     pub(crate) pending: Pending,
-    pub(crate) answers: Answers,
     pub(crate) held: Rc<Held>,
     pub(crate) queries: Queries,
     pub(crate) synced: Synced,
@@ -170,7 +168,6 @@
             fetches: Fetches::default(),
             handovers: Handovers::default(),
             pending: Pending::new(peer),
-            answers: Answers::new(settings.memory),
             held: Held::new(settings.memory),
             queries: Queries::default(),
             synced: Synced::default(),
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -12,7 +12,8 @@
 use hyper::{Response, StatusCode};
 
 use crate::framing::Framing;
-use crate::relay::Relay;
+use crate::held::{Content, GivenUp};
+use crate::relay::{self, Relay};
 
 /// Reason for which a request is refused or given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -202,7 +203,7 @@
     /// Response to the caller.
     #[must_use]
     pub fn response(self) -> Response<Payload> {
-        let mut response = Response::new(Payload::Complete(Bytes::new()));
+        let mut response = Response::new(Payload::Complete(Content::empty()));
         *response.status_mut() = self.reason.status();
         let headers = response.headers_mut();
         if let Some(time) = self.retry_after {
@@ -227,10 +228,10 @@
 
 /// Body of a response.
 pub enum Payload {
-    /// Complete bytes.
-    Complete(Bytes),
+    /// A complete body.
+    Complete(Content),
     /// The same, framed by the end of the connection.
-    Unframed(Bytes),
+    Unframed(Content),
     /// Bytes that are forwarded from a target.
     Relayed(Box<Relay>),
 }
@@ -249,17 +250,18 @@
 
 impl Body for Payload {
     type Data = Bytes;
-    type Error = crate::relay::Error;
+    type Error = relay::Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
-            Self::Complete(bytes) | Self::Unframed(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Complete(bytes) | Self::Unframed(bytes) => {
-                let bytes = std::mem::take(bytes);
-                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            Self::Complete(body) | Self::Unframed(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map_err(|GivenUp| relay::Error {
+                    reason: Reason::NoMemory.name(),
+                })
             }
             Self::Relayed(relay) => relay
                 .poll_bytes(context)
@@ -268,12 +270,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(bytes) if bytes.is_empty())
+        matches!(self, Self::Complete(content) if content.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Complete(content) => content.size_hint(),
             Self::Unframed(_) | Self::Relayed(_) => SizeHint::default(),
         }
     }
