Callers' connections give way to others at the limit of descriptors

What callers saw: connections that send nothing took all descriptors; ordinary requests were not accepted, and those that were found no descriptor for a target or the store. Cause: nothing bounded callers' connections below MaxFds. Change: dispatch::connections bounds callers' connections together with those to targets and neighbours, by the sockets and the memory that the settings name, less a part for the router itself. At the limit an idle connection to a target is closed, else the caller's that has waited for its caller longest: for a head, the rest of a body, or room to write. Connections whose request is served stay; if all are, the new one is closed unread. Without MaxFds and memory in the settings nothing changes.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -1,7 +1,8 @@
 //! Callers' connections, within the descriptors and the memory that a router has for them.
 //!
-//! A connection takes a descriptor and memory before it has sent anything. At the limit, a new one
-//! is accepted and another one is closed:
+//! A connection takes a descriptor and memory before it has sent anything, and each request that is
+//! served needs another one for its target. At the limit, a connection that is accepted or opened
+//! displaces one of a caller:
 //!
 //! - one that is closing already and only waits for its caller, first,
 //! - otherwise the one that has waited for its caller for the longest time: for a head, for the
@@ -12,7 +13,8 @@
 //! that holds for all, the new one is closed: its request was not read, and its caller can send it
 //! to another router.
 //!
-//! Invariant: no more connections than the limit are open.
+//! Invariant: callers' connections and the others together do not exceed the limit, as long as the
+//! others alone do not.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -26,8 +28,10 @@
 pub enum Phase {
     /// Waits for its caller to close it behind the last answer.
     Closing,
-    /// Waits for a head.
+    /// Waits for the first byte of a head.
     Idle,
+    /// Waits for the rest of a head.
+    Head,
     /// Waits for the rest of a body.
     Reading,
     /// Waits for room to write an answer.
@@ -37,12 +41,23 @@
 }
 
 impl Phase {
+    /// All of them.
+    pub const ALL: [Self; 6] = [
+        Self::Closing,
+        Self::Idle,
+        Self::Head,
+        Self::Reading,
+        Self::Blocked,
+        Self::Serving,
+    ];
+
     /// Name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
             Self::Closing => "closing",
             Self::Idle => "idle",
+            Self::Head => "head",
             Self::Reading => "reading",
             Self::Blocked => "blocked",
             Self::Serving => "serving",
@@ -87,32 +102,39 @@
         (phase != Phase::Serving).then_some((phase != Phase::Closing, since, slot))
     }
 
-    /// Adds a connection that waits for its first head. At the limit one is displaced, which counts
-    /// no more.
-    pub fn open(&mut self, now: Duration) -> (Slot, Option<Displaced>) {
+    /// Adds a connection that waits for its first head, beside so many that are not callers'. At
+    /// the limit one is displaced, which counts no more.
+    pub fn open(&mut self, others: usize, now: Duration) -> (Slot, Option<Displaced>) {
         let slot = Slot(self.next);
         self.next += 1;
-        let displaced = if self.open.len() < self.limit {
-            None
-        } else {
-            let first = self.waiting.first().map(|(_, _, slot)| *slot);
-            let phase = first.map(|it| self.open[&it].0);
-            let displaced = first.zip(phase);
-            Some(displaced.map_or(
-                Displaced {
-                    slot,
-                    phase: Phase::Idle,
-                },
-                |(slot, phase)| Displaced { slot, phase },
-            ))
-        };
-        if let Some(displaced) = displaced {
-            self.close(displaced.slot);
+        if !self.is_full(others) {
+            self.insert(slot, Phase::Idle, now);
+            return (slot, None);
         }
-        if displaced.is_none_or(|it| it.slot != slot) {
+        let displaced = self.make_room(others);
+        if displaced.is_some() {
             self.insert(slot, Phase::Idle, now);
         }
-        (slot, displaced)
+        let phase = Phase::Idle;
+        (slot, displaced.or(Some(Displaced { slot, phase })))
+    }
+
+    /// Displaces a connection if another one would exceed the limit; none if no caller is waited
+    /// for.
+    pub fn make_room(&mut self, others: usize) -> Option<Displaced> {
+        if !self.is_full(others) {
+            return None;
+        }
+        let (.., slot) = *self.waiting.first()?;
+        let phase = self.phase(slot)?;
+        self.close(slot);
+        Some(Displaced { slot, phase })
+    }
+
+    /// Whether one more would exceed the limit.
+    #[must_use]
+    pub fn is_full(&self, others: usize) -> bool {
+        self.open.len().saturating_add(others) >= self.limit
     }
 
     fn insert(&mut self, slot: Slot, phase: Phase, since: Duration) {
@@ -170,7 +192,7 @@
 
     /// Whether so many are open that no neighbour should add more.
     #[must_use]
-    pub fn is_short(&self) -> bool {
-        self.open.len() >= self.limit / 4 * 3
+    pub fn is_short(&self, others: usize) -> bool {
+        self.open.len().saturating_add(others) >= self.limit / 4 * 3
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/connections.rs
@@ -0,0 +1,112 @@
+//! Which connections of callers give way, and what is counted.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dunlinward_dispatch::connections::{Phase, Slot, Table};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// A table in which connections do this, each since another second.
+fn table(limit: usize, phases: &[Phase]) -> (Table, Vec<Slot>) {
+    let mut table = Table::new(limit);
+    let slots = (0..).zip(phases).map(|(at, phase)| {
+        let (slot, displaced) = table.open(0, seconds(at));
+        assert_eq!(displaced, None);
+        table.enter(slot, *phase, seconds(at));
+        slot
+    });
+    let slots = slots.collect();
+    (table, slots)
+}
+
+#[test]
+fn the_connection_that_has_waited_longest_gives_way() {
+    let phases = [Phase::Serving, Phase::Reading, Phase::Idle, Phase::Blocked];
+    let (mut table, slots) = table(4, &phases);
+    for (at, gone) in [(10, 1), (11, 2), (12, 3)] {
+        let (_, displaced) = table.open(0, seconds(at));
+        assert_eq!(displaced.unwrap().slot, slots[gone]);
+        assert_eq!(displaced.unwrap().phase, phases[gone]);
+    }
+    assert_eq!(table.phase(slots[0]), Some(Phase::Serving));
+    assert_eq!(table.count(), 4);
+}
+
+#[test]
+fn a_connection_that_is_closing_gives_way_first() {
+    let (mut table, slots) = table(3, &[Phase::Idle, Phase::Reading, Phase::Closing]);
+    let (_, displaced) = table.open(0, seconds(5));
+    assert_eq!(displaced.unwrap().slot, slots[2]);
+}
+
+#[test]
+fn a_new_connection_is_closed_if_all_others_are_served() {
+    let (mut table, slots) = table(2, &[Phase::Serving, Phase::Serving]);
+    let (slot, displaced) = table.open(0, seconds(5));
+    assert_eq!(displaced.unwrap().slot, slot);
+    assert!(slots.iter().all(|it| table.phase(*it).is_some()));
+    assert_eq!((table.phase(slot), table.count()), (None, 2));
+}
+
+#[test]
+fn connections_that_are_not_callers_displace_callers() {
+    let (mut table, slots) = table(4, &[Phase::Idle, Phase::Serving]);
+    assert_eq!(table.make_room(1), None);
+    assert_eq!(table.make_room(2).unwrap().slot, slots[0]);
+    assert_eq!(table.make_room(3), None);
+}
+
+#[test]
+fn what_a_connection_goes_on_doing_keeps_its_time() {
+    let (mut table, slots) = table(2, &[Phase::Idle, Phase::Idle]);
+    table.enter(slots[0], Phase::Idle, seconds(8));
+    let (_, displaced) = table.open(0, seconds(9));
+    assert_eq!(displaced.unwrap().slot, slots[0]);
+    table.enter(slots[0], Phase::Serving, seconds(9));
+    assert_eq!(table.phase(slots[0]), None);
+}
+
+/// Connections of 3,000 callers come, go and do anything, beside a varying number of others.
+#[test]
+fn the_limit_holds_and_served_connections_stay_for_drawn_callers() {
+    const LIMIT: usize = 3_000;
+    let mut random = Pcg64Mcg::seed_from_u64(3);
+    let mut table = Table::new(LIMIT);
+    let mut open: BTreeMap<Slot, Phase> = BTreeMap::new();
+    let mut closed = 0;
+    for step in 0..100_000u64 {
+        let now = Duration::from_millis(step);
+        let others = random.random_range(0..1_000);
+        if random.random_range(0..3) == 0 {
+            let (slot, displaced) = table.open(others, now);
+            open.insert(slot, Phase::Idle);
+            if let Some(displaced) = displaced {
+                let phase = open.remove(&displaced.slot);
+                assert_eq!(phase, Some(displaced.phase));
+                assert_ne!(phase, Some(Phase::Serving));
+                closed += 1;
+            }
+        } else if let Some(displaced) = table.make_room(others) {
+            assert_ne!(open.remove(&displaced.slot), Some(Phase::Serving));
+        }
+        let at = random.random_range(0..open.len().max(1));
+        if let Some((slot, phase)) = open.iter_mut().nth(at) {
+            *phase = Phase::ALL[random.random_range(0..Phase::ALL.len())];
+            table.enter(*slot, *phase, now);
+        }
+        if step % 1_000 == 0 {
+            assert_eq!(table.count(), open.len());
+            for phase in Phase::ALL {
+                let count = open.values().filter(|it| **it == phase).count();
+                assert_eq!(table.count_of(phase), count);
+            }
+            assert!(table.count() <= LIMIT);
+        }
+    }
+    assert!(closed > 1_000, "{closed}");
+}
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -17,6 +17,7 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode};
 
+use crate::caller;
 use crate::dialect::{Answer, Dispatch};
 use crate::framing::{self, Framing};
 use crate::handover::taken::Progress;
@@ -240,7 +241,11 @@
         .objective
         .mul_f64(CONNECT_TIMEOUT_FACTOR)
         .max(MIN_CONNECT_TIMEOUT);
-    let opened = pool::open(lease.target.address, timeout.min(left)).await;
+    caller::make_room(node);
+    let opened = node
+        .pool
+        .open(lease.target.address, timeout.min(left))
+        .await;
     node.metrics.add("connections", &lease.target.service, 1);
     if opened.is_ok() {
         interruption::record_connection(node, &lease.target);
--- a/crates/path/src/bounded.rs
+++ b/crates/path/src/bounded.rs
@@ -12,6 +12,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::pool::Counted;
+
 /// Read buffer of a connection, which also bounds the head of an answer.
 pub(crate) const BUFFER_BYTES: usize = 64 * 1024;
 
@@ -53,11 +55,16 @@
 pub(crate) struct Bounded {
     stream: TcpStream,
     allowance: Allowance,
+    _counted: Counted,
 }
 
 impl Bounded {
-    pub(crate) fn new(stream: TcpStream, allowance: Allowance) -> Self {
-        Self { stream, allowance }
+    pub(crate) fn new(stream: TcpStream, allowance: Allowance, counted: Counted) -> Self {
+        Self {
+            stream,
+            allowance,
+            _counted: counted,
+        }
     }
 }
 
--- a/crates/path/src/cache_polling.rs
+++ b/crates/path/src/cache_polling.rs
@@ -167,7 +167,7 @@
         connection
     } else {
         node.metrics.add("connections", "memory", 1);
-        let opened = pool::open(engine.address, TIMEOUT).await;
+        let opened = node.pool.open(engine.address, TIMEOUT).await;
         opened.context(OpenSnafu)?
     };
     let bar = node
--- /dev/null
+++ b/crates/path/src/caller.rs
@@ -0,0 +1,309 @@
+//! Connections of callers, which give way to others when descriptors or memory are used up.
+//!
+//! [`dunlinward_dispatch::connections`] decides which; this module follows what each connection does
+//! and closes it. A connection that gives way is closed without an answer, as that would take its
+//! descriptor for longer.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::{self, Debug, Formatter};
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use dunlinward_dispatch::connections::{Phase, Slot, Table};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::Notify;
+use tokio::time::MissedTickBehavior;
+
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Part of the descriptors that is for the router itself: listening sockets, the store, peers and
+/// pages.
+const OWN_DIVISOR: usize = 16;
+
+/// Descriptors that the router needs itself at least.
+const MIN_OWN: usize = 24;
+
+/// Part of the memory for connections, and what one of them takes: some 8 KiB of read buffer, as
+/// much for heads that are written, and its tasks.
+const MEMORY_DIVISOR: u64 = 2;
+const CONNECTION_BYTES: u64 = 20 * 1024;
+
+/// Interval at which connections that have given way are logged, in one line.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Open connections of callers.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    table: RefCell<Table>,
+    open: RefCell<HashMap<Slot, Weak<Caller>>>,
+    /// Connections that were closed and are not logged yet, by what they did.
+    displaced: RefCell<BTreeMap<&'static str, u64>>,
+}
+
+impl Callers {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Self {
+            table: RefCell::new(Table::new(limit(settings))),
+            open: RefCell::default(),
+            displaced: RefCell::default(),
+        }
+    }
+
+    /// Whether no neighbour should add connections.
+    pub(crate) fn is_short(&self, node: &Node) -> bool {
+        self.table.borrow().is_short(others(node))
+    }
+
+    fn close(&self, slot: Slot, reason: &'static str) {
+        *self.displaced.borrow_mut().entry(reason).or_default() += 1;
+        let caller = self.open.borrow_mut().remove(&slot);
+        if let Some(caller) = caller.and_then(|it| it.upgrade()) {
+            caller.closed.set(true);
+            caller.notify.notify_one();
+        }
+    }
+}
+
+/// Limit of connections by the descriptors and the memory of the process.
+fn limit(settings: &Settings) -> usize {
+    let by_descriptors = settings.descriptors.map_or(usize::MAX, |it| {
+        it.saturating_sub((it / OWN_DIVISOR).max(MIN_OWN))
+    });
+    let by_memory = settings.memory.map_or(usize::MAX, |it| {
+        let connections = it / MEMORY_DIVISOR / CONNECTION_BYTES;
+        usize::try_from(connections).unwrap_or(usize::MAX)
+    });
+    by_descriptors.min(by_memory).max(1)
+}
+
+/// Connections that are not callers': to targets and to neighbours, and those that neighbours have
+/// handed over.
+fn others(node: &Node) -> usize {
+    let taken = node
+        .open
+        .get()
+        .saturating_sub(node.callers.open.borrow().len());
+    node.pool.open_count() + node.handovers.open() + taken
+}
+
+/// Closes a connection if another one would exceed the limit: an idle one to a target, as it only
+/// saves time, or one of a caller.
+pub(crate) fn make_room(node: &Node) {
+    let callers = &node.callers;
+    if !callers.table.borrow().is_full(others(node)) || node.pool.close_one() {
+        return;
+    }
+    let displaced = callers.table.borrow_mut().make_room(others(node));
+    if let Some(displaced) = displaced {
+        callers.close(displaced.slot, displaced.phase.name());
+    }
+}
+
+/// An open connection of a caller.
+pub struct Caller {
+    node: Rc<Node>,
+    slot: Slot,
+    /// What it does when it is not blocked.
+    phase: Cell<Phase>,
+    closed: Cell<bool>,
+    /// Notified when it is to be closed.
+    notify: Notify,
+}
+
+impl Caller {
+    /// Adds a connection that was accepted; none if it is to be closed.
+    #[must_use]
+    pub fn open(node: &Rc<Node>) -> Option<Rc<Self>> {
+        let callers = &node.callers;
+        if callers.table.borrow().is_full(others(node)) {
+            node.pool.close_one();
+        }
+        let (slot, displaced) = callers.table.borrow_mut().open(others(node), node.now());
+        if let Some(displaced) = displaced {
+            callers.close(displaced.slot, displaced.phase.name());
+            if displaced.slot == slot {
+                return None;
+            }
+        }
+        let caller = Rc::new(Self {
+            node: node.clone(),
+            slot,
+            phase: Cell::new(Phase::Idle),
+            closed: Cell::default(),
+            notify: Notify::new(),
+        });
+        let weak = Rc::downgrade(&caller);
+        callers.open.borrow_mut().insert(slot, weak);
+        Some(caller)
+    }
+
+    /// Records what the connection does from now on.
+    pub(crate) fn enter(&self, phase: Phase) {
+        if self.phase.replace(phase) != phase {
+            self.record(phase);
+        }
+    }
+
+    /// The same, unless it does something else than `from`.
+    pub(crate) fn advance(&self, from: Phase, phase: Phase) {
+        if self.phase.get() == from {
+            self.enter(phase);
+        }
+    }
+
+    /// Records whether it waits for room to write.
+    pub(crate) fn record_write(&self, is_blocked: bool) {
+        self.record(if is_blocked {
+            Phase::Blocked
+        } else {
+            self.phase.get()
+        });
+    }
+
+    fn record(&self, phase: Phase) {
+        let mut table = self.node.callers.table.borrow_mut();
+        table.enter(self.slot, phase, self.node.now());
+    }
+
+    /// Returns once it is to be closed.
+    pub(crate) async fn closed(&self) {
+        while !self.closed.get() {
+            self.notify.notified().await;
+        }
+    }
+
+    /// Output of a write, which waits for its caller while it is pending.
+    pub(crate) async fn writing<T>(&self, write: impl Future<Output = T>) -> T {
+        let mut write = pin!(write);
+        let mut blocked = false;
+        let output = std::future::poll_fn(|context| {
+            let output = write.as_mut().poll(context);
+            if output.is_pending() && !std::mem::replace(&mut blocked, true) {
+                self.record_write(true);
+            }
+            output
+        })
+        .await;
+        if blocked {
+            self.record_write(false);
+        }
+        output
+    }
+}
+
+impl Debug for Caller {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.debug_tuple("Caller").field(&self.slot).finish()
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.node.callers.table.borrow_mut().close(self.slot);
+        self.node.callers.open.borrow_mut().remove(&self.slot);
+    }
+}
+
+/// Serves a request until its answer is dropped.
+#[derive(Debug)]
+pub(crate) struct Service(Rc<Caller>);
+
+impl Service {
+    /// Begins with a request whose body may have ended.
+    pub(crate) fn begin(caller: &Rc<Caller>, body_ended: bool) -> Self {
+        caller.enter(if body_ended {
+            Phase::Serving
+        } else {
+            Phase::Reading
+        });
+        Self(caller.clone())
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        self.0.enter(Phase::Idle);
+    }
+}
+
+/// Body of a request, which records its end.
+#[derive(Debug)]
+pub(crate) struct Upload {
+    body: Incoming,
+    caller: Rc<Caller>,
+}
+
+impl Upload {
+    pub(crate) fn new(body: Incoming, caller: Rc<Caller>) -> Self {
+        Self { body, caller }
+    }
+}
+
+impl Body for Upload {
+    type Data = bytes::Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<bytes::Bytes>, hyper::Error>>> {
+        let this = self.get_mut();
+        let frame = std::task::ready!(Pin::new(&mut this.body).poll_frame(context));
+        if frame.is_none() || this.body.is_end_stream() {
+            this.caller.advance(Phase::Reading, Phase::Serving);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Sets the gauges of callers' connections.
+pub(crate) fn update_gauges(node: &Node) {
+    let table = node.callers.table.borrow();
+    let set = |label, value: usize| {
+        let value = u64::try_from(value).unwrap_or(u64::MAX);
+        node.metrics.set("caller_connections", label, value);
+    };
+    for phase in Phase::ALL {
+        set(phase.name(), table.count_of(phase));
+    }
+    set("others", others(node));
+    set("limit", table.limit());
+}
+
+/// Logs the connections that have given way, in one line a second at most.
+pub async fn run(node: Rc<Node>) {
+    let mut timer = tokio::time::interval(LOG_INTERVAL);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        log(&node);
+    }
+}
+
+fn log(node: &Node) {
+    let displaced = node.callers.displaced.take();
+    if displaced.is_empty() {
+        return;
+    }
+    for (reason, count) in &displaced {
+        node.metrics.add("callers_displaced", reason, *count);
+    }
+    let table = node.callers.table.borrow();
+    let line = node.journal.line("callers_displaced");
+    let line = line.with("by_phase", displaced);
+    let line = line.with("open", table.count());
+    let line = line.with("others", others(node));
+    drop(line.with("limit", table.limit()));
+}
--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -11,10 +11,11 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
+use dunlinward_dispatch::connections;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -22,6 +23,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
+use crate::caller::Caller;
+
 /// Sets a connection to be reset when it is closed.
 ///
 /// # Errors
@@ -126,6 +129,10 @@
     marker: Marker,
     /// Whether the socket is set to be reset on close.
     resets: bool,
+    /// Follows what the connection does.
+    caller: Option<Rc<Caller>>,
+    /// Whether the caller takes no bytes.
+    blocked: bool,
 }
 
 impl Connection {
@@ -137,7 +144,24 @@
             unread: Bytes::new(),
             marker,
             resets: false,
+            caller: None,
+            blocked: false,
+        }
+    }
+
+    /// Sets what follows the connection.
+    #[must_use]
+    pub(crate) fn with_caller(mut self, caller: Rc<Caller>) -> Self {
+        self.caller = Some(caller);
+        self
+    }
+
+    /// Records whether a write waits for the caller.
+    fn record_write(&mut self, is_blocked: bool) {
+        if let Some(caller) = self.caller.as_ref().filter(|_| self.blocked != is_blocked) {
+            caller.record_write(is_blocked);
         }
+        self.blocked = is_blocked;
     }
 
     /// Sets the bytes that were received before.
@@ -175,12 +199,18 @@
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.unread.is_empty() {
-            return Pin::new(&mut this.io).poll_read(context, buffer);
+        let read = if this.unread.is_empty() {
+            ready!(Pin::new(&mut this.io).poll_read(context, buffer))
+        } else {
+            let length = this.unread.len().min(buffer.remaining());
+            buffer.put_slice(&this.unread.split_to(length));
+            Ok(())
+        };
+        // Bytes behind a request are no head yet.
+        if let Some(caller) = &this.caller {
+            caller.advance(connections::Phase::Idle, connections::Phase::Head);
         }
-        let length = this.unread.len().min(buffer.remaining());
-        buffer.put_slice(&this.unread.split_to(length));
-        Poll::Ready(Ok(()))
+        Poll::Ready(read)
     }
 }
 
@@ -191,7 +221,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        self.io().poll_write(context, bytes)
+        let written = self.as_mut().io().poll_write(context, bytes);
+        self.record_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -200,7 +232,9 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        self.io().poll_write_vectored(context, slices)
+        let written = self.as_mut().io().poll_write_vectored(context, slices);
+        self.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -28,12 +28,14 @@
 
 use bincode::config::standard;
 use bytes::Bytes;
+use dunlinward_dispatch::connections::Phase;
 use dunlinward_dispatch::member::Condition;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::caller::{self, Caller};
 use crate::exchange::Past;
 use crate::node::Node;
 use crate::pool;
@@ -173,8 +175,17 @@
     }
 }
 
+/// Serves a client's connection until it ends or gives way to others.
+pub(crate) async fn serve(node: Rc<Node>, stream: TcpStream, caller: Rc<Caller>) {
+    tokio::select! {
+        biased;
+        () = caller.closed() => {}
+        () = serve_open(node, stream, caller.clone()) => {}
+    }
+}
+
 /// Serves a client's connection: here, or by a neighbour if little processor time is left.
-pub(crate) async fn serve(node: Rc<Node>, mut caller: TcpStream) {
+async fn serve_open(node: Rc<Node>, mut stream: TcpStream, caller: Rc<Caller>) {
     let guard = OpenConnection::new(&node);
     let mut unread = Bytes::new();
     let mut past = Past::New;
@@ -183,11 +194,12 @@
         && node.intake.should_hand_over(node.now())
         && let Some((version, neighbor)) = offer(&node).await
     {
-        match forwarding::forward(&node, version, caller, unread, neighbor).await {
-            Ok(Outcome::Returned(stream, bytes)) => (caller, unread) = (stream, bytes),
-            Ok(Outcome::Unanswered(stream, request)) => {
+        let forwarded = forwarding::forward(&node, version, stream, unread, neighbor, &caller);
+        match forwarded.await {
+            Ok(Outcome::Returned(returned, bytes)) => (stream, unread) = (returned, bytes),
+            Ok(Outcome::Unanswered(returned, request)) => {
                 past = Past::of(&request);
-                (caller, unread) = (stream, request.bytes);
+                (stream, unread) = (returned, request.bytes);
                 break;
             }
             Ok(Outcome::Ended) => return,
@@ -195,14 +207,16 @@
             Err(_) => return node.metrics.add("handovers", "cut", 1),
         }
         offers += 1;
+        caller.enter(Phase::Idle);
         if unread.is_empty() {
-            if !has_next_request(&node, &caller).await {
+            if !has_next_request(&node, &stream).await {
                 return;
             }
             offers = 0;
         }
     }
-    server::serve_caller(node, caller, unread, past).await;
+    caller.enter(Phase::Idle);
+    server::serve_caller(node, stream, unread, past, caller).await;
     drop(guard);
 }
 
@@ -232,6 +246,7 @@
     let draw = node.random();
     let candidates = node.state.borrow().members.handover_candidates(draw);
     for address in candidates {
+        caller::make_room(node);
         let until = node.now() + OFFER_TIMEOUT;
         let result = match node.timeout_at(until, make_offer(address, offer)).await {
             Some(Ok(Some(stream))) => {
@@ -266,8 +281,12 @@
 /// Takes a connection that a neighbour offers, unless this router has too little left itself.
 pub(crate) async fn take(node: Rc<Node>, mut stream: TcpStream, offer: Offer) {
     let healthy = node.state.borrow().members.condition() == Condition::Healthy;
-    let takes =
-        healthy && node.ready() && offer.holds(&node) && node.intake.has_reserve(node.now());
+    let takes = healthy
+        && node.ready()
+        && offer.holds(&node)
+        && node.intake.has_reserve(node.now())
+        && !node.held.is_short()
+        && !node.callers.is_short(&node);
     let reply = if takes { TAKEN } else { DECLINED };
     if stream.write_u8(reply).await.is_err() || !takes {
         return;
--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use dunlinward_dispatch::connections::Phase;
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -15,6 +16,7 @@
 
 use super::frame::{self, Codec, Frame, MAX_BYTES};
 use super::pending::{Debt, Pending, Request};
+use crate::caller::Caller;
 use crate::ending;
 use crate::journal::Line;
 use crate::node::Node;
@@ -62,6 +64,8 @@
     /// Whether writing to the neighbour has failed. The system reports a reset once, to the write or
     /// to the read that follows, which finds an end otherwise.
     write_failed: Cell<bool>,
+    /// Follows what the client's connection does.
+    caller: &'a Caller,
 }
 
 /// Forwards a connection, beginning with the bytes `unread` of the client, until it ends or another
@@ -73,11 +77,12 @@
 pub async fn forward(
     node: &Rc<Node>,
     version: u64,
-    mut caller: TcpStream,
+    mut stream: TcpStream,
     unread: Bytes,
     mut neighbor: TcpStream,
+    caller: &Caller,
 ) -> io::Result<Outcome> {
-    ending::reset_on_close(&caller)?;
+    ending::reset_on_close(&stream)?;
     ending::reset_on_close(&neighbor)?;
     // None if the neighbour has reset the connection already.
     let peer = neighbor.peer_addr().ok();
@@ -89,9 +94,10 @@
         pending: RefCell::default(),
         stopped: Notify::new(),
         write_failed: Cell::new(false),
+        caller,
     };
     let end = {
-        let (from_caller, to_caller) = caller.split();
+        let (from_caller, to_caller) = stream.split();
         let (from_neighbor, to_neighbor) = neighbor.split();
         let answers = FramedRead::new(from_neighbor, Codec::default());
         let requests = FramedWrite::new(to_neighbor, Codec::default());
@@ -108,7 +114,7 @@
         Ok(End::Client) => return Ok(Outcome::Ended),
         Ok(end) => end,
         Err(error) => {
-            let regained = forwarding.take_back(caller, &error);
+            let regained = forwarding.take_back(stream, &error);
             forwarding.log_loss(peer, &error, regained.as_ref());
             return regained.ok_or(error);
         }
@@ -117,7 +123,7 @@
         forwarding.log_cut(peer, "neighbour_closed", None);
     }
     ending::close_regularly(&neighbor)?;
-    ending::close_regularly(&caller)?;
+    ending::close_regularly(&stream)?;
     if let End::Returned(bytes) = end {
         let label = if bytes.is_empty() {
             "returned"
@@ -125,10 +131,10 @@
             "returned_unread"
         };
         node.metrics.add("handovers", label, 1);
-        return Ok(Outcome::Returned(caller, bytes));
+        return Ok(Outcome::Returned(stream, bytes));
     }
     // The client may have closed it already.
-    drop(caller.shutdown().await);
+    drop(stream.shutdown().await);
     Ok(Outcome::Ended)
 }
 
@@ -211,12 +217,18 @@
                 Some(Frame::Data(bytes)) => {
                     self.asking.set(false);
                     self.update(|it| it.record_answer(&bytes));
-                    if to.write_all(&bytes).await.is_err() {
+                    if self.caller.writing(to.write_all(&bytes)).await.is_err() {
                         return Ok(End::Client);
                     }
                 }
-                Some(Frame::Sent) => self.update(Pending::record_send),
-                Some(Frame::Answered) => self.update(Pending::record_end),
+                Some(Frame::Sent) => {
+                    self.caller.enter(Phase::Serving);
+                    self.update(Pending::record_send);
+                }
+                Some(Frame::Answered) => {
+                    self.caller.enter(Phase::Idle);
+                    self.update(Pending::record_end);
+                }
                 Some(Frame::Stopped) => {
                     self.update(Pending::record_stop);
                     self.stopped.notify_one();
@@ -297,6 +309,7 @@
         to: &mut FramedWrite<WriteHalf<'_>, Codec>,
     ) -> io::Result<()> {
         if !self.asking.replace(true) {
+            self.caller.advance(Phase::Idle, Phase::Reading);
             self.node.intake.record_handover();
             self.node.metrics.add("handovers", "requests", 1);
         }
--- a/crates/path/src/handover/taken.rs
+++ b/crates/path/src/handover/taken.rs
@@ -146,15 +146,15 @@
     }
 }
 
-/// Body of an answer that ends the exchange.
+/// Body of an answer that ends the exchange when it is dropped.
 #[derive(Debug)]
-pub(crate) struct Answer<B> {
+pub(crate) struct Answer<B, E> {
     body: B,
-    _exchange: Exchange,
+    _exchange: E,
 }
 
-impl<B> Answer<B> {
-    pub(crate) fn new(body: B, exchange: Exchange) -> Self {
+impl<B, E> Answer<B, E> {
+    pub(crate) fn new(body: B, exchange: E) -> Self {
         Self {
             body,
             _exchange: exchange,
@@ -162,7 +162,7 @@
     }
 }
 
-impl<B: Body + Unpin> Body for Answer<B> {
+impl<B: Body + Unpin, E: Unpin> Body for Answer<B, E> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/crates/path/src/held.rs
+++ b/crates/path/src/held.rs
@@ -64,6 +64,11 @@
         })
     }
 
+    /// Whether no neighbour should add to what is held.
+    pub(crate) fn is_short(&self) -> bool {
+        self.account.borrow().is_short()
+    }
+
     /// Charges bytes to an entry, and frees those that give way.
     fn charge(&self, entry: Entry, bytes: usize, now: Duration) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
--- a/crates/path/src/interruption.rs
+++ b/crates/path/src/interruption.rs
@@ -69,7 +69,7 @@
 
 /// Opens a connection to a target and keeps it for later requests; returns whether it was accepted.
 pub(crate) async fn probe(node: &Node, target: &Target) -> bool {
-    let opened = pool::open(target.address, PROBE_TIMEOUT).await;
+    let opened = node.pool.open(target.address, PROBE_TIMEOUT).await;
     node.metrics.add("connections", &target.service, 1);
     match opened {
         Ok(connection) => {
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod attempt;
 mod bounded;
 pub mod cache_polling;
+pub mod caller;
 pub mod clock;
 pub mod continuation;
 pub mod dialect;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::caller::Callers;
 use crate::clock::Clock;
 use crate::continuation::recorded::Records;
 use crate::continuation::search::Queries;
@@ -114,6 +115,7 @@
     pub(crate) handovers: Handovers,
     pub(crate) pending: Pending,
     pub(crate) held: Rc<Held>,
+    pub(crate) callers: Callers,
     pub(crate) queries: Queries,
     pub(crate) synced: Synced,
     pub(crate) stream_log: stored::Log,
@@ -169,6 +171,7 @@
             handovers: Handovers::default(),
             pending: Pending::new(peer),
             held: Held::new(settings.memory),
+            callers: Callers::new(&settings),
             queries: Queries::default(),
             synced: Synced::default(),
             stream_log: stored::Log::default(),
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -4,9 +4,10 @@
 //! The connection that was returned last is reused first, so that the others can expire. A request
 //! opens a new connection if there is no idle one.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dunlinward_dispatch::target::Tag;
@@ -127,6 +128,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<Tag, Vec<Idle>>>,
+    /// Open connections, also those that are in use.
+    open: Rc<Cell<usize>>,
 }
 
 impl Pool {
@@ -136,6 +139,34 @@
         Self::default()
     }
 
+    /// Opens a connection, which counts until it is closed.
+    ///
+    /// # Errors
+    ///
+    /// If no connection is established within `timeout`; no request was sent then.
+    pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
+        open_counted(address, timeout, Counted::new(&self.open)).await
+    }
+
+    /// Number of open connections, also of those that are in use.
+    pub(crate) fn open_count(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes an idle connection; whether there was one.
+    pub(crate) fn close_one(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some((tag, list)) = idle.iter_mut().next() else {
+            return false;
+        };
+        let tag = *tag;
+        let closed = list.pop().is_some();
+        if list.is_empty() {
+            idle.remove(&tag);
+        }
+        closed
+    }
+
     /// Removes and returns an idle connection to a target, if there is one.
     pub fn take(&self, tag: Tag, now: Duration) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -182,19 +213,44 @@
     }
 }
 
-/// Opens a connection.
+/// Counts a connection until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Opens a connection that no pool counts.
 ///
 /// # Errors
 ///
 /// If no connection is established within `timeout`; no request was sent then.
 pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
+    open_counted(address, timeout, Counted::new(&Rc::default())).await
+}
+
+async fn open_counted(
+    address: SocketAddr,
+    timeout: Duration,
+    counted: Counted,
+) -> Result<Connection, Error> {
     let connecting = tokio::time::timeout(timeout, connect(address));
     let Ok(stream) = connecting.await else {
         return TimeoutSnafu { address, timeout }.fail();
     };
     let stream = stream.context(ConnectSnafu { address })?;
     let allowance = Allowance::default();
-    let stream = Bounded::new(stream, allowance.clone());
+    let stream = Bounded::new(stream, allowance.clone(), counted);
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dunlinward_dispatch::connections::Phase;
 use dunlinward_dispatch::content::Digest;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -21,6 +22,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use crate::caller::{self, Caller, Service};
 use crate::ending::{self, Marked, Marker};
 use crate::exchange::{self, Past};
 use crate::handover;
@@ -102,8 +104,12 @@
 pub async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
     loop {
         let stream = accept(&node, &listener).await;
+        // Closed before a byte of it is read, another router can take its request.
+        let Some(caller) = Caller::open(&node) else {
+            continue;
+        };
         prepare(&stream);
-        tokio::task::spawn_local(handover::serve(node.clone(), stream));
+        tokio::task::spawn_local(handover::serve(node.clone(), stream, caller));
     }
 }
 
@@ -138,23 +144,34 @@
 
 /// Serves a connection of a caller of which the bytes `unread` were received; `past` is that of its
 /// first request. A connection whose first request may have run elsewhere is closed behind it.
-pub async fn serve_caller(node: Rc<Node>, stream: TcpStream, unread: Bytes, past: Past) {
+pub async fn serve_caller(
+    node: Rc<Node>,
+    stream: TcpStream,
+    unread: Bytes,
+    past: Past,
+    caller: Rc<Caller>,
+) {
     let server = node.clone();
     let marker = Marker::default();
     let connection = ending::Connection::new(stream, marker.clone()).with_unread(unread);
+    let connection = connection.with_caller(caller.clone());
+    let own = caller.clone();
     let closing = Rc::new(Cell::new(false));
     let announced = closing.clone();
     let past = Cell::new(past);
     let service = service_fn(move |request: Request<Incoming>| {
         let (node, marker, closing) = (server.clone(), marker.clone(), closing.clone());
         let past = past.take();
+        let exchange = Service::begin(&own, request.body().is_end_stream());
+        let caller = own.clone();
         Box::pin(async move {
+            let request = request.map(|it| caller::Upload::new(it, caller));
             let mut response = exchange::serve(node, request, past).await;
             if past.may_have_run() {
                 close_behind(&mut response);
             }
             closing.set(response.headers().contains_key(CONNECTION));
-            Ok::<_, Infallible>(response.map(|it| marked(it, &marker)))
+            Ok::<_, Infallible>(response.map(|it| Answer::new(marked(it, &marker), exchange)))
         })
     });
     let mut connection = http(&node).serve_connection(connection, service);
@@ -169,6 +186,7 @@
         }
     };
     let mut connection = connection.into_parts().io;
+    caller.enter(Phase::Closing);
     if result.is_ok() {
         // The caller may have closed it already.
         drop(poll_fn(|context| Pin::new(&mut connection).poll_shutdown(context)).await);
@@ -345,6 +363,7 @@
     let path = request.uri().path();
     let Some(content) = path.strip_prefix(QUARANTINE_PATH) else {
         held::update_gauges(node);
+        caller::update_gauges(node);
         return Ok(node.metrics.text());
     };
     let content = content.trim_start_matches('/');
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -48,6 +48,8 @@
     pub millicores: u32,
     /// Memory of the process in bytes, if it is bounded.
     pub memory: Option<u64>,
+    /// Sockets that the process may have open, if that is bounded.
+    pub descriptors: Option<usize>,
     /// Approximate number of targets per cell.
     pub cell_targets: usize,
     /// Interval between two queries to an engine's cache; zero disables them.
--- a/crates/path/src/state/tests.rs
+++ b/crates/path/src/state/tests.rs
@@ -92,6 +92,7 @@
         heartbeat_interval: Duration::from_millis(100),
         millicores: 500,
         memory: None,
+        descriptors: None,
         cell_targets: 48,
         cache_poll_interval: Duration::ZERO,
     }
