Heads are given up at the time limit of the configuration

What callers saw: a head that grew by a byte now and then held its connection for the idle time and a second, whatever the configuration said. Cause: the time limit of heads was decoded and not used; the HTTP server's covers the wait before the first byte too, so it must be as long as the idle time. Change: a connection whose head has begun waits in a phase of its own, and is closed once the configuration's time for heads has passed since the first byte, checked each 100 ms.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -110,7 +110,7 @@
     pub head_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
-    /// Longest time to receive a request head. Currently unused: the idle timeout ends slow heads.
+    /// Longest time to receive a request head, from its first byte.
     pub head_timeout: Duration,
     /// Longest time that a connection may be idle.
     pub idle_timeout: Duration,
--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -11,7 +11,7 @@
 //! So a new connection, whose caller is about to send, outlasts those whose callers send nothing.
 //! A connection whose request is being served does not wait for its caller and is not closed. If
 //! that holds for all, the new one is closed: its request was not read, and its caller can send it
-//! to another router.
+//! to another router. A head must be complete within the time that the configuration allows.
 //!
 //! Invariant: callers' connections and the others together do not exceed the limit, as long as the
 //! others alone do not.
@@ -137,6 +137,17 @@
         self.open.len().saturating_add(others) >= self.limit
     }
 
+    /// Removes and returns the connections that have waited for the rest of a head since `before`.
+    pub fn expire_heads(&mut self, before: Duration) -> Vec<Slot> {
+        let open = self.open.iter();
+        let expired = open.filter(|(_, (phase, since))| *phase == Phase::Head && *since <= before);
+        let expired: Vec<_> = expired.map(|(slot, _)| *slot).collect();
+        for slot in &expired {
+            self.close(*slot);
+        }
+        expired
+    }
+
     fn insert(&mut self, slot: Slot, phase: Phase, since: Duration) {
         self.open.insert(slot, (phase, since));
         self.waiting.extend(Self::rank(slot, phase, since));
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -61,6 +61,16 @@
     assert_eq!(table.make_room(3), None);
 }
 
+#[test]
+fn heads_that_have_begun_expire() {
+    let phases = [Phase::Head, Phase::Idle, Phase::Head, Phase::Reading];
+    let (mut table, slots) = table(4, &phases);
+    assert_eq!(table.expire_heads(seconds(1)), [slots[0]]);
+    assert_eq!(table.count(), 3);
+    table.enter(slots[2], Phase::Serving, seconds(5));
+    assert!(table.expire_heads(seconds(9)).is_empty());
+}
+
 #[test]
 fn what_a_connection_goes_on_doing_keeps_its_time() {
     let (mut table, slots) = table(2, &[Phase::Idle, Phase::Idle]);
--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -32,8 +32,14 @@
 const MEMORY_DIVISOR: u64 = 2;
 const CONNECTION_BYTES: u64 = 20 * 1024;
 
-/// Interval at which connections that have given way are logged, in one line.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between checks of heads that have begun.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Checks between two log lines of connections that were closed.
+const LOG_CHECKS: u32 = 10;
+
+/// Reason in logs and metrics of a connection whose head took too long.
+const SLOW_HEAD: &str = "slow_head";
 
 /// Open connections of callers.
 #[derive(Debug)]
@@ -282,13 +288,32 @@
     set("limit", table.limit());
 }
 
-/// Logs the connections that have given way, in one line a second at most.
+/// Closes connections whose heads take too long, and logs all that were closed, in one line a
+/// second at most.
 pub async fn run(node: Rc<Node>) {
-    let mut timer = tokio::time::interval(LOG_INTERVAL);
+    let mut timer = tokio::time::interval(CHECK_INTERVAL);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut checks = 0;
     loop {
         timer.tick().await;
-        log(&node);
+        expire_heads(&node);
+        checks = (checks + 1) % LOG_CHECKS;
+        if checks == 0 {
+            log(&node);
+        }
+    }
+}
+
+fn expire_heads(node: &Node) {
+    let Some(timeout) = node.table().map(|it| it.limits().head_timeout) else {
+        return;
+    };
+    let Some(before) = node.now().checked_sub(timeout) else {
+        return;
+    };
+    let expired = node.callers.table.borrow_mut().expire_heads(before);
+    for slot in expired {
+        node.callers.close(slot, SLOW_HEAD);
     }
 }
 
