Receive buffers of callers' connections are bounded by the memory

What callers saw: nothing at first; what the system had received for a router and the router had not read counted toward its memory, up to a megabyte for each connection. Cause: the system enlarges receive buffers as it sees fit. Change: the listening socket of callers is given a receive buffer, which accepted sockets inherit: a sixteenth of the memory shared by all connections, from 8 to 64 KiB. Not measured: uploads over a network with delays of tens of milliseconds, which 8 KiB slow down to some 8 KiB a round trip.

--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -32,6 +32,12 @@
 const MEMORY_DIVISOR: u64 = 2;
 const CONNECTION_BYTES: u64 = 20 * 1024;
 
+/// Part of the memory for the system's receive buffers, and the bounds of one of them. Most systems
+/// reserve twice what is asked for, of which about half holds a caller's bytes.
+const RECEIVE_DIVISOR: u64 = 16;
+const MIN_RECEIVE_BYTES: u64 = 8 * 1024;
+const MAX_RECEIVE_BYTES: u64 = 64 * 1024;
+
 /// Interval between checks of heads that have begun.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -86,6 +92,16 @@
     by_descriptors.min(by_memory).max(1)
 }
 
+/// Size of the system's receive buffer of a caller's connection, if the memory is bounded: what is
+/// received and not yet read counts as the process's. A caller fills it while its request is served.
+pub(crate) fn receive_buffer(settings: &Settings) -> Option<u32> {
+    let memory = settings.memory?;
+    let connections = u64::try_from(limit(settings)).unwrap_or(u64::MAX);
+    let bytes = memory / RECEIVE_DIVISOR / connections;
+    let bytes = bytes.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
+    u32::try_from(bytes).ok()
+}
+
 /// Connections that are not callers': to targets and to neighbours, and those that neighbours have
 /// handed over.
 fn others(node: &Node) -> usize {
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -31,6 +31,7 @@
 use crate::node::Node;
 use crate::pool;
 use crate::reply::Payload;
+use crate::settings::Settings;
 use crate::shutdown;
 
 /// Limit of connections that wait to be accepted.
@@ -72,16 +73,30 @@
 ///
 /// If the address can't be bound.
 pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    bind(address).context(Snafu { address })
+    bind(address, None).context(Snafu { address })
 }
 
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+/// Opens the listening socket of callers.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub fn listen_callers(settings: &Settings) -> Result<TcpListener, Error> {
+    let address = settings.callers;
+    bind(address, caller::receive_buffer(settings)).context(Snafu { address })
+}
+
+fn bind(address: SocketAddr, receive_buffer: Option<u32>) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
         TcpSocket::new_v6()?
     };
     socket.set_reuseaddr(true)?;
+    if let Some(bytes) = receive_buffer {
+        // Accepted sockets inherit it. It counts from the first byte, before they are accepted.
+        socket.set_recv_buffer_size(bytes)?;
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
