What is discarded behind refused requests is bounded for all connections

Cause: behind a refusal a router reads what its caller still sends for up to a second, so that the caller can read the refusal. Nothing bounded the bytes, so a crowd that goes on sending cost processor time of the others; by reading. Change: 8 MiB a second are discarded on all connections together; beyond that connections are closed, and callers that still send may lose their refusals. Evidence: none of the tests fails without it; the bound is by design.

--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -38,6 +38,9 @@
 const MIN_RECEIVE_BYTES: u64 = 8 * 1024;
 const MAX_RECEIVE_BYTES: u64 = 64 * 1024;
 
+/// Bytes per second that are read and dropped behind refused requests, on all connections.
+const DISCARDED_BYTES_PER_S: usize = 8 * 1024 * 1024;
+
 /// Interval between checks of heads that have begun.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -54,6 +57,10 @@
     open: RefCell<HashMap<Slot, Weak<Caller>>>,
     /// Connections that were closed and are not logged yet, by what they did.
     displaced: RefCell<BTreeMap<&'static str, u64>>,
+    /// Second since the start that `discarded` counts in.
+    second: Cell<u64>,
+    /// Bytes behind refused requests that were discarded.
+    discarded: Cell<usize>,
 }
 
 impl Callers {
@@ -62,7 +69,20 @@
             table: RefCell::new(Table::new(limit(settings))),
             open: RefCell::default(),
             displaced: RefCell::default(),
+            second: Cell::default(),
+            discarded: Cell::default(),
+        }
+    }
+
+    /// Counts bytes that are discarded so that a caller can read its refusal; false if callers send
+    /// so many that reading them would cost the others processor time.
+    pub(crate) fn may_discard(&self, bytes: usize, now: Duration) -> bool {
+        if self.second.replace(now.as_secs()) != now.as_secs() {
+            self.discarded.set(0);
         }
+        let discarded = self.discarded.get().saturating_add(bytes);
+        self.discarded.set(discarded);
+        discarded <= DISCARDED_BYTES_PER_S
     }
 
     /// Whether no neighbour should add connections.
--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 
 use crate::caller::Caller;
+use crate::node::Node;
 
 /// Sets a connection to be reset when it is closed.
 ///
@@ -171,11 +172,14 @@
         self
     }
 
-    /// Reads and drops what comes until the caller closes the connection.
-    pub(crate) async fn discard(&mut self) {
+    /// Reads and drops what comes until the caller closes the connection, or more comes on all
+    /// connections than the router discards.
+    pub(crate) async fn discard(&mut self, node: &Node) {
         let mut buffer = [0; 1_024];
         // After an error the connection has ended.
-        while let Ok(1..) = self.io.inner_mut().read(&mut buffer).await {}
+        while let Ok(length @ 1..) = self.io.inner_mut().read(&mut buffer).await
+            && node.callers.may_discard(length, node.now())
+        {}
     }
 
     fn io(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -208,7 +208,7 @@
         // Bytes behind an answer that asked the caller to close are no request.
         if announced.get() {
             let until = node.now() + LINGER_TIME;
-            node.timeout_at(until, connection.discard()).await;
+            node.timeout_at(until, connection.discard(&node)).await;
         }
     }
     drop(connection);
