One customer's requests do not take all connections for targets

What callers saw: with as many requests at targets as there are descriptors, an ordinary request was closed unread, or found no descriptor for its target. Cause: a request that is served does not give way, and takes two descriptors; nothing bounded how many are served. Change: half as many requests are served as there may be connections. From three quarters of that on, each customer that has any may have an equal part. A request beyond it has not run and is answered 503 with a time to come back. Left: requests of the crowd's own customer are refused with it.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -13,12 +13,17 @@
 //! that holds for all, the new one is closed: its request was not read, and its caller can send it
 //! to another router. A head must be complete within the time that the configuration allows.
 //!
+//! A request that is served takes a connection to a target beside its caller's, so only half as many
+//! are served as there may be connections. Near that, each customer has an equal part of them.
+//!
 //! Invariant: callers' connections and the others together do not exceed the limit, as long as the
 //! others alone do not.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use crate::memory::Holder;
+
 /// Identity of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Slot(u64);
@@ -207,3 +212,56 @@
         self.open.len().saturating_add(others) >= self.limit / 4 * 3
     }
 }
+
+/// Requests that are being served.
+#[derive(Clone, Debug)]
+pub struct Served {
+    limit: usize,
+    total: usize,
+    /// Requests of each customer that has any.
+    by_holder: HashMap<Holder, usize>,
+}
+
+impl Served {
+    /// Creates a count of no requests, for this limit of connections.
+    #[must_use]
+    pub fn new(connections: usize) -> Self {
+        Self {
+            limit: (connections / 2).max(1),
+            total: 0,
+            by_holder: HashMap::new(),
+        }
+    }
+
+    /// Adds a request of a customer; false if it must not be served now.
+    pub fn begin(&mut self, holder: Holder) -> bool {
+        let own = self.by_holder.get(&holder).copied().unwrap_or_default();
+        let shared = self.limit - self.limit / 4;
+        let holders = self.by_holder.len() + usize::from(own == 0);
+        let is_beyond_part = own > 0 && own >= shared / holders;
+        if self.total >= self.limit || self.total >= shared && is_beyond_part {
+            return false;
+        }
+        self.total += 1;
+        self.by_holder.insert(holder, own + 1);
+        true
+    }
+
+    /// Removes a request of a customer.
+    pub fn end(&mut self, holder: Holder) {
+        let Some(own) = self.by_holder.get_mut(&holder) else {
+            return;
+        };
+        self.total -= 1;
+        *own -= 1;
+        if *own == 0 {
+            self.by_holder.remove(&holder);
+        }
+    }
+
+    /// Number of requests.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        self.total
+    }
+}
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dunlinward_dispatch::connections::{Phase, Slot, Table};
+use dunlinward_dispatch::connections::{Phase, Served, Slot, Table};
+use dunlinward_dispatch::message::CustomerTag;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -120,3 +121,25 @@
     }
     assert!(closed > 1_000, "{closed}");
 }
+
+#[test]
+fn a_customer_does_not_take_all_places_of_served_requests() {
+    let [crowd, other] = [1, 2].map(|it| Some(CustomerTag(it)));
+    let mut served = Served::new(200);
+    let begun = (0..200).filter(|_| served.begin(crowd)).count();
+    assert_eq!(begun, 75);
+    let begun = (0..200).filter(|_| served.begin(other)).count();
+    assert_eq!((begun, served.total()), (25, 100));
+    assert!(!served.begin(None));
+    for _ in 0..40 {
+        served.end(crowd);
+    }
+    assert!(served.begin(crowd) && served.begin(None) && served.begin(other));
+}
+
+#[test]
+fn requests_below_three_quarters_of_the_limit_are_served_whoever_sends_them() {
+    let mut served = Served::new(400);
+    let customers = (0..150).map(|it| Some(CustomerTag(it % 2)));
+    assert!(customers.into_iter().all(|it| served.begin(it)));
+}
--- a/crates/path/src/admission.rs
+++ b/crates/path/src/admission.rs
@@ -167,5 +167,6 @@
         binding: Cell::default(),
         may_have_run: Cell::default(),
         progress: None,
+        _place: None,
     }
 }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -90,9 +90,19 @@
     pub may_have_run: Cell<bool>,
     /// Progress of its connection, if a neighbour forwards it.
     pub(crate) progress: Option<Progress>,
+    /// Place among the requests that are served.
+    pub(crate) _place: Option<caller::Place>,
 }
 
 impl Job {
+    /// Sets its place among the requests that are served.
+    pub(crate) fn with_place(self, place: caller::Place) -> Self {
+        Self {
+            _place: Some(place),
+            ..self
+        }
+    }
+
     /// Sets the progress of its connection.
     pub(crate) fn with_progress(self, progress: Option<Progress>) -> Self {
         Self { progress, ..self }
--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -12,7 +12,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use dunlinward_dispatch::connections::{Phase, Slot, Table};
+use dunlinward_dispatch::connections::{Phase, Served, Slot, Table};
+use dunlinward_dispatch::memory::Holder;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
@@ -55,6 +56,7 @@
 pub(crate) struct Callers {
     table: RefCell<Table>,
     open: RefCell<HashMap<Slot, Weak<Caller>>>,
+    served: RefCell<Served>,
     /// Connections that were closed and are not logged yet, by what they did.
     displaced: RefCell<BTreeMap<&'static str, u64>>,
     /// Second since the start that `discarded` counts in.
@@ -68,6 +70,7 @@
         Self {
             table: RefCell::new(Table::new(limit(settings))),
             open: RefCell::default(),
+            served: RefCell::new(Served::new(limit(settings))),
             displaced: RefCell::default(),
             second: Cell::default(),
             discarded: Cell::default(),
@@ -272,6 +275,33 @@
     }
 }
 
+/// Place of a request that is served, until it is dropped.
+pub(crate) struct Place {
+    node: Rc<Node>,
+    holder: Holder,
+}
+
+impl Place {
+    /// Takes a place for a request of a customer, if there is one.
+    pub(crate) fn take(node: &Rc<Node>, holder: Holder) -> Option<Self> {
+        let taken = node.callers.served.borrow_mut().begin(holder);
+        let node = node.clone();
+        taken.then_some(Self { node, holder })
+    }
+}
+
+impl Debug for Place {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.debug_tuple("Place").field(&self.holder).finish()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.node.callers.served.borrow_mut().end(self.holder);
+    }
+}
+
 /// Body of a request, which records its end.
 #[derive(Debug)]
 pub(crate) struct Upload {
@@ -321,6 +351,7 @@
         set(phase.name(), table.count_of(phase));
     }
     set("others", others(node));
+    set("served", node.callers.served.borrow().total());
     set("limit", table.limit());
 }
 
--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -31,6 +31,7 @@
 use crate::admission::{self, Admission};
 use crate::answer;
 use crate::attempt::{self, Attempt, Failure, Job, Verdict};
+use crate::caller::Place;
 use crate::continuation;
 use crate::framing::{self, End, Framing};
 use crate::handover::pending;
@@ -59,9 +60,9 @@
 /// accept them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// `Retry-After` of requests whose bodies give way: a neighbour may have room at once, and another
-/// body that gives way here frees some soon.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// `Retry-After` of requests for which there is no memory or no connection: a neighbour may have
+/// both at once, and others that end here free some soon.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Reason of a failure by the loss of a neighbour.
 const NEIGHBOR_LOST: &str = "neighbor_lost";
@@ -226,8 +227,9 @@
     let reading = read_body(node, &admitted, body);
     let body = shutdown::before_exit(node, reading).await;
     let body = body.unwrap_or_else(|| Err(leaving())).map_err(refused)?;
+    let place = Place::take(node, admitted.holder()).ok_or_else(|| refused(no_connection()))?;
     let job = admission::job(node, head, body, call, admitted, is_retry, arrived);
-    let job = Rc::new(job.with_progress(progress));
+    let job = Rc::new(job.with_progress(progress).with_place(place));
     if let Some(refusal) = quarantine::refusal(node, &job) {
         request_log::refusal(node, &job.id, arrived, refusal, Some(&job));
         return Err(refusal);
@@ -314,9 +316,14 @@
     Ok(())
 }
 
+/// Refusal of a request that no connection to a target is left for.
+fn no_connection() -> Refusal {
+    Refusal::new(Reason::NoConnection).with_retry_after(NO_ROOM_RETRY_AFTER)
+}
+
 /// Refusal of a request whose body gives way.
 fn no_memory() -> Refusal {
-    Refusal::new(Reason::NoMemory).with_retry_after(NO_MEMORY_RETRY_AFTER)
+    Refusal::new(Reason::NoMemory).with_retry_after(NO_ROOM_RETRY_AFTER)
 }
 
 /// Placement request for a job in its home region.
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -30,6 +30,8 @@
     BodyTimeout,
     /// The memory for bodies is used up, and this one gives way.
     NoMemory,
+    /// The connections for targets are used up, or the customer's part of them.
+    NoConnection,
     /// No configuration is known yet.
     NoConfiguration,
     /// No target of the service is known or can be reached.
@@ -77,6 +79,7 @@
             Self::BodyTooLarge => "too_large",
             Self::BodyTimeout => "slow_body",
             Self::NoMemory => "no_memory",
+            Self::NoConnection => "no_connection",
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
@@ -117,6 +120,7 @@
             Self::TargetFailed | Self::GivenUp => StatusCode::BAD_GATEWAY,
             Self::NoConfiguration
             | Self::NoMemory
+            | Self::NoConnection
             | Self::NoTarget
             | Self::Busy
             | Self::BackedOff
