Connections to pages are bounded

What callers saw: silent connections to the readiness or metrics port took all descriptors; ordinary requests were not answered. Cause: the pages had neither a limit of connections nor a time for a head. Change: eight connections a page; one beyond that closes the oldest. Idle ones and heads that do not end are closed after 30 s. Evidence: silent_connections_to_pages_leave_descriptors_for_callers failed (an ordinary request not answered beside 300 connections); it passes, a readiness check beside the crowd is answered, 30 descriptors in all.

--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP servers for callers, the platform's readiness checks and operators.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -21,6 +22,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::AbortHandle;
 
 use crate::caller::{self, Caller, Service};
 use crate::ending::{self, Marked, Marker};
@@ -50,6 +52,12 @@
 /// than its request: the system resets a socket that is closed with unread bytes.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// Connections to a page that are open at the same time.
+const MAX_PAGE_CONNECTIONS: usize = 8;
+
+/// Idle timeout of connections to pages, which also bounds the time for a head.
+const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Interval of keep-alive probes of callers' connections.
 const CALLER_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -337,22 +345,33 @@
     Metrics,
 }
 
-/// Serves a page until the router terminates.
+/// Serves a page until the router terminates. A connection beyond the limit closes the oldest one.
 pub async fn serve_page(node: Rc<Node>, listener: TcpListener, page: Page) {
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let stream = accept(&node, &listener).await;
+        open.retain(|it| !it.is_finished());
+        if open.len() >= MAX_PAGE_CONNECTIONS
+            && let Some(oldest) = open.pop_front()
+        {
+            node.metrics.add("page_connections", "displaced", 1);
+            oldest.abort();
+        }
         let node = node.clone();
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let response = page_response(&node, page, &request);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(PAGE_IDLE_TIMEOUT)
                 .auto_date_header(false)
                 .serve_connection(TokioIo::new(stream), service);
             // Clients of the page repeat failed requests.
             drop(connection.await);
         });
+        open.push_back(task.abort_handle());
     }
 }
 
