Kept bytes of forwarded requests are charged to the account

Cause: a router that hands connections over keeps up to 8 MiB of requests until their answers begin; that counted nowhere and did not depend on its memory. Change: they are entries of the account, charged with what is allocated, and are at most an eighth of its limit and 8 MiB. They do not give way, as they have that bound; a request that is not kept is not served again if its neighbour is lost, as before beyond 8 MiB.

--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use dunlinward_dispatch::connections::Phase;
+use dunlinward_dispatch::memory::Entry;
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -25,9 +26,6 @@
 /// Limit of the bytes of a connection's requests that are kept until their answers begin.
 const MAX_KEPT: usize = 256 * 1024;
 
-/// The same for all connections.
-const MAX_KEPT_IN_ALL: usize = 8 * 1024 * 1024;
-
 /// What became of a connection that was forwarded.
 #[derive(Debug)]
 pub enum Outcome {
@@ -59,6 +57,8 @@
     /// Whether bytes of a request were forwarded since the last byte of an answer.
     asking: Cell<bool>,
     pending: RefCell<Pending>,
+    /// Charge of the bytes that are kept.
+    entry: Cell<Option<Entry>>,
     /// Notified when the neighbour uses no further bytes.
     stopped: Notify,
     /// Whether writing to the neighbour has failed. The system reports a reset once, to the write or
@@ -92,6 +92,7 @@
         version,
         asking: Cell::new(false),
         pending: RefCell::default(),
+        entry: Cell::default(),
         stopped: Notify::new(),
         write_failed: Cell::new(false),
         caller,
@@ -184,10 +185,20 @@
     /// Updates what is due, and the bytes that are kept.
     fn update(&self, change: impl FnOnce(&mut Pending)) {
         let mut pending = self.pending.borrow_mut();
-        let before = pending.kept();
+        let before = pending.allocated();
         change(&mut pending);
-        let kept = self.node.handovers.kept.get() + pending.kept();
+        let after = pending.allocated();
+        let kept = self.node.handovers.kept.get() + after;
         self.node.handovers.kept.set(kept.saturating_sub(before));
+        let held = &self.node.held;
+        if after > before {
+            let entry = held.keep(self.entry.get(), after - before, self.node.now());
+            self.entry.set(Some(entry));
+        } else if after < before
+            && let Some(entry) = self.entry.take()
+        {
+            held.release(entry);
+        }
     }
 
     /// Takes the connection back whose neighbour is lost, unless a part of an answer was forwarded.
@@ -314,7 +325,8 @@
             self.node.metrics.add("handovers", "requests", 1);
         }
         let now = self.node.now();
-        let free = MAX_KEPT_IN_ALL.saturating_sub(self.node.handovers.kept.get());
+        let limit = self.node.held.kept_limit();
+        let free = limit.saturating_sub(self.node.handovers.kept.get());
         self.update(|it| {
             let room = MAX_KEPT.saturating_sub(it.kept()).min(free);
             it.record_request(&bytes, room, now);
--- a/crates/path/src/handover/pending.rs
+++ b/crates/path/src/handover/pending.rs
@@ -63,6 +63,11 @@
         self.kept.len()
     }
 
+    /// Number of bytes that are allocated for them.
+    pub(crate) fn allocated(&self) -> usize {
+        self.kept.capacity()
+    }
+
     /// Records bytes of the client that are forwarded, of which up to `room` may be kept.
     pub(crate) fn record_request(&mut self, bytes: &[u8], room: usize, now: Duration) {
         if bytes.len() > room {
--- a/crates/path/src/held.rs
+++ b/crates/path/src/held.rs
@@ -30,6 +30,10 @@
 /// connections, and their buffers.
 const MEMORY_DIVISOR: u64 = 4;
 
+/// Part of that for requests that are kept until a neighbour answers them, and its upper bound.
+const KEPT_DIVISOR: u64 = 8;
+const MAX_KEPT: usize = 8 * 1024 * 1024;
+
 /// Size of a segment; the first one is smaller as long as that is enough.
 const SEGMENT_BYTES: usize = 32 * 1024;
 
@@ -69,6 +73,30 @@
         self.account.borrow().is_short()
     }
 
+    /// Charges bytes of requests that are kept until a neighbour answers them. They do not give way,
+    /// as there is a bound for them ([`kept_limit`](Self::kept_limit)).
+    pub(crate) fn keep(&self, entry: Option<Entry>, bytes: usize, now: Duration) -> Entry {
+        let entry = entry.unwrap_or_else(|| {
+            let mut account = self.account.borrow_mut();
+            let entry = account.begin(None, Kind::Forwarded, now);
+            account.pin(entry);
+            entry
+        });
+        self.charge(entry, bytes, now);
+        entry
+    }
+
+    /// Ends the charge of bytes that are not kept any more.
+    pub(crate) fn release(&self, entry: Entry) {
+        self.account.borrow_mut().end(entry);
+    }
+
+    /// Limit of the bytes that are kept of all forwarded requests.
+    pub(crate) fn kept_limit(&self) -> usize {
+        let limit = self.account.borrow().limit() / KEPT_DIVISOR;
+        usize::try_from(limit).map_or(MAX_KEPT, |it| it.min(MAX_KEPT))
+    }
+
     /// Charges bytes to an entry, and frees those that give way.
     fn charge(&self, entry: Entry, bytes: usize, now: Duration) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
