State of a request that is served is allocated when it is served

Cause: the task of each connection had room for forwarding and serving (9.5 KB), and each request whose body was being read for all that follows (10.3 KB), so a crowd of bodies that do not end cost 31 KB a connection; with the account of bodies full that is more than the 120 MB of the smallest machines (2,696 connections, computed: 124 MB). Change: offers, forwarding, serving and the run of a request are allocated when they begin: 1.4 and 3.5 KB for a connection, 3.2 KB for a request whose body is read.

--- a/crates/path/src/exchange.rs
+++ b/crates/path/src/exchange.rs
@@ -244,7 +244,8 @@
             biased;
             // A body that was sent does not give way.
             () = job.body.given_up() => Err(no_memory()),
-            answer = run(node, &job, past) => answer,
+            // Requests whose bodies are being read need no room for its state.
+            answer = Box::pin(run(node, &job, past)) => answer,
         }
     };
     let answer = shutdown::before_exit(node, running).await;
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -192,10 +192,11 @@
     let mut offers = 0;
     while offers < MAX_OFFERS
         && node.intake.should_hand_over(node.now())
-        && let Some((version, neighbor)) = offer(&node).await
+        && let Some((version, neighbor)) = Box::pin(offer(&node)).await
     {
         let forwarded = forwarding::forward(&node, version, stream, unread, neighbor, &caller);
-        match forwarded.await {
+        // Most connections are never forwarded, and need no room for its state.
+        match Box::pin(forwarded).await {
             Ok(Outcome::Returned(returned, bytes)) => (stream, unread) = (returned, bytes),
             Ok(Outcome::Unanswered(returned, request)) => {
                 past = Past::of(&request);
@@ -216,7 +217,7 @@
         }
     }
     caller.enter(Phase::Idle);
-    server::serve_caller(node, stream, unread, past, caller).await;
+    Box::pin(server::serve_caller(node, stream, unread, past, caller)).await;
     drop(guard);
 }
 
