--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -286,7 +286,8 @@
     pub(crate) fn take(node: &Rc<Node>, holder: Holder) -> Option<Self> {
         let taken = node.callers.served.borrow_mut().begin(holder);
         let node = node.clone();
-        taken.then_some(Self { node, holder })
+        // Dropping a place that was not taken would free another one.
+        taken.then(|| Self { node, holder })
     }
 }
 
