An idle connection that was closed makes room at once, and a refusal for lack of connections closes

Cause: a connection to a target that is closed for a caller counts until its task has ended, so the caller was displaced all the same; and a client with pipelined requests that are refused one after the other never waits, so it did not give way. Change: the closed one is subtracted, and the refusal asks the client to close.

--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -164,10 +164,11 @@
     #[must_use]
     pub fn open(node: &Rc<Node>) -> Option<Rc<Self>> {
         let callers = &node.callers;
-        if callers.table.borrow().is_full(others(node)) {
-            node.pool.close_one();
-        }
-        let (slot, displaced) = callers.table.borrow_mut().open(others(node), node.now());
+        // An idle connection that is closed counts until its task has ended.
+        let is_full = callers.table.borrow().is_full(others(node));
+        let closed = usize::from(is_full && node.pool.close_one());
+        let others = others(node).saturating_sub(closed);
+        let (slot, displaced) = callers.table.borrow_mut().open(others, node.now());
         if let Some(displaced) = displaced {
             callers.close(displaced.slot, displaced.phase.name());
             if displaced.slot == slot {
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -221,6 +221,7 @@
             Reason::BodyTooLarge
                 | Reason::BodyTimeout
                 | Reason::NoMemory
+                | Reason::NoConnection
                 | Reason::Malformed
                 | Reason::Crowded
         ) {
