A connection that is blocked stays so while pipelined requests begin behind

Cause: a request that began while an answer waited for room to write marked the connection as served, so it did not give way. Change: whether a write waits is kept beside what the connection does otherwise. Evidence: by reading; no test fails without it.

--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -154,6 +154,8 @@
     slot: Slot,
     /// What it does when it is not blocked.
     phase: Cell<Phase>,
+    /// Whether it waits for room to write, also while another request has begun behind.
+    blocked: Cell<bool>,
     closed: Cell<bool>,
     /// Notified when it is to be closed.
     notify: Notify,
@@ -179,6 +181,7 @@
             node: node.clone(),
             slot,
             phase: Cell::new(Phase::Idle),
+            blocked: Cell::default(),
             closed: Cell::default(),
             notify: Notify::new(),
         });
@@ -190,7 +193,7 @@
     /// Records what the connection does from now on.
     pub(crate) fn enter(&self, phase: Phase) {
         if self.phase.replace(phase) != phase {
-            self.record(phase);
+            self.record();
         }
     }
 
@@ -203,14 +206,18 @@
 
     /// Records whether it waits for room to write.
     pub(crate) fn record_write(&self, is_blocked: bool) {
-        self.record(if is_blocked {
+        if self.blocked.replace(is_blocked) != is_blocked {
+            self.record();
+        }
+    }
+
+    fn record(&self) {
+        let is_waiting = self.blocked.get() && self.phase.get() != Phase::Closing;
+        let phase = if is_waiting {
             Phase::Blocked
         } else {
             self.phase.get()
-        });
-    }
-
-    fn record(&self, phase: Phase) {
+        };
         let mut table = self.node.callers.table.borrow_mut();
         table.enter(self.slot, phase, self.node.now());
     }
--- a/crates/path/src/ending.rs
+++ b/crates/path/src/ending.rs
@@ -132,8 +132,6 @@
     resets: bool,
     /// Follows what the connection does.
     caller: Option<Rc<Caller>>,
-    /// Whether the caller takes no bytes.
-    blocked: bool,
 }
 
 impl Connection {
@@ -146,7 +144,6 @@
             marker,
             resets: false,
             caller: None,
-            blocked: false,
         }
     }
 
@@ -158,11 +155,10 @@
     }
 
     /// Records whether a write waits for the caller.
-    fn record_write(&mut self, is_blocked: bool) {
-        if let Some(caller) = self.caller.as_ref().filter(|_| self.blocked != is_blocked) {
+    fn record_write(&self, is_blocked: bool) {
+        if let Some(caller) = &self.caller {
             caller.record_write(is_blocked);
         }
-        self.blocked = is_blocked;
     }
 
     /// Sets the bytes that were received before.
