Connections whose head or body is on its way have a limit of their own

What callers saw: 3,000 clients with bodies of 15 KB in small chunks made a router exceed its memory, though its account of bodies held. Cause: the HTTP server keeps up to 16 KiB of read buffer and a piece in passing for each body that is on its way, beside what the account is charged with. Change: at most as many connections receive a head or a body as a quarter of the memory has room for, with 32 KiB each; beyond that the one that has received longest is closed. That is 915 at 120 MB and 1,220 at 160 MB; a head or body that has arrived with its connection receives for a moment only. Not a process test: with 300 descriptors the limit of connections is met before.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -13,6 +13,9 @@
 //! that holds for all, the new one is closed: its request was not read, and its caller can send it
 //! to another router. A head must be complete within the time that the configuration allows.
 //!
+//! A connection whose head or body is on its way has read buffers as well, so there is a lower limit
+//! of these; the one that has been at it for the longest time is closed.
+//!
 //! A request that is served takes a connection to a target beside its caller's, so only half as many
 //! are served as there may be connections. Near that, each customer has an equal part of them.
 //!
@@ -56,6 +59,12 @@
         Self::Serving,
     ];
 
+    /// Whether a head or a body is on its way.
+    #[must_use]
+    pub fn receives(self) -> bool {
+        matches!(self, Self::Head | Self::Reading)
+    }
+
     /// Name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -87,8 +96,11 @@
 pub struct Table {
     limit: usize,
     next: u64,
+    /// Limit of connections whose head or body is on its way.
+    receiving_limit: usize,
     open: HashMap<Slot, (Phase, Duration)>,
     waiting: BTreeSet<Rank>,
+    receiving: BTreeSet<(Duration, Slot)>,
 }
 
 impl Table {
@@ -98,11 +110,20 @@
         Self {
             limit,
             next: 0,
+            receiving_limit: limit,
             open: HashMap::new(),
             waiting: BTreeSet::new(),
+            receiving: BTreeSet::new(),
         }
     }
 
+    /// Sets the limit of connections whose head or body is on its way.
+    #[must_use]
+    pub fn with_receiving_limit(mut self, limit: usize) -> Self {
+        self.receiving_limit = limit;
+        self
+    }
+
     fn rank(slot: Slot, phase: Phase, since: Duration) -> Option<Rank> {
         (phase != Phase::Serving).then_some((phase != Phase::Closing, since, slot))
     }
@@ -156,21 +177,28 @@
     fn insert(&mut self, slot: Slot, phase: Phase, since: Duration) {
         self.open.insert(slot, (phase, since));
         self.waiting.extend(Self::rank(slot, phase, since));
+        if phase.receives() {
+            self.receiving.insert((since, slot));
+        }
     }
 
-    /// Records what a connection does from now on. One that does the same as before keeps its time;
-    /// one that was displaced or closed is ignored.
-    pub fn enter(&mut self, slot: Slot, phase: Phase, now: Duration) {
-        let Some((before, since)) = self.open.get(&slot).copied() else {
-            return;
-        };
+    /// Records what a connection does from now on; returns one that is displaced, as too many
+    /// receive. One that does the same as before keeps its time; one that was displaced or closed
+    /// is ignored.
+    pub fn enter(&mut self, slot: Slot, phase: Phase, now: Duration) -> Option<Displaced> {
+        let (before, _) = self.open.get(&slot).copied()?;
         if before == phase {
-            return;
-        }
-        if let Some(rank) = Self::rank(slot, before, since) {
-            self.waiting.remove(&rank);
+            return None;
         }
+        self.close(slot);
         self.insert(slot, phase, now);
+        if self.receiving.len() <= self.receiving_limit {
+            return None;
+        }
+        let (_, slot) = *self.receiving.first()?;
+        let phase = self.phase(slot)?;
+        self.close(slot);
+        Some(Displaced { slot, phase })
     }
 
     /// What a connection does; none if it was displaced or closed.
@@ -181,9 +209,11 @@
 
     /// Removes a connection.
     pub fn close(&mut self, slot: Slot) {
-        if let Some((phase, since)) = self.open.remove(&slot)
-            && let Some(rank) = Self::rank(slot, phase, since)
-        {
+        let Some((phase, since)) = self.open.remove(&slot) else {
+            return;
+        };
+        self.receiving.remove(&(since, slot));
+        if let Some(rank) = Self::rank(slot, phase, since) {
             self.waiting.remove(&rank);
         }
     }
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -18,7 +18,7 @@
     let slots = (0..).zip(phases).map(|(at, phase)| {
         let (slot, displaced) = table.open(0, seconds(at));
         assert_eq!(displaced, None);
-        table.enter(slot, *phase, seconds(at));
+        assert_eq!(table.enter(slot, *phase, seconds(at)), None);
         slot
     });
     let slots = slots.collect();
@@ -68,17 +68,28 @@
     let (mut table, slots) = table(4, &phases);
     assert_eq!(table.expire_heads(seconds(1)), [slots[0]]);
     assert_eq!(table.count(), 3);
-    table.enter(slots[2], Phase::Serving, seconds(5));
+    assert_eq!(table.enter(slots[2], Phase::Serving, seconds(5)), None);
     assert!(table.expire_heads(seconds(9)).is_empty());
 }
 
+#[test]
+fn the_connection_that_has_received_longest_gives_way() {
+    let phases = [Phase::Idle, Phase::Reading, Phase::Head, Phase::Idle];
+    let (table, slots) = table(9, &phases);
+    let mut table = table.with_receiving_limit(2);
+    let displaced = table.enter(slots[3], Phase::Head, seconds(5));
+    assert_eq!(displaced.map(|it| it.slot), Some(slots[1]));
+    assert_eq!(table.enter(slots[3], Phase::Reading, seconds(6)), None);
+    assert_eq!(table.count(), 3);
+}
+
 #[test]
 fn what_a_connection_goes_on_doing_keeps_its_time() {
     let (mut table, slots) = table(2, &[Phase::Idle, Phase::Idle]);
-    table.enter(slots[0], Phase::Idle, seconds(8));
+    assert_eq!(table.enter(slots[0], Phase::Idle, seconds(8)), None);
     let (_, displaced) = table.open(0, seconds(9));
     assert_eq!(displaced.unwrap().slot, slots[0]);
-    table.enter(slots[0], Phase::Serving, seconds(9));
+    assert_eq!(table.enter(slots[0], Phase::Serving, seconds(9)), None);
     assert_eq!(table.phase(slots[0]), None);
 }
 
@@ -86,8 +97,9 @@
 #[test]
 fn the_limit_holds_and_served_connections_stay_for_drawn_callers() {
     const LIMIT: usize = 3_000;
+    const RECEIVING: usize = 500;
     let mut random = Pcg64Mcg::seed_from_u64(3);
-    let mut table = Table::new(LIMIT);
+    let mut table = Table::new(LIMIT).with_receiving_limit(RECEIVING);
     let mut open: BTreeMap<Slot, Phase> = BTreeMap::new();
     let mut closed = 0;
     for step in 0..100_000u64 {
@@ -108,7 +120,10 @@
         let at = random.random_range(0..open.len().max(1));
         if let Some((slot, phase)) = open.iter_mut().nth(at) {
             *phase = Phase::ALL[random.random_range(0..Phase::ALL.len())];
-            table.enter(*slot, *phase, now);
+            if let Some(displaced) = table.enter(*slot, *phase, now) {
+                let phase = open.remove(&displaced.slot);
+                assert!(phase.is_some_and(|it| it.receives() && it == displaced.phase));
+            }
         }
         if step % 1_000 == 0 {
             assert_eq!(table.count(), open.len());
@@ -116,7 +131,8 @@
                 let count = open.values().filter(|it| **it == phase).count();
                 assert_eq!(table.count_of(phase), count);
             }
-            assert!(table.count() <= LIMIT);
+            let receiving = open.values().filter(|it| it.receives()).count();
+            assert!(table.count() <= LIMIT && receiving <= RECEIVING);
         }
     }
     assert!(closed > 1_000, "{closed}");
--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -33,6 +33,11 @@
 const MEMORY_DIVISOR: u64 = 2;
 const CONNECTION_BYTES: u64 = 20 * 1024;
 
+/// Part of the memory for buffers of heads and bodies that are on their way, and what these take for
+/// each: the HTTP server reads up to 16 KiB at a time, and passes the bytes on in that buffer.
+const RECEIVING_DIVISOR: u64 = 4;
+const RECEIVING_BYTES: u64 = 32 * 1024;
+
 /// Part of the memory for the system's receive buffers, and the bounds of one of them. Most systems
 /// reserve twice what is asked for, of which about half holds a caller's bytes.
 const RECEIVE_DIVISOR: u64 = 16;
@@ -68,7 +73,9 @@
 impl Callers {
     pub(crate) fn new(settings: &Settings) -> Self {
         Self {
-            table: RefCell::new(Table::new(limit(settings))),
+            table: RefCell::new(
+                Table::new(limit(settings)).with_receiving_limit(receiving_limit(settings)),
+            ),
             open: RefCell::default(),
             served: RefCell::new(Served::new(limit(settings))),
             displaced: RefCell::default(),
@@ -115,6 +122,15 @@
     by_descriptors.min(by_memory).max(1)
 }
 
+/// Limit of connections whose head or body is on its way, by the memory of the process.
+fn receiving_limit(settings: &Settings) -> usize {
+    let limit = settings
+        .memory
+        .map(|it| it / RECEIVING_DIVISOR / RECEIVING_BYTES);
+    let limit = limit.map(|it| usize::try_from(it).unwrap_or(usize::MAX));
+    limit.map_or(usize::MAX, |it| it.max(1))
+}
+
 /// Size of the system's receive buffer of a caller's connection, if the memory is bounded: what is
 /// received and not yet read counts as the process's. A caller fills it while its request is served.
 pub(crate) fn receive_buffer(settings: &Settings) -> Option<u32> {
@@ -218,8 +234,12 @@
         } else {
             self.phase.get()
         };
-        let mut table = self.node.callers.table.borrow_mut();
-        table.enter(self.slot, phase, self.node.now());
+        let callers = &self.node.callers;
+        let now = self.node.now();
+        let displaced = callers.table.borrow_mut().enter(self.slot, phase, now);
+        if let Some(displaced) = displaced {
+            callers.close(displaced.slot, displaced.phase.name());
+        }
     }
 
     /// Returns once it is to be closed.
