Small bodies keep their part beside one that exceeds the account

Cause: a body above the part of large ones that is alone does not give way, and counted against the small ones; on a router whose account is smaller than one body they would have given way to it at once. Change: what such a body has beyond its part does not count for the others; one within its part gives way to small ones. Evidence: both cases in tests/memory.rs; the first failed before by its added small entries (each displaced), found by reading.

--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -150,27 +150,27 @@
 
     /// The entry that gives way next, if a limit is exceeded.
     fn excess(&self, now: Duration) -> Option<Entry> {
-        let exceeds_large = self.large_total > self.limit - self.limit / RESERVE_DIVISOR;
-        if !exceeds_large && self.total <= self.limit {
-            return None;
-        }
-        if !self.is_alone() {
-            let large = self.large.iter();
-            let victim = self.heaviest(large.copied(), now);
+        let part = self.limit - self.limit / RESERVE_DIVISOR;
+        let exceeds = self.large_total > part || self.total > self.limit;
+        if exceeds && !self.is_one_above(part) {
+            let victim = self.heaviest(self.large.iter().copied(), now);
             if victim.is_some() {
                 return victim;
             }
         }
-        let exceeds = self.total > self.limit && self.large_total < self.total;
+        // Small entries keep their part beside a body that exceeds the other one.
+        let beyond = self.large_total.saturating_sub(part);
+        let exceeds = self.total - beyond > self.limit;
         let small = self.entries.keys().filter(|_| exceeds);
         let small = small.filter(|it| !self.large.contains(it));
         self.heaviest(small.copied(), now)
     }
 
-    /// Whether there is one large entry only, a body.
-    fn is_alone(&self) -> bool {
+    /// Whether there is one large entry only, a body above this size.
+    fn is_one_above(&self, part: u64) -> bool {
         let first = self.large.first().filter(|_| self.large.len() == 1);
-        first.is_some_and(|it| self.entries[it].kind == Kind::Request)
+        let hold = first.and_then(|it| self.entries.get(it));
+        hold.is_some_and(|it| it.kind == Kind::Request && it.bytes > part)
     }
 
     /// The entry of the largest holder with the most bytes over the most time, the older of equal
--- a/crates/dispatch/tests/memory.rs
+++ b/crates/dispatch/tests/memory.rs
@@ -87,11 +87,24 @@
 fn one_body_above_the_limit_is_held_if_it_is_alone() {
     let mut account = Account::new(LIMIT);
     let body = add(&mut account, CROWD, 4 * LIMIT, 0);
-    add(&mut account, OTHER, 0, 0);
+    for _ in 0..(LIMIT - LARGE) / SMALL_BYTES {
+        add(&mut account, OTHER, SMALL_BYTES, 0);
+    }
     let next = account.begin(OTHER, Kind::Request, seconds(1));
     assert_eq!(account.grow(next, 2 * SMALL_BYTES, seconds(1)), [body]);
 }
 
+#[test]
+fn small_entries_displace_the_only_large_one_within_its_part() {
+    let mut account = Account::new(LIMIT);
+    let body = add(&mut account, CROWD, LARGE, 0);
+    for _ in 0..(LIMIT - LARGE) / SMALL_BYTES {
+        add(&mut account, OTHER, SMALL_BYTES, 0);
+    }
+    let next = account.begin(OTHER, Kind::Request, seconds(1));
+    assert_eq!(account.grow(next, SMALL_BYTES, seconds(1)), [body]);
+}
+
 #[test]
 fn an_answer_above_the_limit_is_given_up() {
     let mut account = Account::new(LIMIT);
