A forwarded connection is no connection that receives

Cause: while a neighbour places its request, a forwarded connection counted as one whose body is on its way, and could be reset at the limit of these, though its request was whole and the router has no read buffer for it. Change: a phase of its own, which gives way only at the limit of connections. Evidence: by reading; tests of handover pass.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -42,6 +42,8 @@
     Head,
     /// Waits for the rest of a body.
     Reading,
+    /// Is forwarded, and its request was not sent to a target yet.
+    Forwarded,
     /// Waits for room to write an answer.
     Blocked,
     /// A request is being served.
@@ -50,11 +52,12 @@
 
 impl Phase {
     /// All of them.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Closing,
         Self::Idle,
         Self::Head,
         Self::Reading,
+        Self::Forwarded,
         Self::Blocked,
         Self::Serving,
     ];
@@ -73,6 +76,7 @@
             Self::Idle => "idle",
             Self::Head => "head",
             Self::Reading => "reading",
+            Self::Forwarded => "forwarded",
             Self::Blocked => "blocked",
             Self::Serving => "serving",
         }
--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -320,7 +320,7 @@
         to: &mut FramedWrite<WriteHalf<'_>, Codec>,
     ) -> io::Result<()> {
         if !self.asking.replace(true) {
-            self.caller.advance(Phase::Idle, Phase::Reading);
+            self.caller.advance(Phase::Idle, Phase::Forwarded);
             self.node.intake.record_handover();
             self.node.metrics.add("handovers", "requests", 1);
         }
