Receive buffers of all connections are bounded by the memory

Callers that ask for streams and do not read them made the system hold what targets had sent: 313 MB unread for 800 callers at a router with 60 MB (streams_that_are_not_read_are_bounded_together), the same at a neighbour.

Cause: the size was set for callers' connections only. A router reads from a target as fast as its caller takes the answer, so a caller that does not read fills the buffer of the target's connection, which the system lets grow to megabytes. A large buffer also makes large reads, and the HTTP client keeps a read buffer as large as the last reads.

Change: one place (buffers) sets the size for listening sockets, connections to targets, and connections to neighbours. The size was computed from the limit of all connections already. The store's connections keep the system's size, as their answers are read at once.

--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -38,12 +38,6 @@
 const RECEIVING_DIVISOR: u64 = 4;
 const RECEIVING_BYTES: u64 = 32 * 1024;
 
-/// Part of the memory for the system's receive buffers, and the bounds of one of them. Most systems
-/// reserve twice what is asked for, of which about half holds a caller's bytes.
-const RECEIVE_DIVISOR: u64 = 16;
-const MIN_RECEIVE_BYTES: u64 = 8 * 1024;
-const MAX_RECEIVE_BYTES: u64 = 64 * 1024;
-
 /// Bytes per second that are read and dropped behind refused requests, on all connections.
 const DISCARDED_BYTES_PER_S: usize = 8 * 1024 * 1024;
 
@@ -111,7 +105,7 @@
 }
 
 /// Limit of connections by the descriptors and the memory of the process.
-fn limit(settings: &Settings) -> usize {
+pub(crate) fn limit(settings: &Settings) -> usize {
     let by_descriptors = settings.descriptors.map_or(usize::MAX, |it| {
         it.saturating_sub((it / OWN_DIVISOR).max(MIN_OWN))
     });
@@ -131,16 +125,6 @@
     limit.map_or(usize::MAX, |it| it.max(1))
 }
 
-/// Size of the system's receive buffer of a caller's connection, if the memory is bounded: what is
-/// received and not yet read counts as the process's. A caller fills it while its request is served.
-pub(crate) fn receive_buffer(settings: &Settings) -> Option<u32> {
-    let memory = settings.memory?;
-    let connections = u64::try_from(limit(settings)).unwrap_or(u64::MAX);
-    let bytes = memory / RECEIVE_DIVISOR / connections;
-    let bytes = bytes.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
-    u32::try_from(bytes).ok()
-}
-
 /// Connections that are not callers': to targets and to neighbours, and those that neighbours have
 /// handed over.
 fn others(node: &Node) -> usize {
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -249,7 +249,10 @@
     for address in candidates {
         caller::make_room(node);
         let until = node.now() + OFFER_TIMEOUT;
-        let result = match node.timeout_at(until, make_offer(address, offer)).await {
+        let result = match node
+            .timeout_at(until, make_offer(node, address, offer))
+            .await
+        {
             Some(Ok(Some(stream))) => {
                 count(node, |it| it.taken += 1, "taken");
                 return Some((version, stream));
@@ -272,8 +275,12 @@
     node.metrics.add("handovers", label, 1);
 }
 
-async fn make_offer(address: SocketAddr, offer: Offer) -> io::Result<Option<TcpStream>> {
-    let mut stream = pool::connect(address).await?;
+async fn make_offer(
+    node: &Node,
+    address: SocketAddr,
+    offer: Offer,
+) -> io::Result<Option<TcpStream>> {
+    let mut stream = pool::connect(address, node.pool.buffers()).await?;
     stream.write_all(&offer.encode()?).await?;
     let reply = stream.read_u8().await?;
     Ok((reply == TAKEN).then_some(stream))
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -38,6 +38,7 @@
 mod answer;
 pub mod attempt;
 mod bounded;
+mod buffers;
 pub mod cache_polling;
 pub mod caller;
 pub mod clock;
--- a/crates/path/src/node.rs
+++ b/crates/path/src/node.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::buffers::Buffers;
 use crate::caller::Callers;
 use crate::clock::Clock;
 use crate::continuation::recorded::Records;
@@ -162,7 +163,7 @@
             dialect,
             journal,
             metrics: Metrics::default(),
-            pool: Pool::new(),
+            pool: Pool::new(Buffers::new(&settings)),
             peer,
             outbound: Socket::default(),
             inbound: Buffer::default(),
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -19,10 +19,11 @@
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::TcpKeepalive;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::bounded::{Allowance, BUFFER_BYTES, Bounded};
+use crate::buffers::Buffers;
 use crate::held::Content;
 
 /// Time for which sent bytes may remain unacknowledged before the system closes the connection.
@@ -130,13 +131,16 @@
     idle: RefCell<HashMap<Tag, Vec<Idle>>>,
     /// Open connections, also those that are in use.
     open: Rc<Cell<usize>>,
+    buffers: Buffers,
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty pool of connections with these buffers.
+    pub(crate) fn new(buffers: Buffers) -> Self {
+        Self {
+            buffers,
+            ..Self::default()
+        }
     }
 
     /// Opens a connection, which counts until it is closed.
@@ -145,7 +149,13 @@
     ///
     /// If no connection is established within `timeout`; no request was sent then.
     pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
-        open_counted(address, timeout, Counted::new(&self.open)).await
+        let counted = Counted::new(&self.open);
+        open_counted(address, timeout, self.buffers, counted).await
+    }
+
+    /// Buffers of its connections.
+    pub(crate) fn buffers(&self) -> Buffers {
+        self.buffers
     }
 
     /// Number of open connections, also of those that are in use.
@@ -236,15 +246,17 @@
 ///
 /// If no connection is established within `timeout`; no request was sent then.
 pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
-    open_counted(address, timeout, Counted::new(&Rc::default())).await
+    let counted = Counted::new(&Rc::default());
+    open_counted(address, timeout, Buffers::default(), counted).await
 }
 
 async fn open_counted(
     address: SocketAddr,
     timeout: Duration,
+    buffers: Buffers,
     counted: Counted,
 ) -> Result<Connection, Error> {
-    let connecting = tokio::time::timeout(timeout, connect(address));
+    let connecting = tokio::time::timeout(timeout, connect(address, buffers));
     let Ok(stream) = connecting.await else {
         return TimeoutSnafu { address, timeout }.fail();
     };
@@ -267,13 +279,8 @@
 }
 
 /// Opens a connection that breaks off soon after the other side is gone.
-pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    let stream = socket.connect(address).await?;
+pub(crate) async fn connect(address: SocketAddr, buffers: Buffers) -> std::io::Result<TcpStream> {
+    let stream = buffers.connect(address).await?;
     stream.set_nodelay(true)?;
     let reference = socket2::SockRef::from(&stream);
     reference.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -21,9 +21,10 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::buffers::Buffers;
 use crate::caller::{self, Caller, Service};
 use crate::ending::{self, Marked, Marker};
 use crate::exchange::{self, Past};
@@ -75,38 +76,14 @@
     source: std::io::Error,
 }
 
-/// Opens a listening socket.
+/// Opens a listening socket of a router.
 ///
 /// # Errors
 ///
 /// If the address can't be bound.
-pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    bind(address, None).context(Snafu { address })
-}
-
-/// Opens the listening socket of callers.
-///
-/// # Errors
-///
-/// If the address can't be bound.
-pub fn listen_callers(settings: &Settings) -> Result<TcpListener, Error> {
-    let address = settings.callers;
-    bind(address, caller::receive_buffer(settings)).context(Snafu { address })
-}
-
-fn bind(address: SocketAddr, receive_buffer: Option<u32>) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    if let Some(bytes) = receive_buffer {
-        // Accepted sockets inherit it. It counts from the first byte, before they are accepted.
-        socket.set_recv_buffer_size(bytes)?;
-    }
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+pub fn listen(settings: &Settings, address: SocketAddr) -> Result<TcpListener, Error> {
+    let listening = Buffers::new(settings).listen(address, BACKLOG);
+    listening.context(Snafu { address })
 }
 
 async fn accept(node: &Rc<Node>, listener: &TcpListener) -> TcpStream {
