Bytes that the system can't send yet are bounded for each connection

Answers that callers do not read were kept by the system: 281 MB for a hundred callers at a router with 60 MB (answers_that_are_not_read_do_not_fill_the_systems_buffers, red before).

Cause: an answer counts in the account until its caller has it, but counts no more once it is written, and the system takes up to 4 MB for a connection whose other side does not read.

Change: TCP_NOTSENT_LOWAT, 16 KiB, on listening sockets, whose connections inherit it, and on connections to targets and neighbours, where the memory is bounded. It does not bound what is on its way, so a caller that reads, however far away, is sent as much as before; a fixed send buffer, the other way, would slow it to one buffer a round trip. Systems without the option keep their own bound.

--- a/crates/path/src/buffers.rs
+++ b/crates/path/src/buffers.rs
@@ -4,10 +4,14 @@
 //! router does not read while it has nowhere to put the bytes: behind a request that is being
 //! served, and the answer of a target whose caller does not read. The system would let the buffer
 //! of each such connection grow to megabytes, so its size is set.
+//!
+//! What is written to a connection whose other side does not read leaves the router's account of
+//! memory and stays in the system's, also up to megabytes, so its size is set as well.
 
 use std::io;
 use std::net::SocketAddr;
 
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::caller;
@@ -19,10 +23,15 @@
 const MIN_RECEIVE_BYTES: u64 = 8 * 1024;
 const MAX_RECEIVE_BYTES: u64 = 64 * 1024;
 
+/// Bytes of a connection that are written and that the system can't send yet. What was sent and is
+/// on its way is not bounded by this, so it slows no caller that reads.
+const UNSENT_BYTES: u32 = 16 * 1024;
+
 /// Sizes of the buffers of a connection; those of the system if none.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Buffers {
     receive: Option<u32>,
+    unsent: Option<u32>,
 }
 
 impl Buffers {
@@ -35,6 +44,7 @@
         });
         Self {
             receive: receive.and_then(|it| u32::try_from(it).ok()),
+            unsent: settings.memory.map(|_| UNSENT_BYTES),
         }
     }
 
@@ -62,6 +72,10 @@
         if let Some(bytes) = self.receive {
             socket.set_recv_buffer_size(bytes)?;
         }
+        if let Some(bytes) = self.unsent {
+            // Not all systems have the option; without it their own bound holds.
+            drop(SockRef::from(&socket).set_tcp_notsent_lowat(bytes));
+        }
         Ok(socket)
     }
 }
