Connections that are offered to neighbours count

Cause: a connection to a neighbour counted from the moment at which the neighbour had taken it. Until then each new caller opened one more, as none was seen.

Change: it counts from its offer on.

A count of sockets alone was tried and read wrong numbers, as the list of descriptors is read while it changes. Letting the event loop turn before a connection is accepted or opened was tried too, and used more, as others opened theirs in between; taken out.

--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -192,8 +192,13 @@
     let mut offers = 0;
     while offers < MAX_OFFERS
         && node.intake.should_hand_over(node.now())
-        && let Some((version, neighbor)) = Box::pin(offer(&node)).await
+        && let Some(taken) = Box::pin(offer(&node)).await
     {
+        let Accepted {
+            version,
+            neighbor,
+            counted: _counted,
+        } = taken;
         let forwarded = forwarding::forward(&node, version, stream, unread, neighbor, &caller);
         // Most connections are never forwarded, and need no room for its state.
         match Box::pin(forwarded).await {
@@ -233,9 +238,33 @@
     }
 }
 
-/// Offers a connection to neighbours; returns the version that it is bound to, and the connection
-/// to the neighbour that takes it.
-async fn offer(node: &Rc<Node>) -> Option<(u64, TcpStream)> {
+/// Offer that a neighbour has accepted.
+struct Accepted {
+    /// Version of the configuration that the connection is bound to.
+    version: u64,
+    /// Connection to the neighbour.
+    neighbor: TcpStream,
+    counted: Forwarded,
+}
+
+/// Counts a connection to a neighbour, from its offer on, until it is dropped.
+struct Forwarded(Rc<Node>);
+
+impl Forwarded {
+    fn new(node: &Rc<Node>) -> Self {
+        node.handovers.open.set(node.handovers.open.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        self.0.handovers.open.set(self.0.handovers.open.get() - 1);
+    }
+}
+
+/// Offers a connection to neighbours.
+async fn offer(node: &Rc<Node>) -> Option<Accepted> {
     let version = node.table()?.version();
     if node.now() < node.handovers.paused_until.get() {
         return None;
@@ -248,14 +277,19 @@
     let candidates = node.state.borrow().members.handover_candidates(draw);
     for address in candidates {
         caller::make_room(node);
+        let counted = Forwarded::new(node);
         let until = node.now() + OFFER_TIMEOUT;
         let result = match node
             .timeout_at(until, make_offer(node, address, offer))
             .await
         {
-            Some(Ok(Some(stream))) => {
+            Some(Ok(Some(neighbor))) => {
                 count(node, |it| it.taken += 1, "taken");
-                return Some((version, stream));
+                return Some(Accepted {
+                    version,
+                    neighbor,
+                    counted,
+                });
             }
             Some(Ok(None)) => "declined",
             Some(Err(_)) => "unreachable",
--- a/crates/path/src/handover/forwarding.rs
+++ b/crates/path/src/handover/forwarding.rs
@@ -86,7 +86,6 @@
     ending::reset_on_close(&neighbor)?;
     // None if the neighbour has reset the connection already.
     let peer = neighbor.peer_addr().ok();
-    let _counted = Forwarded::new(node);
     let forwarding = Forwarding {
         node,
         version,
@@ -360,19 +359,3 @@
     line.with("peer_alive", members.contains(peer))
         .with("peer_leaving", members.is_leaving(peer))
 }
-
-/// Counts a forwarded connection until it is dropped.
-struct Forwarded<'a>(&'a Node);
-
-impl<'a> Forwarded<'a> {
-    fn new(node: &'a Node) -> Self {
-        node.handovers.open.set(node.handovers.open.get() + 1);
-        Self(node)
-    }
-}
-
-impl Drop for Forwarded<'_> {
-    fn drop(&mut self) {
-        self.0.handovers.open.set(self.0.handovers.open.get() - 1);
-    }
-}
