A connection is opened once those that give way to it are closed

Cause: a connection that gives way is closed by its own task, at a later turn of the event loop. Until then hundreds of requests open theirs.

Change: what is opened counts first, then lets the event loop turn, eight times at most, while more are open than the limit. This holds for connections to targets and neighbours and for accepted ones.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -256,6 +256,12 @@
             || used.saturating_add(CONNECTION_BYTES) > self.memory
     }
 
+    /// Whether more are open than the limit, as some that were displaced are not closed yet.
+    #[must_use]
+    pub fn is_over(&self, others: impl Into<Others>) -> bool {
+        self.open.len().saturating_add(others.into().count()) > self.limit
+    }
+
     /// Memory of all connections, in bytes.
     fn bytes(&self, others: Others) -> u64 {
         times(self.open.len(), CONNECTION_BYTES)
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -252,9 +252,11 @@
         .mul_f64(CONNECT_TIMEOUT_FACTOR)
         .max(MIN_CONNECT_TIMEOUT);
     caller::make_room(node);
+    let counted = node.pool.count();
+    caller::close_displaced(node).await;
     let opened = node
         .pool
-        .open(lease.target.address, timeout.min(left))
+        .open_counted(lease.target.address, timeout.min(left), counted)
         .await;
     node.metrics.add("connections", &lease.target.service, 1);
     if opened.is_ok() {
--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -53,6 +53,9 @@
 /// Bytes per second that are read and dropped behind refused requests, on all connections.
 const DISCARDED_BYTES_PER_S: usize = 8 * 1024 * 1024;
 
+/// Turns of the event loop that are waited for connections that give way.
+const MAX_CLOSE_TURNS: usize = 8;
+
 /// Interval between checks of heads that have begun.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -190,6 +193,17 @@
     }
 }
 
+/// Lets the tasks of connections that give way close them, so that those of a burst do not use up
+/// the descriptors before. What is opened must count already.
+pub(crate) async fn close_displaced(node: &Node) {
+    for _ in 0..MAX_CLOSE_TURNS {
+        if !node.callers.table.borrow().is_over(others(node)) {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
 /// An open connection of a caller.
 pub struct Caller {
     node: Rc<Node>,
--- a/crates/path/src/handover.rs
+++ b/crates/path/src/handover.rs
@@ -278,6 +278,7 @@
     for address in candidates {
         caller::make_room(node);
         let counted = Forwarded::new(node);
+        caller::close_displaced(node).await;
         let until = node.now() + OFFER_TIMEOUT;
         let result = match node
             .timeout_at(until, make_offer(node, address, offer))
--- a/crates/path/src/pool.rs
+++ b/crates/path/src/pool.rs
@@ -143,13 +143,31 @@
         }
     }
 
+    /// Counts a connection that is about to be opened.
+    pub(crate) fn count(&self) -> Counted {
+        Counted::new(&self.open)
+    }
+
     /// Opens a connection, which counts until it is closed.
     ///
     /// # Errors
     ///
     /// If no connection is established within `timeout`; no request was sent then.
     pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
-        let counted = Counted::new(&self.open);
+        self.open_counted(address, timeout, self.count()).await
+    }
+
+    /// Opens a connection that counts already.
+    ///
+    /// # Errors
+    ///
+    /// If no connection is established within `timeout`; no request was sent then.
+    pub(crate) async fn open_counted(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        counted: Counted,
+    ) -> Result<Connection, Error> {
         open_counted(address, timeout, self.buffers, counted).await
     }
 
--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -108,6 +108,7 @@
         let Some(caller) = Caller::open(&node) else {
             continue;
         };
+        caller::close_displaced(&node).await;
         prepare(&stream);
         tokio::task::spawn_local(handover::serve(node.clone(), stream, caller));
     }
