Events that are not complete are bounded together

A target whose events do not end made a router hold 232 MB of 60 for 500 streams (105 to 154 MB with the receive buffers and the budget of connections): events_that_do_not_end_are_bounded_together, red before.

Cause: an event is held until it is complete, up to 256 KiB, so that the stream can go on at another target. The sum had no bound and no account.

Change: an event above 16 KiB is charged for what is allocated, as an entry that does not give way, up to a quarter of the account for all of them. One for which there is no room is forwarded in parts, as one above 256 KiB always was: its caller gets all of it, and the stream can't be resumed within it.

Ordinary events are below 16 KiB and charge nothing.

--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -51,11 +51,13 @@
     Answer,
     /// Bytes of requests that were forwarded to a neighbour.
     Forwarded,
+    /// Event of a stream that is not complete.
+    Event,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 3] = [Self::Request, Self::Answer, Self::Forwarded];
+    pub const ALL: [Self; 4] = [Self::Request, Self::Answer, Self::Forwarded, Self::Event];
 
     /// Name in logs and metrics.
     #[must_use]
@@ -64,6 +66,7 @@
             Self::Request => "request",
             Self::Answer => "answer",
             Self::Forwarded => "forwarded",
+            Self::Event => "event",
         }
     }
 }
--- a/crates/path/src/event.rs
+++ b/crates/path/src/event.rs
@@ -35,6 +35,12 @@
     /// Appends bytes; returns the complete events, if any, or a part of an event that exceeds
     /// `MAX_EVENT_BYTES`.
     pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        self.push_within(MAX_EVENT_BYTES, bytes)
+    }
+
+    /// The same, with a part of an event that exceeds `limit`, if that is less.
+    pub(crate) fn push_within(&mut self, limit: usize, bytes: Bytes) -> Option<Bytes> {
+        let limit = limit.min(MAX_EVENT_BYTES);
         let events = if self.rest.is_empty() && ends_event(&bytes) {
             self.forwarded = 0;
             bytes
@@ -42,7 +48,7 @@
             self.rest.extend_from_slice(&bytes);
             let end = last_event_end(&self.rest, self.searched);
             self.searched = self.rest.len();
-            if end.is_none() && self.rest.len() <= MAX_EVENT_BYTES {
+            if end.is_none() && self.rest.len() <= limit {
                 return None;
             }
             self.forwarded = match end {
--- a/crates/path/src/held.rs
+++ b/crates/path/src/held.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dunlinward_dispatch::memory::{Account, Entry, Holder, Kind};
+use dunlinward_dispatch::memory::{Account, Entry, Holder, Kind, SMALL_BYTES};
 use dunlinward_dispatch::share;
 use hyper::body::{Body, Frame, SizeHint};
 use snafu::Snafu;
@@ -34,6 +34,9 @@
 const KEPT_DIVISOR: u64 = 8;
 const MAX_KEPT: usize = 8 * 1024 * 1024;
 
+/// Part of that for events that are not complete.
+const EVENT_DIVISOR: u64 = 4;
+
 /// Size of a segment; the first one is smaller as long as that is enough.
 const SEGMENT_BYTES: usize = 32 * 1024;
 
@@ -53,6 +56,8 @@
 pub(crate) struct Held {
     account: RefCell<Account>,
     buffers: RefCell<HashMap<Entry, Weak<Buffer>>>,
+    /// Bytes of events that are not complete, beyond small ones.
+    events: Cell<usize>,
     /// Bodies that were given up and not logged yet, by kind.
     given_up: RefCell<BTreeMap<&'static str, u64>>,
 }
@@ -64,6 +69,7 @@
         Rc::new(Self {
             account: RefCell::new(Account::new(limit)),
             buffers: RefCell::default(),
+            events: Cell::default(),
             given_up: RefCell::default(),
         })
     }
@@ -76,9 +82,20 @@
     /// Charges bytes of requests that are kept until a neighbour answers them. They do not give way,
     /// as there is a bound for them ([`kept_limit`](Self::kept_limit)).
     pub(crate) fn keep(&self, entry: Option<Entry>, bytes: usize, now: Duration) -> Entry {
+        self.charge_pinned(Kind::Forwarded, entry, bytes, now)
+    }
+
+    /// Charges bytes that do not give way to an entry, or a new one.
+    fn charge_pinned(
+        &self,
+        kind: Kind,
+        entry: Option<Entry>,
+        bytes: usize,
+        now: Duration,
+    ) -> Entry {
         let entry = entry.unwrap_or_else(|| {
             let mut account = self.account.borrow_mut();
-            let entry = account.begin(None, Kind::Forwarded, now);
+            let entry = account.begin(None, kind, now);
             account.pin(entry);
             entry
         });
@@ -97,6 +114,13 @@
         usize::try_from(limit).map_or(MAX_KEPT, |it| it.min(MAX_KEPT))
     }
 
+    /// Whether the part of the memory for events has room for so many bytes more.
+    fn has_room_for_event(&self, bytes: usize) -> bool {
+        let limit = self.account.borrow().limit() / EVENT_DIVISOR;
+        let events = self.events.get().saturating_add(bytes);
+        u64::try_from(events).is_ok_and(|it| it <= limit)
+    }
+
     /// Sum of all bodies, in bytes.
     pub(crate) fn total(&self) -> u64 {
         self.account.borrow().total()
@@ -311,6 +335,78 @@
     }
 }
 
+/// Charge of the event of a stream that is not complete, which is held so that the stream can go on
+/// at another target. A small one is part of what a served request takes. One for which there is no
+/// room is forwarded in parts, so it ends nobody else's.
+#[derive(Debug)]
+pub(crate) struct Incomplete {
+    held: Rc<Held>,
+    entry: Option<Entry>,
+    length: usize,
+    charged: usize,
+}
+
+impl Incomplete {
+    /// Creates the charge of an empty event.
+    pub(crate) fn new(held: &Rc<Held>) -> Self {
+        Self {
+            held: held.clone(),
+            entry: None,
+            length: 0,
+            charged: 0,
+        }
+    }
+
+    /// What is allocated for an event, beyond a small one.
+    fn allocated(length: usize) -> usize {
+        if length as u64 <= SMALL_BYTES {
+            return 0;
+        }
+        length.next_power_of_two()
+    }
+
+    /// Limit of the event if so many bytes are appended.
+    pub(crate) fn limit(&self, bytes: usize) -> usize {
+        let more = Self::allocated(self.length + bytes).saturating_sub(self.charged);
+        if more == 0 || self.held.has_room_for_event(more) {
+            return usize::MAX;
+        }
+        0
+    }
+
+    /// Records the length of the event from now on.
+    pub(crate) fn record(&mut self, length: usize, now: Duration) {
+        self.length = length;
+        let allocated = Self::allocated(length);
+        if allocated < self.charged {
+            self.release();
+        }
+        let more = allocated - self.charged;
+        if more == 0 {
+            return;
+        }
+        let held = &self.held;
+        self.entry = Some(held.charge_pinned(Kind::Event, self.entry, more, now));
+        held.events.set(held.events.get() + more);
+        self.charged = allocated;
+    }
+
+    fn release(&mut self) {
+        if let Some(entry) = self.entry.take() {
+            self.held.release(entry);
+        }
+        let events = self.held.events.get();
+        self.held.events.set(events - self.charged);
+        self.charged = 0;
+    }
+}
+
+impl Drop for Incomplete {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 /// A complete body that is sent.
 #[derive(Debug)]
 pub struct Content {
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::event::Splitter;
 use crate::exchange;
 use crate::framing::{self, End, Framing};
+use crate::held::Incomplete;
 use crate::interruption::Cause;
 use crate::journal::millis;
 use crate::node::Node;
@@ -146,6 +147,8 @@
     job: Rc<Job>,
     attempt: Option<Attempt>,
     splitter: Splitter,
+    /// Charge of the event that is not complete.
+    incomplete: Incomplete,
     /// What marks the end of the target's answer.
     framing: Framing,
     /// What marks the end of the answer to the caller.
@@ -275,6 +278,7 @@
         let policy = Policy::new(load_policy.intake_utilization, load_policy.event_delay);
         Self {
             splitter: Splitter::new(job.resume_after),
+            incomplete: Incomplete::new(&node.held),
             framing: attempt.framing,
             envelope: framing::envelope(&job.head, &attempt),
             resolution: None,
@@ -338,7 +342,11 @@
         match chunk {
             Chunk::Bytes(bytes) => {
                 self.record_data();
-                let events = self.splitter.push(bytes)?;
+                let limit = self.incomplete.limit(bytes.len());
+                let events = self.splitter.push_within(limit, bytes);
+                let length = self.splitter.incomplete_bytes();
+                self.incomplete.record(length, self.node.now());
+                let events = events?;
                 if self.splitter.forwarded_bytes() > MAX_EVENT_BYTES {
                     return self.interrupt(EVENT_TOO_LONG);
                 }
@@ -626,6 +634,7 @@
     /// refuses the request has not run it, so the next one is tried.
     async fn resume(&mut self, reason: &'static str) -> Result<(), Error> {
         drop(self.splitter.take_incomplete());
+        self.incomplete.record(0, self.node.now());
         let mut failed = self.end_attempt(reason);
         let mut reason = reason;
         if !self.may_resume() {
