Own interface: bodies of requests are charged to one account

Cause: as on the platform's path, each body had a limit and the sum had none, and a chunk of one byte cost some forty times its length.

Change: bodies are copied into one buffer each and charged with what is allocated (callers::bodies) by the same decision, dispatch::memory: the customer that holds most gives way, its largest and oldest body first; bodies of requests that were given to the driver may run and do not. The refusal is 503 bodies_full, not run, with Retry-After.

Not bounded there: the sum of answers that are read whole.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -17,6 +17,7 @@
 use dunlinward_kernel::id;
 use hyper::{HeaderMap, Method};
 
+use crate::callers::Charge;
 use crate::idempotency::Ticket;
 use crate::reply::Sink;
 use crate::targets::NotRun;
@@ -57,6 +58,8 @@
     pub sink: Sink,
     /// The claim on an idempotency key, if one was given.
     pub ticket: Option<Ticket>,
+    /// The charge of the body.
+    pub(crate) _charge: Charge,
 }
 
 /// A second run is harmless.
--- a/crates/router/src/callers/admit.rs
+++ b/crates/router/src/callers/admit.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc::Receiver;
 use xxhash_rust::xxh64::xxh64;
 
+use super::bodies::{Bodies, Buffer, Charge, GivenUp};
 use super::body::{Guard, Payload};
 use super::parse::{self, Extra, Wish};
 use crate::call::{Call, Shape};
@@ -51,6 +52,8 @@
     pub header_timeout: Duration,
     /// Largest body in bytes.
     pub body_limit: usize,
+    /// All bodies.
+    pub bodies: Arc<Bodies>,
     /// Requests numbered so far.
     pub count: AtomicU64,
 }
@@ -69,6 +72,18 @@
     Replayed(Box<Answer>),
 }
 
+impl From<GivenUp> for Reason {
+    fn from(_: GivenUp) -> Self {
+        Self::BodiesFull
+    }
+}
+
+impl From<GivenUp> for Early {
+    fn from(error: GivenUp) -> Self {
+        Self::Refused(error.into())
+    }
+}
+
 impl From<Reason> for Early {
     fn from(reason: Reason) -> Self {
         Self::Refused(reason)
@@ -100,7 +115,10 @@
         log::info!(request = name, reason = reason.name(); "refused");
         let answer = Notice::edge(reason).answer(name);
         let mut response = respond(answer.head, Payload::Whole(Some(answer.body)));
-        if matches!(reason, Reason::BodyTooLarge | Reason::BodyTimeout) {
+        if matches!(
+            reason,
+            Reason::BodyTooLarge | Reason::BodyTimeout | Reason::BodiesFull
+        ) {
             // The rest of the body is still under way.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -119,7 +137,8 @@
         let key = parse::bearer(&parts.headers)?;
         let customer = current.config.customer_of(key).ok_or(Reason::KeyWrong)?;
         let extra = parse::extra(&parts.headers)?;
-        let body = self.read(&current, body).await?;
+        let charge = Charge::new(&self.bodies, &customer.name);
+        let body = self.read(&current, body, &charge).await?;
         let wish = parse::wish(&current, &parts, &extra, &body)?;
         let class = extra.class.unwrap_or_else(|| parse::class(wish.service));
         let request = id::Request(number);
@@ -135,6 +154,7 @@
             )
             .ok_or(Reason::NotConfigured)?;
         let scope = scope(&customer.name, &wish, &extra, arrival.repeatable);
+        charge.pin()?;
         let ticket = self.claim(&current, scope, &parts, &body)?;
         let (sink, receiver) = Sink::new();
         let call = Call {
@@ -146,6 +166,7 @@
             path: wish.path,
             headers: parts.headers,
             body,
+            _charge: charge,
             shape: wish.shape,
             sink,
             ticket,
@@ -191,20 +212,27 @@
         })
     }
 
-    async fn read(&self, current: &Current, body: Incoming) -> Result<Bytes, Reason> {
+    async fn read(
+        &self,
+        current: &Current,
+        body: Incoming,
+        charge: &Charge,
+    ) -> Result<Bytes, Reason> {
         let configured = current.config.limits.body_bytes;
         let limit =
             usize::try_from(configured).map_or(self.body_limit, |bytes| bytes.min(self.body_limit));
         if body.size_hint().lower() > limit as u64 {
             return Err(Reason::BodyTooLarge);
         }
-        let read = Limited::new(body, limit).collect();
-        match tokio::time::timeout(self.header_timeout, read).await {
-            Err(_) => Err(Reason::BodyTimeout),
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-            Ok(Err(_)) => Err(Reason::BodyMalformed),
-        }
+        let read = async {
+            tokio::select! {
+                biased;
+                () = charge.given_up() => Err(Reason::BodiesFull),
+                read = copy(Limited::new(body, limit), charge) => read,
+            }
+        };
+        let read = tokio::time::timeout(self.header_timeout, read).await;
+        read.unwrap_or(Err(Reason::BodyTimeout))
     }
 
     fn claim(
@@ -257,6 +285,24 @@
     }
 }
 
+/// Reads a body within its limit and its charge.
+async fn copy(mut body: Limited<Incoming>, charge: &Charge) -> Result<Bytes, Reason> {
+    let mut buffer = Buffer::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| {
+            if err.is::<LengthLimitError>() {
+                Reason::BodyTooLarge
+            } else {
+                Reason::BodyMalformed
+            }
+        })?;
+        if let Ok(data) = frame.into_data() {
+            buffer.push(&data, charge)?;
+        }
+    }
+    Ok(buffer.complete())
+}
+
 /// The body of an answer that is not streamed; nothing when it was cut.
 async fn whole(admission: &mut Admission) -> Option<Bytes> {
     let mut body = BytesMut::new();
--- a/crates/router/src/callers/mod.rs
+++ b/crates/router/src/callers/mod.rs
@@ -9,6 +9,7 @@
 //! - at most `connections` sockets; one more is told so at once and closed;
 //! - a head must be whole within `header_timeout`, its body within another;
 //! - a body larger than the limit is refused before it is read whole;
+//! - all bodies together have a limit too, at which those of the customer that holds most give way;
 //! - a caller that leaves is noticed at once, while waiting and while streaming,
 //!   and its request leaves queue or target;
 //! - a caller that reads nothing holds its attempt for [`crate::reply::STALL`].
@@ -16,6 +17,7 @@
 //! One thread runs all sockets. A waiting request costs memory but no thread.
 
 mod admit;
+mod bodies;
 mod body;
 mod parse;
 
@@ -37,6 +39,7 @@
 
 use crate::refusal::{Notice, Reason};
 pub(crate) use admit::Desk;
+pub(crate) use bodies::{Bodies, Charge};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
--- a/crates/router/src/flags.rs
+++ b/crates/router/src/flags.rs
@@ -118,7 +118,7 @@
     ]
 }
 
-fn bounds() -> [Arg; 7] {
+fn bounds() -> [Arg; 8] {
     [
         flag("drain-ms", "DUNLINWARD_DRAIN_MS", range(1, 3_600_000))
             .default_value("30000")
@@ -136,6 +136,13 @@
         flag("body-limit", "DUNLINWARD_BODY_LIMIT", range(1, 1 << 30))
             .default_value("4194304")
             .help("Largest request body in bytes"),
+        flag(
+            "body-memory",
+            "DUNLINWARD_BODY_MEMORY",
+            range(1 << 16, 1 << 40),
+        )
+        .default_value("268435456")
+        .help("Memory for all request bodies together, in bytes"),
         flag("workers", "DUNLINWARD_WORKERS", range(1, 16_384))
             .default_value("1024")
             .help("Attempts that run at once"),
@@ -182,6 +189,7 @@
     settings.connections = size(matches, "connections");
     settings.header_timeout = millis(matches, "header-timeout-ms");
     settings.body_limit = size(matches, "body-limit");
+    settings.body_memory = size(matches, "body-memory");
     settings.workers = size(matches, "workers");
     settings.seed = value(matches, "seed");
     settings.round = millis(matches, "round-ms");
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -71,6 +71,8 @@
     BodyMalformed = "body_malformed", BAD_REQUEST, NotRun;
     /// The body is larger than allowed.
     BodyTooLarge = "body_too_large", PAYLOAD_TOO_LARGE, NotRun;
+    /// The memory for bodies is used up, and this one gives way.
+    BodiesFull = "bodies_full", SERVICE_UNAVAILABLE, NotRun;
     /// The body did not come in time.
     BodyTimeout = "body_timeout", REQUEST_TIMEOUT, NotRun;
     /// A header of ours has a value that is not allowed.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -196,6 +196,7 @@
         connections: settings.connections,
         header_timeout: settings.header_timeout,
         body_limit: settings.body_limit,
+        bodies: callers::Bodies::new(settings.body_memory as u64),
         count: AtomicU64::new(0),
     };
     let address = settings.callers;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -19,6 +19,8 @@
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Default largest request body in bytes; the configuration may lower it.
 pub const BODY_LIMIT: usize = 4 << 20;
+/// Default memory for all request bodies together in bytes.
+pub const BODY_MEMORY: usize = 256 << 20;
 /// Default number of attempts that run at once.
 pub const WORKERS: usize = 1024;
 /// Default time for a graceful shutdown.
@@ -70,6 +72,8 @@
     pub header_timeout: Duration,
     /// Largest request body in bytes.
     pub body_limit: usize,
+    /// Memory for all request bodies together, in bytes.
+    pub body_memory: usize,
     /// Attempts that run at once.
     pub workers: usize,
     /// Seed for ties and jitter.
@@ -99,6 +103,7 @@
             connections: CONNECTIONS,
             header_timeout: HEADER_TIMEOUT,
             body_limit: BODY_LIMIT,
+            body_memory: BODY_MEMORY,
             workers: WORKERS,
             seed: 0,
             round: ROUND,
@@ -140,6 +145,13 @@
         self
     }
 
+    /// The same settings with other memory for all bodies together, in bytes.
+    #[must_use]
+    pub fn with_body_memory(mut self, bytes: usize) -> Self {
+        self.body_memory = bytes;
+        self
+    }
+
     /// The same settings with another bound on callers' connections.
     #[must_use]
     pub fn with_connections(mut self, connections: usize) -> Self {
