The port for views waits while there are no descriptors

By reading, no test fails without it: a peer that can't be accepted, because the descriptors are used up, was tried again at once and without end, so the event loop spent its processor time on that. Such a crowd of clients is what uses them up.

--- a/crates/path/src/server.rs
+++ b/crates/path/src/server.rs
@@ -86,7 +86,8 @@
     listening.context(Snafu { address })
 }
 
-async fn accept(node: &Rc<Node>, listener: &TcpListener) -> TcpStream {
+/// Accepts the next connection; waits while there are no descriptors.
+pub(crate) async fn accept(node: &Rc<Node>, listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -24,6 +24,7 @@
 use crate::ending;
 use crate::handover::{self, Offer};
 use crate::node::{Node, PeerDelta};
+use crate::server;
 
 /// Limit of an encoded view.
 const MAX_VIEW_BYTES: u64 = 32 * 1024 * 1024;
@@ -274,9 +275,7 @@
 /// Serves this router's views to peers, and takes the connections that they hand over.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let mut stream = server::accept(&node, &listener).await;
         let node = node.clone();
         tokio::task::spawn_local(async move {
             let received = tokio::time::timeout(FETCH_TIMEOUT, Opening::read(&mut stream)).await;
