A view is sent within the time in which its peer waits for it

By reading, no test fails without it: a peer that asks for views and does not read held the encoded view, up to half a megabyte, a descriptor and a task until its connection broke. The peer gives up after a second, so the sender does too.

--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -286,8 +286,8 @@
             };
             let view = respond(&node, &request);
             if let Ok(bytes) = encode_response(&view) {
-                // The peer fetches again if this fails.
-                drop(send(&mut stream, &bytes).await);
+                // The peer fetches again if this fails, and has given up by then if it takes too long.
+                drop(tokio::time::timeout(FETCH_TIMEOUT, send(&mut stream, &bytes)).await);
             }
         });
     }
