Connections give way when open ones have grown beyond the budget

Cause: the budget was checked when a connection was opened, with what an idle one takes.

Change: when a connection begins to do something, or a request is served, and what is open exceeds the budget, the connection that has waited for its caller longest gives way, one for each step. A forwarded connection is charged 8 KiB more.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -26,7 +26,7 @@
 //!
 //! Invariants: callers' connections and the others together do not exceed the limit, as long as the
 //! others alone do not. What all of them and the bodies take exceeds the budget at most by what
-//! open connections grow by.
+//! that can't be closed grow by.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -47,7 +47,7 @@
 const SERVED_BYTES: u64 = 24 * 1024;
 
 /// Memory of the forwarding of a connection to a neighbour, and of the connection to it.
-const FORWARDED_BYTES: u64 = 48 * 1024;
+const FORWARDED_BYTES: u64 = 56 * 1024;
 
 /// Memory of a connection that a neighbour has handed over, and of its frames.
 const TAKEN_BYTES: u64 = 56 * 1024;
@@ -241,6 +241,19 @@
         if !self.is_full(others) {
             return None;
         }
+        self.displace()
+    }
+
+    /// Displaces a connection if what is open has grown beyond the memory; none if no caller is
+    /// waited for. Its caller's part counts no more at once, the rest once it is closed.
+    pub fn shed(&mut self, others: impl Into<Others>) -> Option<Displaced> {
+        let others = others.into();
+        let used = self.bytes(others).saturating_add(others.bodies);
+        (used > self.memory).then(|| self.displace())?
+    }
+
+    /// Closes the connection that has waited for its caller for the longest time.
+    fn displace(&mut self) -> Option<Displaced> {
         let (.., slot) = *self.waiting.first()?;
         let phase = self.phase(slot)?;
         self.close(slot);
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -153,8 +153,11 @@
     let (_, displaced) = table.open(bodies, seconds(9));
     assert_eq!(displaced.unwrap().slot, slots[0]);
     // One that receives takes more.
+    assert_eq!(table.shed(0), None);
     assert_eq!(table.enter(slots[1], Phase::Reading, seconds(9)), None);
     assert!(table.is_full(0));
+    assert_eq!(table.shed(0).unwrap().slot, slots[2]);
+    assert_eq!(table.shed(0), None);
 }
 
 /// Connections and bodies come, grow and go; what all of them take is counted again each time.
--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -193,6 +193,15 @@
     }
 }
 
+/// Lets bodies, and then one connection, give way to what connections have grown by.
+fn fit(node: &Node) {
+    fit_bodies(node, 0);
+    let displaced = node.callers.table.borrow_mut().shed(others(node));
+    if let Some(displaced) = displaced {
+        node.callers.close(displaced.slot, displaced.phase.name());
+    }
+}
+
 /// Lets the tasks of connections that give way close them, so that those of a burst do not use up
 /// the descriptors before. What is opened must count already.
 pub(crate) async fn close_displaced(node: &Node) {
@@ -282,7 +291,7 @@
         if let Some(displaced) = displaced {
             callers.close(displaced.slot, displaced.phase.name());
         }
-        fit_bodies(&self.node, 0);
+        fit(&self.node);
     }
 
     /// Returns once it is to be closed.
@@ -356,7 +365,7 @@
     /// Takes a place for a request of a customer, if there is one.
     pub(crate) fn take(node: &Rc<Node>, holder: Holder) -> Option<Self> {
         let taken = node.callers.served.borrow_mut().begin(holder);
-        fit_bodies(node, 0);
+        fit(node);
         let node = node.clone();
         // Dropping a place that was not taken would free another one.
         taken.then(|| Self { node, holder })
