Forwarded connections are charged with what they take

Cause, from the logs: front-bkk-silom-7 closed forwarded and idle connections for lack of memory (callers_displaced: forwarded 62, idle 720 in a second) with 1,521 connections of callers and 1,501 others, 3,022 of 3,657.

Change: forwarded 24 KiB with the caller's (22 KB measured with 600 requests that wait for their answers, release build), handed over 20 (51 KB measured with a served request and its connection to a target, now charged with 60); what a forwarded one takes while its caller does not read is charged while it does not.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -46,11 +46,15 @@
 /// Memory of a request that is served, beside its connections.
 const SERVED_BYTES: u64 = 24 * 1024;
 
-/// Memory of the forwarding of a connection to a neighbour, and of the connection to it.
-const FORWARDED_BYTES: u64 = 56 * 1024;
+/// Memory of the forwarding of a connection to a neighbour, beside the caller's.
+const FORWARDED_BYTES: u64 = 8 * 1024;
+
+/// Memory of one whose caller does not read, in addition to that of a blocked connection: frames of
+/// answers on their way.
+const FORWARDED_BLOCKED_BYTES: u64 = 40 * 1024;
 
 /// Memory of a connection that a neighbour has handed over, and of its frames.
-const TAKEN_BYTES: u64 = 56 * 1024;
+const TAKEN_BYTES: u64 = 20 * 1024;
 
 /// What is held beside callers' connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -280,6 +284,10 @@
         times(self.open.len(), CONNECTION_BYTES)
             .saturating_add(times(self.receiving.len(), RECEIVING_BYTES))
             .saturating_add(times(self.blocked, BLOCKED_BYTES))
+            .saturating_add(times(
+                self.blocked.min(others.forwarded),
+                FORWARDED_BLOCKED_BYTES,
+            ))
             .saturating_add(others.bytes())
     }
 
