Callers' connections are charged with what those take that have carried requests

Cause: a caller's connection was charged with 16 KiB, what a silent one takes. One that has carried requests keeps its buffers, and the router itself holds lists of 295 routers and 325 targets, for which an eighth of 160 MB is little.

Change: 24 KiB for a caller's connection, a sixth of the memory for the router itself.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -33,8 +33,12 @@
 
 use crate::memory::Holder;
 
-/// Memory of a connection, also of an idle one, in bytes: its read buffer and its tasks.
-pub const CONNECTION_BYTES: u64 = 16 * 1024;
+/// Memory of a caller's connection in bytes, also of an idle one that has carried requests: its
+/// buffers and its tasks.
+pub const CONNECTION_BYTES: u64 = 24 * 1024;
+
+/// Memory of a connection to a target, also of an idle one.
+const TARGET_BYTES: u64 = 16 * 1024;
 
 /// Memory of one whose head or body is on its way, in addition: what was read last, and the buffer
 /// for what is read next.
@@ -82,7 +86,7 @@
 
     /// Memory of all but bodies, in bytes.
     fn bytes(self) -> u64 {
-        times(self.targets, CONNECTION_BYTES)
+        times(self.targets, TARGET_BYTES)
             .saturating_add(times(self.forwarded, FORWARDED_BYTES))
             .saturating_add(times(self.taken, TAKEN_BYTES))
             .saturating_add(times(self.served, SERVED_BYTES))
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -154,6 +154,7 @@
     assert_eq!(displaced.unwrap().slot, slots[0]);
     // One that receives takes more.
     assert_eq!(table.shed(0), None);
+    assert_eq!(table.enter(slots[2], Phase::Reading, seconds(7)), None);
     assert_eq!(table.enter(slots[1], Phase::Reading, seconds(9)), None);
     assert!(table.is_full(0));
     assert_eq!(table.shed(0).unwrap().slot, slots[2]);
--- a/crates/path/src/caller.rs
+++ b/crates/path/src/caller.rs
@@ -39,7 +39,7 @@
 const SERVED_BYTES: u64 = 64 * 1024;
 
 /// Part of the memory for the router itself, and the least that it needs.
-const OWN_MEMORY_DIVISOR: u64 = 8;
+const OWN_MEMORY_DIVISOR: u64 = 6;
 const MIN_OWN_MEMORY: u64 = 12_000_000;
 
 /// Part of the memory that the allocator leaves unused between allocations.
