A forwarded request gives way after all connections that wait

Cause: a connection whose request a neighbour has, and may be sending to a target, gave way in the same order as idle ones, by the time for which it had waited. Closing an idle one loses nothing that was passed on.

Change: connections that are closing give way first, then those that wait for their callers, and forwarded requests only when there are no others.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -6,7 +6,8 @@
 //!
 //! - one that is closing already and only waits for its caller, first,
 //! - otherwise the one that has waited for its caller for the longest time: for a head, for the
-//!   rest of a body, or for room to write.
+//!   rest of a body, or for room to write,
+//! - one whose request was forwarded to a neighbour last, as the neighbour may be sending it.
 //!
 //! So a new connection, whose caller is about to send, outlasts those whose callers send nothing.
 //! A connection whose request is being served does not wait for its caller and is not closed. If
@@ -58,7 +59,7 @@
 const FORWARDED_BLOCKED_BYTES: u64 = 40 * 1024;
 
 /// Memory of a connection that a neighbour has handed over, and of its frames.
-const TAKEN_BYTES: u64 = 20 * 1024;
+const TAKEN_BYTES: u64 = 36 * 1024;
 
 /// What is held beside callers' connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -164,7 +165,18 @@
 }
 
 /// Order in which connections are closed.
-type Rank = (bool, Duration, Slot);
+type Rank = (Turn, Duration, Slot);
+
+/// Turn of a connection that waits for its caller, before those of later turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// Nothing is lost with it.
+    Closing,
+    /// Its caller is waited for.
+    Waiting,
+    /// A neighbour may be sending its request to a target.
+    Forwarded,
+}
 
 /// The connection that a new one displaces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -222,7 +234,13 @@
     }
 
     fn rank(slot: Slot, phase: Phase, since: Duration) -> Option<Rank> {
-        (phase != Phase::Serving).then_some((phase != Phase::Closing, since, slot))
+        let turn = match phase {
+            Phase::Closing => Turn::Closing,
+            Phase::Idle | Phase::Head | Phase::Reading | Phase::Blocked => Turn::Waiting,
+            Phase::Forwarded => Turn::Forwarded,
+            Phase::Serving => return None,
+        };
+        Some((turn, since, slot))
     }
 
     /// Adds a connection that waits for its first head, beside so many that are not callers'. At
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -46,6 +46,19 @@
     assert_eq!(displaced.unwrap().slot, slots[2]);
 }
 
+#[test]
+fn a_forwarded_request_gives_way_after_all_that_wait() {
+    let phases = [Phase::Forwarded, Phase::Idle, Phase::Blocked];
+    let (mut table, slots) = table(3, &phases);
+    for (at, gone) in [(5, 1), (6, 2)] {
+        let (new, displaced) = table.open(0, seconds(at));
+        assert_eq!(displaced.unwrap().slot, slots[gone]);
+        assert_eq!(table.enter(new, Phase::Serving, seconds(at)), None);
+    }
+    let (_, displaced) = table.open(0, seconds(7));
+    assert_eq!(displaced.unwrap().slot, slots[0]);
+}
+
 #[test]
 fn a_new_connection_is_closed_if_all_others_are_served() {
     let (mut table, slots) = table(2, &[Phase::Serving, Phase::Serving]);
