--- a/crates/router/tests/bodies.rs
+++ b/crates/router/tests/bodies.rs
@@ -74,7 +74,7 @@
     let growth = peak() - before;
     println!("grown by {} kB", growth / 1_000);
     assert!(growth <= GROWTH, "grown by {growth}");
-    // One that is refused is told that it has not run, and when to come back.
+    // A refusal has a verdict and a time to retry.
     let mut told = String::new();
     for stream in &mut crowd {
         let mut answer = Vec::new();
