--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A large request at a neighbour that is lost. See claim.txt.
-exec "$(dirname "$0")/../run-2.sh" large 7
+# A neighbour that stands still. See claim.txt.
+exec "$(dirname "$0")/../run-2.sh" frozen 7
